--- /dev/null
+++ b/Source/Ports/EventLog.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <absl/strings/str_cat.h>
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace trefoilwing {
+
+/// One key=value pair of a log line.
+struct LogField {
+    std::string key;
+    std::string value;
+
+    LogField(std::string fieldKey, std::string fieldValue)
+        : key(std::move(fieldKey))
+        , value(std::move(fieldValue))
+    {
+    }
+    LogField(std::string fieldKey, uint64_t fieldValue)
+        : LogField(std::move(fieldKey), absl::StrCat(fieldValue))
+    {
+    }
+};
+
+enum class Severity {
+    Info,
+    Warning,
+    Error,
+};
+
+/// Writes one line of key=value pairs for each event.
+class EventLog {
+public:
+    virtual ~EventLog() = default;
+
+    virtual void write(Severity, std::string_view event, std::initializer_list<LogField> fields) = 0;
+};
+
+/// @return the line "event=NAME key=value ...", with values quoted where they hold blanks, quotes or control characters.
+std::string formatEvent(std::string_view event, std::initializer_list<LogField> fields);
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Ports/MinionLink.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "Model/Identifiers.h"
+#include "Model/MinionMessages.h"
+
+#include <vector>
+
+namespace trefoilwing {
+
+/// Takes what comes back from minions. Calls come from the link's threads.
+class MinionEvents {
+public:
+    virtual ~MinionEvents() = default;
+
+    /// @param answers one for each start of a batch sent to the minion, in any order.
+    virtual void startsAnswered(const ServiceId&, const MinionId&, const std::vector<StartAnswer>& answers) = 0;
+    virtual void cancelsAnswered(const ServiceId&, const MinionId&, const std::vector<CancelAnswer>& answers) = 0;
+};
+
+/// Sends to minions. Calls return at once; answers come through MinionEvents.
+class MinionLink {
+public:
+    virtual ~MinionLink() = default;
+
+    virtual void sendStarts(const ServiceId&, const MinionId&, const Endpoint&, std::vector<TaskStart>) = 0;
+    virtual void sendCancels(const ServiceId&, const MinionId&, const Endpoint&, std::vector<AttemptId>) = 0;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Ports/Random.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstdint>
+
+namespace trefoilwing {
+
+/// A seeded source of random choices.
+class Random {
+public:
+    virtual ~Random() = default;
+
+    /// @param bound one more than the largest result; at least 1.
+    /// @return a uniformly distributed number in [0, bound).
+    virtual uint64_t below(uint64_t bound) = 0;
+
+    /// @return a uniformly distributed number in [0, 1).
+    virtual double unit() = 0;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Tests/Base/ErrorTest.cpp
@@ -0,0 +1,20 @@
+#include "Base/Error.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+TEST_GROUP(Error) {};
+
+TEST(Error, EveryVerdictHasItsWording)
+{
+    CHECK(verdictName(Verdict::NotRun) == "not run");
+    CHECK(verdictName(Verdict::Ran) == "ran");
+    CHECK(verdictName(Verdict::MayHaveRun) == "may have run");
+}
+
+TEST(Error, TheLastCodeHasItsName)
+{
+    CHECK(errorCodeName(ErrorCode::Malformed) == "malformed");
+    CHECK(errorCodeName(ErrorCode::Internal) == "internal");
+}
--- /dev/null
+++ b/Utilities/CMake/Libraries.cmake
@@ -0,0 +1,10 @@
+# The libraries from Debian's packages, each as one imported target.
+find_package(Threads REQUIRED)
+find_package(absl REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(glog REQUIRED)
+find_package(rapidcheck REQUIRED)
+find_package(Boost 1.74 REQUIRED)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(HTTPLIB REQUIRED IMPORTED_TARGET cpp-httplib)
+pkg_check_modules(CPPUTEST REQUIRED IMPORTED_TARGET cpputest)
