--- /dev/null
+++ b/Source/Model/PeerMessage.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Model/BrokerMessages.h"
+#include "Model/ForwardMessages.h"
+
+#include <variant>
+
+namespace trefoilwing {
+
+/// Every message between daemons. Its encoding is the Wire adapter's business.
+using PeerMessage = std::variant<
+    BrokerUpdate,
+    BrokerDecisions,
+    ForwardedSubmission,
+    OutcomeQuery,
+    ForwardReply>;
+
+} // namespace trefoilwing
