--- /dev/null
+++ b/Source/Adapters/Http/HttpServer.cpp
@@ -0,0 +1,119 @@
+#include "Adapters/Http/HttpServer.h"
+
+#include <absl/strings/str_cat.h>
+#include <httplib.h>
+
+#include <thread>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr int keepAliveSeconds = 5;
+    constexpr auto startPollInterval = std::chrono::milliseconds(1);
+    constexpr int ioTimeoutSeconds = 5;
+    constexpr size_t requestsPerConnection = 1'000'000;
+
+    HttpRequest toRequest(const httplib::Request& source)
+    {
+        HttpRequest request { source.path, source.body, {}, {} };
+        for (const auto& [key, value] : source.params)
+            request.query.emplace(key, value);
+        for (size_t group = 1; group < source.matches.size(); ++group)
+            request.captures.push_back(source.matches[group].str());
+        return request;
+    }
+
+    void fillResponse(const HttpResponse& source, httplib::Response& target)
+    {
+        target.status = source.status;
+        for (const auto& [key, value] : source.headers)
+            target.set_header(key, value);
+        target.set_content(source.body, source.contentType);
+    }
+
+} // namespace
+
+struct HttpServer::Library {
+    httplib::Server server;
+    std::thread listener;
+};
+
+HttpServer::HttpServer(const HttpServerOptions& options)
+    : library_(std::make_unique<Library>())
+{
+    httplib::Server& server = library_->server;
+    server.new_task_queue = [threads = options.maxConnections] { return new httplib::ThreadPool(threads); };
+    server.set_keep_alive_max_count(requestsPerConnection);
+    server.set_keep_alive_timeout(keepAliveSeconds);
+    server.set_read_timeout(ioTimeoutSeconds);
+    server.set_write_timeout(ioTimeoutSeconds);
+    server.set_tcp_nodelay(true);
+    // The library's default would let two processes share one port.
+    server.set_socket_options([](socket_t socket) {
+        int yes = 1;
+        setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
+    });
+    server.set_payload_max_length(options.maxBody.value());
+    // Answers of the library itself, such as to an oversized body, get the same form as all others.
+    server.set_error_handler([](const httplib::Request&, httplib::Response& response) {
+        if (!response.body.empty())
+            return;
+        const char* code = response.status == 413 ? "too_large" : response.status == 404 ? "unknown_path"
+                                                                                         : "malformed";
+        response.set_content(absl::StrCat(R"({"error":{"code":")", code, R"(","message":"The server refused the request with HTTP status )",
+                                 response.status, R"(.","verdict":"not run"}})"),
+            "application/json");
+    });
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+void HttpServer::route(HttpMethod method, const std::string& pattern, Handler handler)
+{
+    auto bridge = [handler = std::move(handler)](const httplib::Request& request, httplib::Response& response) {
+        fillResponse(handler(toRequest(request)), response);
+    };
+    switch (method) {
+    case HttpMethod::Get:
+        library_->server.Get(pattern, std::move(bridge));
+        break;
+    case HttpMethod::Post:
+        library_->server.Post(pattern, std::move(bridge));
+        break;
+    case HttpMethod::Delete:
+        library_->server.Delete(pattern, std::move(bridge));
+        break;
+    }
+}
+
+Result<Done> HttpServer::start(const Endpoint& endpoint)
+{
+    httplib::Server& server = library_->server;
+    if (endpoint.port == 0) {
+        const int bound = server.bind_to_any_port(endpoint.address);
+        port_ = bound > 0 ? static_cast<uint16_t>(bound) : 0;
+    } else if (server.bind_to_port(endpoint.address, endpoint.port)) {
+        port_ = endpoint.port;
+    }
+    if (port_ == 0)
+        return Error { ErrorCode::Unavailable, absl::StrCat("Can't listen on ", endpoint.address, ":", endpoint.port, "; free the port or change http_endpoint."), Verdict::NotRun };
+    library_->listener = std::thread([&server] { server.listen_after_bind(); });
+    // The library ignores a stop() that comes before its loop has begun, so start() waits for that.
+    while (!server.is_running())
+        std::this_thread::sleep_for(startPollInterval);
+    return Done {};
+}
+
+void HttpServer::stop()
+{
+    if (!library_->listener.joinable())
+        return;
+    library_->server.stop();
+    library_->listener.join();
+}
+
+} // namespace trefoilwing
