--- a/Source/Model/BrokerMessages.h
+++ b/Source/Model/BrokerMessages.h
@@ -90,7 +90,9 @@
 struct BrokerUpdate {
     ServiceId service;
     DaemonRun entry;
-    /// Numbers the updates of this entry to this broker, from 1; 1 begins anew with the whole state.
+    /// Numbers the times that the entry began anew with its whole state.
+    uint64_t stream = 0;
+    /// Numbers the updates of a stream, from 1; 1 carries the whole state and replaces what was known.
     uint64_t sequence = 0;
     std::vector<Demand> demands;
     std::vector<SlotReport> reports;
@@ -106,6 +108,10 @@
     DaemonRun broker;
     /// The run of the entry that the decisions are for; another run drops them.
     DaemonRun entry;
+    /// The entry's stream that the decisions belong to; the entry drops those of an earlier one.
+    uint64_t stream = 0;
+    /// Numbers the messages of a stream, from 1. A gap means lost grants, so the entry begins anew.
+    uint64_t sequence = 0;
     std::vector<Grant> grants;
     std::vector<Rejection> rejections;
     /// Set when the broker lacks the entry's state: the entry begins anew with sequence 1.
--- a/Source/Model/MinionMessages.h
+++ b/Source/Model/MinionMessages.h
@@ -86,6 +86,14 @@
     friend bool operator==(const StartAnswer&, const StartAnswer&) = default;
 };
 
+/// Asks a minion to give an attempt up. The task's id fences it where its start hasn't come yet.
+struct CancelOrder {
+    AttemptId attempt;
+    TaskId task;
+
+    friend bool operator==(const CancelOrder&, const CancelOrder&) = default;
+};
+
 /// A minion's answer to the cancelling of one attempt.
 enum class CancelReply {
     /// The task never started here and never will.
--- a/Source/Ports/MinionLink.h
+++ b/Source/Ports/MinionLink.h
@@ -23,7 +23,7 @@
     virtual ~MinionLink() = default;
 
     virtual void sendStarts(const ServiceId&, const MinionId&, const Endpoint&, std::vector<TaskStart>) = 0;
-    virtual void sendCancels(const ServiceId&, const MinionId&, const Endpoint&, std::vector<AttemptId>) = 0;
+    virtual void sendCancels(const ServiceId&, const MinionId&, const Endpoint&, std::vector<CancelOrder>) = 0;
 };
 
 } // namespace trefoilwing
