Add the replicated log's records and messages

A member is a daemon and the incarnation of its storage, so that one that forgets is another member. Founding records carry an epoch, which every message repeats, so that a group founded anew never mixes with its past.

--- a/Source/Model/PeerMessage.h
+++ b/Source/Model/PeerMessage.h
@@ -2,6 +2,7 @@
 
 #include "Model/BrokerMessages.h"
 #include "Model/ForwardMessages.h"
+#include "Model/LogMessages.h"
 
 #include <variant>
 
@@ -13,6 +14,16 @@
     BrokerDecisions,
     ForwardedSubmission,
     OutcomeQuery,
-    ForwardReply>;
+    ForwardReply,
+    VoteRequest,
+    VoteReply,
+    AppendRequest,
+    AppendReply,
+    SnapshotRequest,
+    ProposalForward,
+    JoinRequest,
+    JoinReply,
+    ConfigurationQuery,
+    ConfigurationDelta>;
 
 } // namespace trefoilwing
