Speak HTTP with minions: codec, link and API

Starts and cancels to one minion merge into one post at a time, so an entry holds one connection to each minion.

--- /dev/null
+++ b/Source/Adapters/Http/MinionLane.cpp
@@ -0,0 +1,76 @@
+#include "Adapters/Http/MinionLane.h"
+
+#include <absl/time/clock.h>
+
+#include <iterator>
+#include <utility>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// Bounds a post's size; a minion has a few dozen slots at most.
+    constexpr size_t maxItemsPerPost = 256;
+
+    template <typename T>
+    void append(std::vector<T>& target, std::vector<T> source)
+    {
+        target.insert(target.end(), std::make_move_iterator(source.begin()), std::make_move_iterator(source.end()));
+    }
+
+    template <typename T>
+    std::vector<T> takeFront(std::vector<T>& source)
+    {
+        if (source.size() <= maxItemsPerPost)
+            return std::exchange(source, {});
+        const auto end = source.begin() + maxItemsPerPost;
+        std::vector<T> front(std::make_move_iterator(source.begin()), std::make_move_iterator(end));
+        source.erase(source.begin(), end);
+        return front;
+    }
+
+} // namespace
+
+MinionLane::MinionLane(ServiceId service, MinionId minion, const Endpoint& endpoint, const HttpTimeouts& timeouts)
+    : service_(std::move(service))
+    , minion_(std::move(minion))
+    , connection_(endpoint, timeouts)
+{
+}
+
+bool MinionLane::add(MinionWork work)
+{
+    const MutexLock lock(mutex_);
+    append(waiting_.starts, std::move(work.starts));
+    append(waiting_.cancels, std::move(work.cancels));
+    return !std::exchange(isScheduled_, true);
+}
+
+MinionWork MinionLane::take()
+{
+    const MutexLock lock(mutex_);
+    return { takeFront(waiting_.starts), takeFront(waiting_.cancels) };
+}
+
+bool MinionLane::release()
+{
+    const MutexLock lock(mutex_);
+    lastUse_ = absl::Now();
+    isScheduled_ = !waiting_.isEmpty();
+    return isScheduled_;
+}
+
+bool MinionLane::isIdleSince(absl::Time time) const
+{
+    const MutexLock lock(mutex_);
+    return !isScheduled_ && lastUse_ < time;
+}
+
+PostOutcome MinionLane::post(const std::string& path, const std::string& body)
+{
+    PostOutcome outcome = connection_.post(path, body);
+    isSuspect_ = !std::holds_alternative<HttpAnswer>(outcome);
+    return outcome;
+}
+
+} // namespace trefoilwing
