--- a/Source/Base/StrongId.h
+++ b/Source/Base/StrongId.h
@@ -25,7 +25,8 @@
     /// @return the bare value, for codecs and log lines.
     const Rep& value() const { return value_; }
 
-    friend auto operator<=>(const StrongId&, const StrongId&) = default;
+    // The check takes the 0 that the compiler puts into a defaulted comparison for a null pointer.
+    friend auto operator<=>(const StrongId&, const StrongId&) = default; // NOLINT(modernize-use-nullptr)
     friend bool operator==(const StrongId&, const StrongId&) = default;
 
     template <typename H>
