--- a/Source/Model/ForwardMessages.h
+++ b/Source/Model/ForwardMessages.h
@@ -4,11 +4,6 @@
 #include "Model/Identifiers.h"
 #include "Model/Submission.h"
 
-#include <absl/time/time.h>
-
-#include <optional>
-#include <variant>
-
 namespace trefoilwing {
 
 /// Passes a caller's submission to an entry of its home data centre.
@@ -27,15 +22,10 @@
     friend bool operator==(const OutcomeQuery&, const OutcomeQuery&) = default;
 };
 
-/// The submission was taken and its outcome is not known yet.
-struct StillRunning {
-    friend bool operator==(const StillRunning&, const StillRunning&) = default;
-};
-
 /// Answers a forwarded submission or a query.
 struct ForwardReply {
     RequestId request;
-    std::variant<StillRunning, JobAnswer, Error> state;
+    SubmissionState state;
 
     friend bool operator==(const ForwardReply&, const ForwardReply&) = default;
 };
--- a/Source/Model/Submission.h
+++ b/Source/Model/Submission.h
@@ -40,6 +40,14 @@
 /// A job's outcome: the complete answer or the failure, never a part.
 using JobOutcome = Result<JobAnswer>;
 
+/// The submission was taken and its outcome is not known yet.
+struct StillRunning {
+    friend bool operator==(const StillRunning&, const StillRunning&) = default;
+};
+
+/// Where a submission stands, for callers and for other entries.
+using SubmissionState = std::variant<StillRunning, JobAnswer, Error>;
+
 /// @return the verdict that an outcome carries; Ran for a complete answer.
 Verdict verdictOf(const JobOutcome&);
 
