--- a/Source/Dispatch/ServiceDispatcher.cpp
+++ b/Source/Dispatch/ServiceDispatcher.cpp
@@ -122,7 +122,7 @@
     }
 }
 
-void ServiceDispatcher::resultsPosted(const MinionId& minion, std::vector<TaskResult> results, absl::Time now)
+void ServiceDispatcher::resultsPosted(const MinionId& minion, std::vector<TaskResult>&& results, absl::Time now)
 {
     for (TaskResult& result : results) {
         Attempt* attempt = findAttempt(result.attempt, minion);
--- a/Source/Dispatch/ServiceDispatcher.h
+++ b/Source/Dispatch/ServiceDispatcher.h
@@ -33,7 +33,7 @@
 
     void startsAnswered(const MinionId&, const std::vector<StartAnswer>&, absl::Time now);
     void cancelsAnswered(const MinionId&, const std::vector<CancelAnswer>&, absl::Time now);
-    void resultsPosted(const MinionId&, std::vector<TaskResult>, absl::Time now);
+    void resultsPosted(const MinionId&, std::vector<TaskResult>&&, absl::Time now);
 
     /// Takes the end of a minion's lease. Its open attempts may have run.
     void minionGone(const MinionId&, absl::Time now);
