--- /dev/null
+++ b/Source/Control/MemberProgress.cpp
@@ -0,0 +1,48 @@
+#include "Control/MemberProgress.h"
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+MemberProgress::MemberProgress(LogIndex nextIndex, absl::Time now)
+    : nextIndex_(nextIndex)
+    , heardAt_(now)
+{
+}
+
+void MemberProgress::sent(uint64_t round, LogIndex lastIndex, absl::Time now)
+{
+    inFlight_.push_back({ round, now });
+    nextIndex_ = LogIndex(lastIndex.value() + 1);
+}
+
+void MemberProgress::answered(uint64_t round)
+{
+    // Requests before an answered one are lost or superseded.
+    while (!inFlight_.empty() && inFlight_.front().round <= round) {
+        heardAt_ = std::max(heardAt_, inFlight_.front().sentAt);
+        inFlight_.pop_front();
+    }
+}
+
+void MemberProgress::accepted(LogIndex lastIndex)
+{
+    matchIndex_ = std::max(matchIndex_, lastIndex);
+    nextIndex_ = std::max(nextIndex_, LogIndex(matchIndex_.value() + 1));
+}
+
+void MemberProgress::refused(LogIndex lastIndexWorthTrying)
+{
+    inFlight_.clear();
+    nextIndex_ = std::max(LogIndex(matchIndex_.value() + 1), std::min(nextIndex_, LogIndex(lastIndexWorthTrying.value() + 1)));
+}
+
+void MemberProgress::expire(absl::Time now, absl::Duration timeout)
+{
+    if (inFlight_.empty() || now - inFlight_.front().sentAt < timeout)
+        return;
+    inFlight_.clear();
+    nextIndex_ = LogIndex(matchIndex_.value() + 1);
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/ReplicatedLog.cpp
@@ -0,0 +1,507 @@
+#include "Control/ReplicatedLog.h"
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// Entries in one request at most.
+    constexpr size_t maxEntriesInRequest = 200;
+
+} // namespace
+
+ReplicatedLog::ReplicatedLog(LogSettings settings, JournalContent content, Random& random, absl::Time now)
+    : settings_(std::move(settings))
+    , random_(random)
+    , store_(std::move(content.snapshot), std::move(content.entries))
+    , hardState_(std::move(content.hardState))
+    , joinDue_(now)
+    , durableIndex_(store_.lastIndex())
+{
+    if (hardState_.epoch != Epoch(0))
+        role_ = LogRole::Follower;
+    if (store_.snapshot()) {
+        outbox_.restored = store_.snapshot();
+        commitIndex_ = appliedIndex_ = store_.snapshot()->lastIndex;
+    }
+    resetElection(now);
+}
+
+void ReplicatedLog::receive(const LogMessage& message, absl::Time now)
+{
+    std::visit([&](const auto& typed) { receiveMessage(typed, now); }, message);
+}
+
+void ReplicatedLog::tick(absl::Time now)
+{
+    if (role_ == LogRole::Leader)
+        tickLeader(now);
+    else if (now >= electionDue_ && isVoter())
+        startPreVote(now);
+    if (now >= joinDue_ && needsToJoin(now))
+        askToJoin(now);
+}
+
+absl::Time ReplicatedLog::nextWakeup() const
+{
+    if (role_ == LogRole::Leader)
+        return heartbeatDue_;
+    return isVoter() ? std::min(electionDue_, joinDue_) : joinDue_;
+}
+
+void ReplicatedLog::synced(SyncToken token, absl::Time now)
+{
+    syncedToken_ = std::max(syncedToken_, token);
+    while (!pendingSyncs_.empty() && pendingSyncs_.front().token <= syncedToken_) {
+        durableIndex_ = pendingSyncs_.front().lastIndex;
+        pendingSyncs_.pop_front();
+    }
+    while (!gated_.empty() && gated_.front().token <= syncedToken_) {
+        outbox_.messages.push_back(std::move(gated_.front().envelope));
+        gated_.pop_front();
+    }
+    if (role_ == LogRole::Candidate)
+        countVotes(now);
+    else if (role_ == LogRole::Leader)
+        advanceCommit(now);
+}
+
+LogOutbox ReplicatedLog::takeOutbox()
+{
+    closeBatch();
+    return std::exchange(outbox_, {});
+}
+
+// Proposals.
+
+bool ReplicatedLog::propose(Command command, absl::Time now)
+{
+    if (isLeader(now)) {
+        appendOwn(std::move(command), now);
+        return true;
+    }
+    if (role_ == LogRole::Leader || !leader_)
+        return false;
+    const ProposalId proposal { settings_.self.id, ++proposals_ };
+    send(*leader_, ProposalForward { headerTo(*leader_), proposal, std::move(command) });
+    return true;
+}
+
+void ReplicatedLog::receiveMessage(const ProposalForward& message, absl::Time now)
+{
+    const bool isRepeat = forwarded_.contains(message.proposal);
+    if (!isForMe(message.header) || !isLeader(now) || isRepeat || membersNamedBy(message.command))
+        return;
+    appendOwn(message.command, now);
+    forwarded_[message.proposal] = store_.lastIndex();
+}
+
+// Replication, at the leader.
+
+void ReplicatedLog::appendOwn(Command command, absl::Time now)
+{
+    append({ next(store_.lastIndex()), hardState_.term, std::move(command) });
+    replicate(now, false);
+    advanceCommit(now);
+}
+
+void ReplicatedLog::tickLeader(absl::Time now)
+{
+    // A leader that a majority no longer answers may have been replaced, so it stops leading.
+    if (!isLeader(now)) {
+        stepDown(now);
+        return;
+    }
+    for (auto& [id, progress] : progress_)
+        progress.expire(now, settings_.electionTimeout / 2);
+    if (now >= heartbeatDue_) {
+        heartbeatDue_ = now + settings_.heartbeat;
+        replicate(now, true);
+    }
+    maintainMembers(now);
+}
+
+bool ReplicatedLog::isLeader(absl::Time now) const
+{
+    return role_ == LogRole::Leader && now - quorumHeardAt(now) < settings_.electionTimeout;
+}
+
+absl::Time ReplicatedLog::quorumHeardAt(absl::Time now) const
+{
+    std::vector<absl::Time> heard;
+    for (const Member& member : store_.members()) {
+        if (!member.isVoter)
+            continue;
+        auto progress = progress_.find(member.id);
+        const absl::Time never = absl::InfinitePast();
+        heard.push_back(member.id == settings_.self.id ? now : progress == progress_.end() ? never
+                                                                                           : progress->second.heardAt());
+    }
+    if (heard.empty())
+        return absl::InfinitePast();
+    std::sort(heard.begin(), heard.end(), std::greater<>());
+    return heard[majority() - 1];
+}
+
+MemberProgress& ReplicatedLog::progressOf(const MemberId& id, absl::Time now)
+{
+    return progress_.try_emplace(id, next(store_.lastIndex()), now).first->second;
+}
+
+void ReplicatedLog::replicate(absl::Time now, bool isHeartbeat)
+{
+    for (const Member& member : store_.members()) {
+        if (member.id == settings_.self.id)
+            continue;
+        MemberProgress& progress = progressOf(member.id, now);
+        bool isDue = isHeartbeat;
+        while (progress.canSend() && (isDue || progress.nextIndex() <= store_.lastIndex())) {
+            isDue = false;
+            if (progress.snapshot || progress.nextIndex() <= store_.baseIndex()) {
+                sendSnapshotPiece(member, progress, now);
+                break;
+            }
+            sendEntries(member, progress, now);
+        }
+    }
+}
+
+void ReplicatedLog::sendEntries(const Member& member, MemberProgress& progress, absl::Time now)
+{
+    AppendRequest request { headerTo(member.id), previous(progress.nextIndex()), {}, {}, commitIndex_, ++round_ };
+    request.previousTerm = *store_.termAt(request.previousIndex);
+    request.entries = store_.entriesFrom(progress.nextIndex(), maxEntriesInRequest);
+    progress.sent(round_, LogIndex(request.previousIndex.value() + request.entries.size()), now);
+    send(member.id, std::move(request));
+}
+
+void ReplicatedLog::sendSnapshotPiece(const Member& member, MemberProgress& progress, absl::Time now)
+{
+    if (progress.isWaiting())
+        return;
+    if (!progress.snapshot) {
+        progress.snapshot = store_.snapshot();
+        progress.snapshotPiece = 0;
+    }
+    const Snapshot& snapshot = *progress.snapshot;
+    SnapshotRequest request { headerTo(member.id), snapshot.lastIndex, snapshot.lastTerm, snapshot.members,
+        progress.snapshotPiece, static_cast<uint32_t>(snapshot.pieces.size()), snapshot.pieces[progress.snapshotPiece], ++round_ };
+    progress.sent(round_, previous(progress.nextIndex()), now);
+    send(member.id, std::move(request));
+}
+
+void ReplicatedLog::receiveMessage(const AppendReply& reply, absl::Time now)
+{
+    if (!isForMe(reply.header))
+        return;
+    if (reply.header.term > hardState_.term) {
+        follow(reply.header.term, std::nullopt, now);
+        return;
+    }
+    auto found = progress_.find(reply.header.from);
+    if (role_ != LogRole::Leader || reply.header.term != hardState_.term || found == progress_.end())
+        return;
+    MemberProgress& progress = found->second;
+    progress.answered(reply.round);
+    if (reply.nextPiece) {
+        const bool isWanted = progress.snapshot && *reply.nextPiece < progress.snapshot->pieces.size();
+        if (isWanted && *reply.nextPiece != progress.snapshotPiece)
+            progress.snapshotPiece = *reply.nextPiece;
+    } else if (reply.isAccepted) {
+        progress.accepted(reply.lastIndex);
+        if (progress.snapshot && reply.lastIndex >= progress.snapshot->lastIndex)
+            progress.snapshot = nullptr;
+        advanceCommit(now);
+    } else {
+        progress.refused(reply.lastIndex);
+    }
+    if (role_ == LogRole::Leader)
+        replicate(now, progress.snapshot != nullptr);
+}
+
+LogIndex ReplicatedLog::matchIndexOf(const Member& member) const
+{
+    if (member.id == settings_.self.id)
+        return settings_.self.hasDisk ? durableIndex_ : store_.lastIndex();
+    auto progress = progress_.find(member.id);
+    return progress == progress_.end() ? LogIndex(0) : progress->second.matchIndex();
+}
+
+void ReplicatedLog::advanceCommit(absl::Time now)
+{
+    std::vector<LogIndex> matches;
+    LogIndex syncedIndex;
+    for (const Member& member : store_.members()) {
+        if (!member.isVoter)
+            continue;
+        matches.push_back(matchIndexOf(member));
+        if (member.hasDisk)
+            syncedIndex = std::max(syncedIndex, matches.back());
+    }
+    if (matches.empty())
+        return;
+    std::sort(matches.begin(), matches.end(), std::greater<>());
+    const LogIndex index = std::min(matches[majority() - 1], syncedIndex);
+    // An entry of an earlier term commits only under one of this term, or a later leader may replace it.
+    if (index <= commitIndex_ || store_.termAt(index) != hardState_.term)
+        return;
+    commitIndex_ = index;
+    deliverCommitted();
+    absl::erase_if(forwarded_, [&](const auto& forwarded) { return forwarded.second <= commitIndex_; });
+    replicate(now, true);
+    maintainMembers(now);
+}
+
+// Replication, at a follower.
+
+bool ReplicatedLog::acceptLeader(const LogHeader& header, absl::Time now)
+{
+    if (!isForMe(header))
+        return false;
+    if (header.term < hardState_.term) {
+        // The answer's term tells an old leader to step down.
+        send(header.from, AppendReply { headerTo(header.from), false, store_.lastIndex(), 0, std::nullopt });
+        return false;
+    }
+    follow(header.term, header.from, now);
+    heardLeader_ = now;
+    return true;
+}
+
+void ReplicatedLog::receiveMessage(const AppendRequest& request, absl::Time now)
+{
+    if (!acceptLeader(request.header, now))
+        return;
+    AppendReply reply { headerTo(request.header.from), true, {}, request.round, std::nullopt };
+    const bool isCovered = request.previousIndex < store_.baseIndex();
+    if (!isCovered && store_.termAt(request.previousIndex) != request.previousTerm) {
+        reply.isAccepted = false;
+        reply.lastIndex = lastIndexWorthTrying(request.previousIndex);
+        replyToAppend(request.header.from, std::move(reply));
+        return;
+    }
+    takeEntries(request);
+    const LogIndex last(request.previousIndex.value() + request.entries.size());
+    // What the base covers is committed, so it is the leader's too.
+    reply.lastIndex = std::max(last, store_.baseIndex());
+    commitIndex_ = std::max(commitIndex_, std::min(request.commit, reply.lastIndex));
+    deliverCommitted();
+    replyToAppend(request.header.from, std::move(reply));
+}
+
+void ReplicatedLog::takeEntries(const AppendRequest& request)
+{
+    for (const LogEntry& entry : request.entries) {
+        if (entry.index <= store_.baseIndex() || store_.termAt(entry.index) == entry.term)
+            continue;
+        if (entry.index <= store_.lastIndex())
+            truncateFrom(entry.index);
+        append(entry);
+    }
+}
+
+LogIndex ReplicatedLog::lastIndexWorthTrying(LogIndex refused) const
+{
+    if (refused > store_.lastIndex())
+        return store_.lastIndex();
+    // All entries of the refused one's term are skipped at once.
+    const std::optional<Term> term = store_.termAt(refused);
+    LogIndex index = refused;
+    while (index > commitIndex_ && store_.termAt(index) == term)
+        index = previous(index);
+    return index;
+}
+
+void ReplicatedLog::replyToAppend(const MemberId& leader, AppendReply reply)
+{
+    sendWhenSynced(leader, std::move(reply));
+}
+
+void ReplicatedLog::receiveMessage(const SnapshotRequest& request, absl::Time now)
+{
+    if (!acceptLeader(request.header, now))
+        return;
+    AppendReply reply { headerTo(request.header.from), true, request.lastIndex, request.round, std::nullopt };
+    if (request.lastIndex > commitIndex_ && !takePiece(request)) {
+        reply.isAccepted = false;
+        reply.nextPiece = static_cast<uint32_t>(incoming_->snapshot->pieces.size());
+    }
+    replyToAppend(request.header.from, std::move(reply));
+}
+
+bool ReplicatedLog::takePiece(const SnapshotRequest& request)
+{
+    const bool isSame = incoming_ && incoming_->from == request.header.from
+        && incoming_->snapshot->lastIndex == request.lastIndex && incoming_->snapshot->lastTerm == request.lastTerm;
+    if (!isSame) {
+        auto snapshot = std::make_shared<Snapshot>(Snapshot { request.lastIndex, request.lastTerm, request.header.epoch, request.members, {} });
+        incoming_ = IncomingSnapshot { std::move(snapshot), request.header.from };
+    }
+    std::vector<SnapshotPiece>& pieces = incoming_->snapshot->pieces;
+    if (request.piece == pieces.size())
+        pieces.push_back(request.content);
+    if (pieces.size() < request.pieces)
+        return false;
+    install(std::move(incoming_->snapshot));
+    incoming_.reset();
+    return true;
+}
+
+void ReplicatedLog::install(std::shared_ptr<const Snapshot> snapshot)
+{
+    store_.replace(snapshot);
+    commitIndex_ = appliedIndex_ = snapshot->lastIndex;
+    durableIndex_ = std::min(durableIndex_, snapshot->lastIndex);
+    for (PendingSync& pending : pendingSyncs_)
+        pending.lastIndex = std::min(pending.lastIndex, snapshot->lastIndex);
+    JournalBatch& batch = openBatch();
+    batch.entries.clear();
+    batch.snapshot = snapshot;
+    batch.dropsEntries = true;
+    outbox_.committed.clear();
+    outbox_.restored = std::move(snapshot);
+}
+
+// Snapshots of this member's own log.
+
+bool ReplicatedLog::wantsSnapshot() const
+{
+    const LogIndex covered = store_.snapshot() ? store_.snapshot()->lastIndex : LogIndex(0);
+    return outbox_.committed.empty() && store_.size() > settings_.maxEntries
+        && appliedIndex_.value() - covered.value() > settings_.maxEntries / 2;
+}
+
+void ReplicatedLog::compact(std::vector<SnapshotPiece> pieces)
+{
+    auto snapshot = std::make_shared<const Snapshot>(Snapshot { appliedIndex_, *store_.termAt(appliedIndex_),
+        hardState_.epoch, store_.membersAt(appliedIndex_), std::move(pieces) });
+    store_.compact(snapshot, settings_.maxEntries / 2);
+    openBatch().snapshot = std::move(snapshot);
+}
+
+// Common.
+
+bool ReplicatedLog::isForMe(const LogHeader& header)
+{
+    if (header.group != settings_.group || header.to != settings_.self.id || header.epoch == Epoch(0))
+        return false;
+    if (hardState_.epoch == Epoch(0)) {
+        // Only a group that names this member writes to it.
+        hardState_.epoch = header.epoch;
+        setRole(LogRole::Follower);
+        noteHardState();
+    }
+    return header.epoch == hardState_.epoch;
+}
+
+LogHeader ReplicatedLog::headerTo(const MemberId& to) const
+{
+    return headerTo(to, hardState_.term);
+}
+
+LogHeader ReplicatedLog::headerTo(const MemberId& to, Term term) const
+{
+    return { settings_.group, hardState_.epoch, settings_.self.id, to, term };
+}
+
+void ReplicatedLog::send(const MemberId& to, PeerMessage message)
+{
+    outbox_.messages.push_back({ to.daemon, std::move(message) });
+}
+
+void ReplicatedLog::sendToOtherDaemons(const PeerMessage& message)
+{
+    for (const DaemonId& daemon : settings_.daemons) {
+        if (daemon != settings_.self.id.daemon)
+            outbox_.messages.push_back({ daemon, message });
+    }
+}
+
+void ReplicatedLog::sendWhenSynced(const MemberId& to, PeerMessage message)
+{
+    const SyncToken token = batch_ ? batch_->token : lastToken_;
+    if (!settings_.self.hasDisk || token <= syncedToken_)
+        send(to, std::move(message));
+    else
+        gated_.push_back({ token, { to.daemon, std::move(message) } });
+}
+
+JournalBatch& ReplicatedLog::openBatch()
+{
+    if (!batch_) {
+        batch_.emplace();
+        batch_->token = SyncToken(lastToken_.value() + 1);
+    }
+    return *batch_;
+}
+
+void ReplicatedLog::closeBatch()
+{
+    if (!batch_)
+        return;
+    lastToken_ = batch_->token;
+    if (settings_.self.hasDisk) {
+        pendingSyncs_.push_back({ lastToken_, store_.lastIndex() });
+        outbox_.batches.push_back(std::move(*batch_));
+    } else {
+        syncedToken_ = lastToken_;
+    }
+    batch_.reset();
+}
+
+void ReplicatedLog::noteHardState()
+{
+    openBatch().hardState = hardState_;
+}
+
+void ReplicatedLog::append(LogEntry entry)
+{
+    openBatch().entries.push_back(entry);
+    store_.append(std::move(entry));
+}
+
+void ReplicatedLog::truncateFrom(LogIndex first)
+{
+    store_.truncateFrom(first);
+    const LogIndex last = store_.lastIndex();
+    durableIndex_ = std::min(durableIndex_, last);
+    for (PendingSync& pending : pendingSyncs_)
+        pending.lastIndex = std::min(pending.lastIndex, last);
+}
+
+void ReplicatedLog::deliverCommitted()
+{
+    while (appliedIndex_ < commitIndex_) {
+        appliedIndex_ = next(appliedIndex_);
+        outbox_.committed.push_back(store_.entryAt(appliedIndex_));
+    }
+}
+
+const Member* ReplicatedLog::findMember(const MemberId& id) const
+{
+    const std::vector<Member>& members = store_.members();
+    auto found = std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.id == id; });
+    return found == members.end() ? nullptr : &*found;
+}
+
+bool ReplicatedLog::isVoter() const
+{
+    const Member* self = findMember(settings_.self.id);
+    return self && self->isVoter;
+}
+
+size_t ReplicatedLog::majority() const
+{
+    const std::vector<Member>& members = store_.members();
+    const auto voters = std::count_if(members.begin(), members.end(), [](const Member& member) { return member.isVoter; });
+    return static_cast<size_t>(voters) / 2 + 1;
+}
+
+void ReplicatedLog::setRole(LogRole role)
+{
+    outbox_.roleChanged |= role_ != role;
+    role_ = role;
+}
+
+} // namespace trefoilwing
--- a/Source/Model/LogMessages.h
+++ b/Source/Model/LogMessages.h
@@ -105,7 +105,7 @@
     friend bool operator==(const ProposalForward&, const ProposalForward&) = default;
 };
 
-/// Asks to be made a learner; sent by a member without a group to every daemon of the settings.
+/// Asks to be made a learner; sent to every daemon of the settings by a member that no group names.
 struct JoinRequest {
     GroupId group;
     Member member;
@@ -113,7 +113,7 @@
     friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
 };
 
-/// Tells a daemon that asked to join that the sender has no group either.
+/// Tells a member that asked to join that the sender holds nothing of any group.
 struct JoinReply {
     GroupId group;
     MemberId to;
--- a/Source/Model/LogRecord.h
+++ b/Source/Model/LogRecord.h
@@ -40,6 +40,8 @@
     bool isVoter = false;
     /// Whether its acknowledgement means that the entry is synced.
     bool hasDisk = false;
+    /// Whether it is never made a voter.
+    bool staysLearner = false;
 
     friend bool operator==(const Member&, const Member&) = default;
 };
@@ -110,8 +112,15 @@
     friend bool operator==(const MemberRecord&, const MemberRecord&) = default;
 };
 
+/// Asks for a submission's state after all that was committed before; changes nothing.
+struct LookUpRecord {
+    SubmissionKey submission;
+
+    friend bool operator==(const LookUpRecord&, const LookUpRecord&) = default;
+};
+
 /// What an entry of a replicated log holds.
-using Command = std::variant<NoOperation, FoundingRecord, ClaimRecord, OutcomeRecord, OwnerGoneRecord, PublishRecord, MemberRecord>;
+using Command = std::variant<NoOperation, FoundingRecord, ClaimRecord, OutcomeRecord, OwnerGoneRecord, PublishRecord, MemberRecord, LookUpRecord>;
 
 /// One entry of a replicated log.
 struct LogEntry {
