Name the minion's run in starts and cancels

A restarted minion has forgotten what its former run started, so its answer "fenced" would be a false "not run". Starts and cancels now carry the run they are for, and another run answers 409: starts count as not sent, cancels as unanswered. MinionLink takes a MinionAddress (minion, incarnation, endpoint).

--- a/Source/Adapters/Http/HttpMinionLink.cpp
+++ b/Source/Adapters/Http/HttpMinionLink.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr int okStatus = 200;
+    constexpr int wrongRunStatus = 409;
     /// Minions come and go; lanes of those long gone are dropped.
     constexpr absl::Duration maxLaneIdleTime = absl::Minutes(1);
 
@@ -31,6 +32,13 @@
         return answers;
     }
 
+    /// @return whether no start of the post was taken: it was never sent, or met another run of the minion.
+    bool isNotTaken(const PostOutcome& outcome)
+    {
+        const auto* answer = std::get_if<HttpAnswer>(&outcome);
+        return answer ? answer->status == wrongRunStatus : std::holds_alternative<NotConnected>(outcome);
+    }
+
     /// An answer that can't be read tells nothing, so its attempts keep the fallback.
     template <typename Answer>
     std::vector<Answer> readAnswers(const PostOutcome& outcome, Result<std::vector<Answer>> (*decode)(const std::string&))
@@ -59,28 +67,28 @@
     stop();
 }
 
-void HttpMinionLink::sendStarts(const ServiceId& service, const MinionId& minion, const Endpoint& endpoint, std::vector<TaskStart> starts)
+void HttpMinionLink::sendStarts(const ServiceId& service, const MinionAddress& address, std::vector<TaskStart> starts)
 {
-    send(service, minion, endpoint, { std::move(starts), {} });
+    send(service, address, { std::move(starts), {} });
 }
 
-void HttpMinionLink::sendCancels(const ServiceId& service, const MinionId& minion, const Endpoint& endpoint, std::vector<CancelOrder> cancels)
+void HttpMinionLink::sendCancels(const ServiceId& service, const MinionAddress& address, std::vector<CancelOrder> cancels)
 {
-    send(service, minion, endpoint, { {}, std::move(cancels) });
+    send(service, address, { {}, std::move(cancels) });
 }
 
-void HttpMinionLink::send(const ServiceId& service, const MinionId& minion, const Endpoint& endpoint, MinionWork work)
+void HttpMinionLink::send(const ServiceId& service, const MinionAddress& address, MinionWork work)
 {
     if (work.isEmpty())
         return;
-    const Lane lane = findLane(service, minion, endpoint);
+    const Lane lane = findLane(service, address);
     if (lane->add(std::move(work)))
         schedule(lane);
 }
 
-HttpMinionLink::Lane HttpMinionLink::findLane(const ServiceId& service, const MinionId& minion, const Endpoint& endpoint)
+HttpMinionLink::Lane HttpMinionLink::findLane(const ServiceId& service, const MinionAddress& address)
 {
-    LaneKey key(service, minion, endpoint.address, endpoint.port);
+    LaneKey key(service, address);
     Shard& shard = shards_[absl::HashOf(key) % shardCount];
     const MutexLock lock(shard.mutex);
     const auto found = shard.lanes.find(key);
@@ -88,7 +96,7 @@
         return found->second;
     const absl::Time oldest = absl::Now() - maxLaneIdleTime;
     absl::erase_if(shard.lanes, [oldest](const auto& item) { return item.second->isIdleSince(oldest); });
-    auto lane = std::make_shared<MinionLane>(service, minion, endpoint, options_.timeouts);
+    auto lane = std::make_shared<MinionLane>(service, address, options_.timeouts);
     shard.lanes.emplace(std::move(key), lane);
     return lane;
 }
@@ -115,16 +123,16 @@
 
 void HttpMinionLink::postStarts(MinionLane& lane, const std::vector<TaskStart>& starts)
 {
-    const PostOutcome outcome = lane.post("/v1/tasks", MinionCodec::encodeStarts({ options_.entry, options_.results, starts }));
-    const StartReply fallback = std::holds_alternative<NotConnected>(outcome) ? StartReply::NotSent : StartReply::Unknown;
-    events_.startsAnswered(lane.service(), lane.minion(),
+    const PostOutcome outcome = lane.post("/v1/tasks", MinionCodec::encodeStarts({ options_.entry, lane.address().minion, lane.address().incarnation, options_.results, starts }));
+    const StartReply fallback = isNotTaken(outcome) ? StartReply::NotSent : StartReply::Unknown;
+    events_.startsAnswered(lane.service(), lane.address().minion,
         matchAnswers<StartAnswer>(starts, readAnswers(outcome, MinionCodec::decodeStartAnswers), fallback));
 }
 
 void HttpMinionLink::postCancels(MinionLane& lane, const std::vector<CancelOrder>& cancels)
 {
-    const PostOutcome outcome = lane.post("/v1/cancel", MinionCodec::encodeCancels({ options_.entry, cancels }));
-    events_.cancelsAnswered(lane.service(), lane.minion(),
+    const PostOutcome outcome = lane.post("/v1/cancel", MinionCodec::encodeCancels({ options_.entry, lane.address().minion, lane.address().incarnation, cancels }));
+    events_.cancelsAnswered(lane.service(), lane.address().minion,
         matchAnswers<CancelAnswer>(cancels, readAnswers(outcome, MinionCodec::decodeCancelAnswers), CancelReply::Unknown));
 }
 
@@ -133,9 +141,9 @@
     do {
         const MinionWork work = lane.take();
         if (!work.starts.empty())
-            events_.startsAnswered(lane.service(), lane.minion(), matchAnswers<StartAnswer>(work.starts, {}, StartReply::NotSent));
+            events_.startsAnswered(lane.service(), lane.address().minion, matchAnswers<StartAnswer>(work.starts, {}, StartReply::NotSent));
         if (!work.cancels.empty())
-            events_.cancelsAnswered(lane.service(), lane.minion(), matchAnswers<CancelAnswer>(work.cancels, {}, CancelReply::Unknown));
+            events_.cancelsAnswered(lane.service(), lane.address().minion, matchAnswers<CancelAnswer>(work.cancels, {}, CancelReply::Unknown));
     } while (lane.release());
 }
 
--- a/Source/Adapters/Http/HttpMinionLink.h
+++ b/Source/Adapters/Http/HttpMinionLink.h
@@ -8,9 +8,8 @@
 
 #include <array>
 #include <memory>
-#include <string>
 #include <thread>
-#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace trefoilwing {
@@ -37,15 +36,15 @@
     HttpMinionLink(const HttpMinionLink&) = delete;
     HttpMinionLink& operator=(const HttpMinionLink&) = delete;
 
-    void sendStarts(const ServiceId&, const MinionId&, const Endpoint&, std::vector<TaskStart>) override;
-    void sendCancels(const ServiceId&, const MinionId&, const Endpoint&, std::vector<CancelOrder>) override;
+    void sendStarts(const ServiceId&, const MinionAddress&, std::vector<TaskStart>) override;
+    void sendCancels(const ServiceId&, const MinionAddress&, std::vector<CancelOrder>) override;
 
     /// Waits for the posts in progress and ends the threads. Starts that still wait are answered as not sent.
     void stop();
 
 private:
     using Lane = LaneQueue::Lane;
-    using LaneKey = std::tuple<ServiceId, MinionId, std::string, uint16_t>;
+    using LaneKey = std::pair<ServiceId, MinionAddress>;
 
     /// A part of the lanes, under its own lock.
     struct Shard {
@@ -53,8 +52,8 @@
         absl::flat_hash_map<LaneKey, Lane> lanes ABSL_GUARDED_BY(mutex);
     };
 
-    void send(const ServiceId&, const MinionId&, const Endpoint&, MinionWork);
-    Lane findLane(const ServiceId&, const MinionId&, const Endpoint&);
+    void send(const ServiceId&, const MinionAddress&, MinionWork);
+    Lane findLane(const ServiceId&, const MinionAddress&);
     void runSender();
     void schedule(const Lane&);
     void postStarts(MinionLane&, const std::vector<TaskStart>&);
--- a/Source/Adapters/Http/MinionCodec.cpp
+++ b/Source/Adapters/Http/MinionCodec.cpp
@@ -97,9 +97,14 @@
         return { { "daemon", run.daemon.value() }, { "incarnation", run.incarnation.value() } };
     }
 
+    Incarnation readIncarnation(const JsonFields& fields)
+    {
+        return Incarnation(fields.number("incarnation", 0, maxId));
+    }
+
     DaemonRun readRun(const JsonFields& fields)
     {
-        return { fields.id<DaemonId>("daemon"), Incarnation(fields.number("incarnation", 0, maxId)) };
+        return { fields.id<DaemonId>("daemon"), readIncarnation(fields) };
     }
 
     json toJson(const TaskId& task)
@@ -264,7 +269,7 @@
     const JsonFields fields = JsonFields::parse(body);
     return fields.finish(MinionAnnouncement {
         fields.id<MinionId>("minion"),
-        Incarnation(fields.number("incarnation", 0, maxId)),
+        readIncarnation(fields),
         fields.number("sequence", 0, maxId),
         readEndpoint(fields.object("endpoint")),
         fields.id<ServiceId>("service"),
@@ -291,7 +296,13 @@
 
 std::string encodeStarts(const StartBatch& batch)
 {
-    return dump({ { "entry", toJson(batch.entry) }, { "results", toJson(batch.results) }, { "starts", toList(batch.starts) } });
+    return dump({
+        { "entry", toJson(batch.entry) },
+        { "minion", batch.minion.value() },
+        { "incarnation", batch.incarnation.value() },
+        { "results", toJson(batch.results) },
+        { "starts", toList(batch.starts) },
+    });
 }
 
 Result<StartBatch> decodeStarts(const std::string& body)
@@ -299,6 +310,8 @@
     const JsonFields fields = JsonFields::parse(body);
     return fields.finish(StartBatch {
         readRun(fields.object("entry")),
+        fields.id<MinionId>("minion"),
+        readIncarnation(fields),
         readEndpoint(fields.object("results")),
         readList(fields, "starts", readStart),
     });
@@ -317,13 +330,23 @@
 
 std::string encodeCancels(const CancelBatch& batch)
 {
-    return dump({ { "entry", toJson(batch.entry) }, { "cancels", toList(batch.cancels) } });
+    return dump({
+        { "entry", toJson(batch.entry) },
+        { "minion", batch.minion.value() },
+        { "incarnation", batch.incarnation.value() },
+        { "cancels", toList(batch.cancels) },
+    });
 }
 
 Result<CancelBatch> decodeCancels(const std::string& body)
 {
     const JsonFields fields = JsonFields::parse(body);
-    return fields.finish(CancelBatch { readRun(fields.object("entry")), readList(fields, "cancels", readCancel) });
+    return fields.finish(CancelBatch {
+        readRun(fields.object("entry")),
+        fields.id<MinionId>("minion"),
+        readIncarnation(fields),
+        readList(fields, "cancels", readCancel),
+    });
 }
 
 std::string encodeCancelAnswers(const std::vector<CancelAnswer>& answers)
--- a/Source/Adapters/Http/MinionLane.cpp
+++ b/Source/Adapters/Http/MinionLane.cpp
@@ -31,10 +31,10 @@
 
 } // namespace
 
-MinionLane::MinionLane(ServiceId service, MinionId minion, const Endpoint& endpoint, const HttpTimeouts& timeouts)
+MinionLane::MinionLane(ServiceId service, MinionAddress address, const HttpTimeouts& timeouts)
     : service_(std::move(service))
-    , minion_(std::move(minion))
-    , connection_(endpoint, timeouts)
+    , address_(std::move(address))
+    , connection_(address_.endpoint, timeouts)
 {
 }
 
--- a/Source/Adapters/Http/MinionLane.h
+++ b/Source/Adapters/Http/MinionLane.h
@@ -19,16 +19,16 @@
     bool isEmpty() const { return starts.empty() && cancels.empty(); }
 };
 
-/// The queue and the connection to one minion at one endpoint.
+/// The queue and the connection to one run of a minion.
 ///
 /// A lane is idle, or scheduled: waiting for a sender, or held by one. Only the sender that holds it posts,
 /// so that a minion gets one post at a time, and all that is queued meanwhile goes into the next one.
 class MinionLane {
 public:
-    MinionLane(ServiceId, MinionId, const Endpoint&, const HttpTimeouts&);
+    MinionLane(ServiceId, MinionAddress, const HttpTimeouts&);
 
     const ServiceId& service() const { return service_; }
-    const MinionId& minion() const { return minion_; }
+    const MinionAddress& address() const { return address_; }
 
     /// Queues work.
     /// @return whether the lane was idle, so that the caller has to schedule it.
@@ -52,7 +52,7 @@
 
 private:
     const ServiceId service_;
-    const MinionId minion_;
+    const MinionAddress address_;
     HttpConnection connection_;
     std::atomic<bool> isSuspect_ { false };
 
--- a/Source/Ports/MinionLink.h
+++ b/Source/Ports/MinionLink.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Model/Identifiers.h"
-#include "Model/MinionMessages.h"
+#include "Model/MinionBatches.h"
 
 #include <vector>
 
@@ -18,12 +18,15 @@
 };
 
 /// Sends to minions. Calls return at once; answers come through MinionEvents.
+///
+/// A minion that turns out to be another run than the address names takes nothing: its starts count as
+/// not sent, and its cancels as unanswered.
 class MinionLink {
 public:
     virtual ~MinionLink() = default;
 
-    virtual void sendStarts(const ServiceId&, const MinionId&, const Endpoint&, std::vector<TaskStart>) = 0;
-    virtual void sendCancels(const ServiceId&, const MinionId&, const Endpoint&, std::vector<CancelOrder>) = 0;
+    virtual void sendStarts(const ServiceId&, const MinionAddress&, std::vector<TaskStart>) = 0;
+    virtual void sendCancels(const ServiceId&, const MinionAddress&, std::vector<CancelOrder>) = 0;
 };
 
 } // namespace trefoilwing
--- a/Tests/Adapters/Http/HttpMinionLinkTest.cpp
+++ b/Tests/Adapters/Http/HttpMinionLinkTest.cpp
@@ -61,6 +61,8 @@
 {
     std::vector<StartAnswer> answers;
     const Result<StartBatch> batch = MinionCodec::decodeStarts(request.body);
+    if (valueOf(batch)->incarnation != Incarnation(1))
+        return { 409, "", "application/json", {} };
     for (const TaskStart& item : valueOf(batch)->starts) {
         if (item.attempt != AttemptId(99))
             answers.push_back({ item.attempt, item.attempt.value() % 2 ? StartReply::Started : StartReply::RefusedBusy });
@@ -86,8 +88,8 @@
     HttpServer hungServer { {} };
     RecordingEvents events;
     HttpMinionLink link { { { DaemonId("e"), Incarnation(1) }, { "127.0.0.1", 9 }, 2, { absl::Seconds(2), absl::Seconds(2) } }, events };
-    Endpoint endpoint;
-    Endpoint hungEndpoint;
+    MinionAddress address;
+    MinionAddress hungAddress;
 
     void setup() override
     {
@@ -99,8 +101,8 @@
         });
         server.start({ "127.0.0.1", 0 });
         hungServer.start({ "127.0.0.1", 0 });
-        endpoint = { "127.0.0.1", server.port() };
-        hungEndpoint = { "127.0.0.1", hungServer.port() };
+        address = { minion, Incarnation(1), { "127.0.0.1", server.port() } };
+        hungAddress = { hungMinion, Incarnation(1), { "127.0.0.1", hungServer.port() } };
     }
 
     void teardown() override
@@ -112,7 +114,7 @@
 
 TEST(HttpMinionLink, GivesEachAttemptItsOwnReply)
 {
-    link.sendStarts(service, minion, endpoint, { start(1), start(2), start(99) });
+    link.sendStarts(service, address, { start(1), start(2), start(99) });
     auto replies = events.awaitStarts(3);
     CHECK((replies[{ minion, AttemptId(1) }] == StartReply::Started));
     CHECK((replies[{ minion, AttemptId(2) }] == StartReply::RefusedBusy));
@@ -121,20 +123,26 @@
 
 TEST(HttpMinionLink, AConnectionThatCannotBeMadeMeansNotSent)
 {
-    const Endpoint closed { "127.0.0.1", server.port() };
     server.stop();
-    link.sendStarts(service, minion, closed, { start(1) });
+    link.sendStarts(service, address, { start(1) });
+    CHECK((events.awaitStarts(1)[{ minion, AttemptId(1) }] == StartReply::NotSent));
+}
+
+TEST(HttpMinionLink, StartsThatMeetAnotherRunAreNotSent)
+{
+    address.incarnation = Incarnation(2);
+    link.sendStarts(service, address, { start(1) });
     CHECK((events.awaitStarts(1)[{ minion, AttemptId(1) }] == StartReply::NotSent));
 }
 
 TEST(HttpMinionLink, AHungMinionIsUnknownAndDoesNotHoldUpOthers)
 {
     // Two senders: the hung minion keeps one of them busy, however much is queued for it.
-    link.sendStarts(service, hungMinion, hungEndpoint, { start(1) });
+    link.sendStarts(service, hungAddress, { start(1) });
     CHECK((events.awaitStarts(1)[{ hungMinion, AttemptId(1) }] == StartReply::Unknown));
     for (uint64_t attempt = 2; attempt < 12; ++attempt) {
-        link.sendStarts(service, hungMinion, hungEndpoint, { start(attempt) });
-        link.sendStarts(service, minion, endpoint, { start(attempt) });
+        link.sendStarts(service, hungAddress, { start(attempt) });
+        link.sendStarts(service, address, { start(attempt) });
     }
     auto replies = events.awaitStarts(21);
     LONGS_EQUAL(21, replies.size());
@@ -144,13 +152,13 @@
 
 TEST(HttpMinionLink, CancelsAreAnswered)
 {
-    link.sendCancels(service, minion, endpoint, { { AttemptId(5), start(5).task } });
+    link.sendCancels(service, address, { { AttemptId(5), start(5).task } });
     CHECK(events.awaitCancels(1)[AttemptId(5)] == CancelReply::Fenced);
 }
 
 TEST(HttpMinionLink, StartsAfterStopAreNotSent)
 {
     link.stop();
-    link.sendStarts(service, minion, endpoint, { start(1) });
+    link.sendStarts(service, address, { start(1) });
     CHECK((events.awaitStarts(1)[{ minion, AttemptId(1) }] == StartReply::NotSent));
 }
--- a/Tests/Adapters/Http/MinionCodecTest.cpp
+++ b/Tests/Adapters/Http/MinionCodecTest.cpp
@@ -32,11 +32,11 @@
         DataCentreId("bole"), WorkerId("w1"), RackId("r1"), SlotCount(8), SlotCount(2), { { "accelerators", 4 } }, MinionState::Leaving };
     CHECK(*valueOf(MinionCodec::decodeAnnouncement(MinionCodec::encodeAnnouncement(announcement))) == announcement);
 
-    const StartBatch starts { entry, { "127.0.0.1", 80 },
+    const StartBatch starts { entry, MinionId("m1"), Incarnation(3), { "127.0.0.1", 80 },
         { { AttemptId(1), task(0), TaskKindId("price"), "{\"a\": 1}\n", absl::FromUnixMillis(1'700'000'000'123), true } } };
     CHECK(*valueOf(MinionCodec::decodeStarts(MinionCodec::encodeStarts(starts))) == starts);
 
-    const CancelBatch cancels { entry, { { AttemptId(2), task(1) } } };
+    const CancelBatch cancels { entry, MinionId("m1"), Incarnation(3), { { AttemptId(2), task(1) } } };
     CHECK(*valueOf(MinionCodec::decodeCancels(MinionCodec::encodeCancels(cancels))) == cancels);
 
     const ResultBatch results { ServiceId("follow-up"), MinionId("m1"), entry,
@@ -53,8 +53,8 @@
 {
     checkNamesField(MinionCodec::decodeStarts("[]"), "object");
     checkNamesField(MinionCodec::decodeStarts("{"), "object");
-    checkNamesField(MinionCodec::decodeStarts(R"({"entry":{"daemon":"e","incarnation":1},"results":{"address":"a","port":70000},"starts":[]})"), "results.port");
-    checkNamesField(MinionCodec::decodeStarts(R"({"entry":{"daemon":"","incarnation":1},"results":{"address":"a","port":7},"starts":[]})"), "entry.daemon");
+    checkNamesField(MinionCodec::decodeStarts(R"({"entry":{"daemon":"e","incarnation":1},"minion":"m","incarnation":1,"results":{"address":"a","port":70000},"starts":[]})"), "results.port");
+    checkNamesField(MinionCodec::decodeStarts(R"({"entry":{"daemon":"","incarnation":1},"minion":"m","incarnation":1,"results":{"address":"a","port":7},"starts":[]})"), "entry.daemon");
     checkNamesField(MinionCodec::decodeStartAnswers(R"({"answers":[{"attempt":1,"reply":"started"},{"attempt":-1,"reply":"started"}]})"), "answers[1].attempt");
     checkNamesField(MinionCodec::decodeStartAnswers(R"({"answers":[{"attempt":1,"reply":"perhaps"}]})"), "answers[0].reply");
     checkNamesField(MinionCodec::decodeCancelAnswers(R"({"answers":[7]})"), "answers[0]");
