--- /dev/null
+++ b/Source/Adapters/Yaml/YamlDocument.cpp
@@ -0,0 +1,62 @@
+#include "Adapters/Yaml/YamlDocument.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr size_t maxFileBytes = 1U << 20U;
+
+    std::string systemReason()
+    {
+        return std::strerror(errno);
+    }
+
+} // namespace
+
+std::optional<std::string> readYamlFile(const std::string& path, YamlFaults& faults)
+{
+    std::error_code ignored;
+    if (std::filesystem::is_directory(path, ignored)) {
+        faults.add(1, "", "this is a folder", "name a YAML file");
+        return std::nullopt;
+    }
+    errno = 0;
+    std::ifstream stream(path, std::ios::binary);
+    if (!stream) {
+        faults.add(1, "", absl::StrCat("the file can't be opened (", systemReason(), ")"), "check its name and its permissions");
+        return std::nullopt;
+    }
+    std::string text(maxFileBytes + 1, '\0');
+    stream.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (stream.bad()) {
+        faults.add(1, "", absl::StrCat("the file can't be read (", systemReason(), ")"), "check the disk and the permissions");
+        return std::nullopt;
+    }
+    text.resize(static_cast<size_t>(stream.gcount()));
+    if (text.size() > maxFileBytes) {
+        faults.add(1, "", absl::StrCat("the file is larger than ", maxFileBytes, " bytes"), "split it");
+        return std::nullopt;
+    }
+    return text;
+}
+
+std::optional<YAML::Node> parseYaml(const std::string& text, YamlFaults& faults)
+{
+    try {
+        return YAML::Load(text);
+    } catch (const YAML::ParserException& e) {
+        faults.add(e.mark.line + 1, "", absl::StrCat("this isn't valid YAML (", e.msg, ")"), "correct the syntax at this line or just above it");
+    } catch (const YAML::Exception& e) {
+        faults.add(1, "", absl::StrCat("this isn't valid YAML (", e.what(), ")"), "correct the syntax");
+    }
+    return std::nullopt;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Yaml/YamlSuggestion.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace trefoilwing {
+
+/// @return the names as "'a', 'b' or 'c'".
+std::string listOfNames(const std::vector<std::string>&);
+
+/// @return a cure for an unknown name: the nearest known name, or all of them where none is near.
+std::string suggestName(const std::string& unknown, const std::vector<std::string>& known);
+
+} // namespace trefoilwing
