Add a slot broker made of strategies: first come first served, random minion

Cause: entries need one place a service and data centre that says which job gets which slot. Free slots are the announced ones less those granted and not yet reported, and less those that no known entry accounts for. Announcements lag, so they only ever lower the latter. Ruled out: taking busySlots as the truth, which grants a slot twice within the lag. Demands carry whether the job has started, so that a rebuilt broker rejects none that has.

--- /dev/null
+++ b/Source/Dispatch/Broker/BackerOrder.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Dispatch/Broker/Backer.h"
+#include "Dispatch/Broker/StrategyRegistry.h"
+
+namespace trefoilwing::broker {
+
+/// Tells which backers go first.
+class BackerOrder {
+public:
+    virtual ~BackerOrder() = default;
+
+    /// @return whether the backer's jobs go before those of the backers for which this is false.
+    virtual bool isWithinShare(const Backer&) const = 0;
+};
+
+/// @return all orders of backers: "equal" makes no difference between them.
+const StrategyRegistry<BackerOrder>& backerOrders();
+
+} // namespace trefoilwing::broker
--- /dev/null
+++ b/Source/Dispatch/Broker/BrokerPolicy.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <string>
+
+namespace trefoilwing {
+
+/// Names the strategies that a slot broker is made of.
+struct BrokerPolicy {
+    std::string jobOrder = "fifo";
+    std::string backerOrder = "equal";
+    std::string minionChoice = "random";
+    std::string admission = "all";
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -0,0 +1,429 @@
+#include "Dispatch/Broker/QueueingSlotBroker.h"
+
+#include <utility>
+
+namespace trefoilwing {
+
+using broker::Backer;
+using broker::Job;
+using broker::JobPtr;
+using broker::Lane;
+using broker::Minion;
+using broker::QueuedDemand;
+using broker::TaskKind;
+using broker::WaitingTasks;
+
+namespace {
+
+    /// Slots of an entry that is gone are taken to be free after this time, whatever announcements say.
+    constexpr absl::Duration orphanTime = absl::Seconds(10);
+
+    /// A slot that a minion refused as busy isn't granted again before this time, unless an announcement shows it free.
+    constexpr absl::Duration busyTime = absl::Milliseconds(20);
+
+    /// The run time taken for a kind that isn't declared.
+    constexpr absl::Duration undeclaredRunTime = absl::Milliseconds(500);
+
+    Error unknownStrategy(const std::string& part, const std::string& name)
+    {
+        return { ErrorCode::Malformed, "no " + part + " is named '" + name + "'", Verdict::NotRun };
+    }
+
+} // namespace
+
+Result<std::unique_ptr<QueueingSlotBroker>> QueueingSlotBroker::create(const BrokerPolicy& policy, Random& random)
+{
+    Strategies strategies;
+    strategies.jobOrder = broker::jobOrders().create(policy.jobOrder);
+    if (!strategies.jobOrder)
+        return unknownStrategy("job order", policy.jobOrder);
+    strategies.backerOrder = broker::backerOrders().create(policy.backerOrder);
+    if (!strategies.backerOrder)
+        return unknownStrategy("order of backers", policy.backerOrder);
+    strategies.minionChoice = broker::minionChoices().create(policy.minionChoice);
+    if (!strategies.minionChoice)
+        return unknownStrategy("choice of a minion", policy.minionChoice);
+    strategies.admission = broker::admissions().create(policy.admission);
+    if (!strategies.admission)
+        return unknownStrategy("admission", policy.admission);
+    return std::unique_ptr<QueueingSlotBroker>(new QueueingSlotBroker(std::move(strategies), random));
+}
+
+QueueingSlotBroker::QueueingSlotBroker(Strategies strategies, Random& random)
+    : strategies_(std::move(strategies))
+    , random_(random)
+    , queue_(*strategies_.jobOrder, *strategies_.backerOrder)
+{
+}
+
+QueueingSlotBroker::~QueueingSlotBroker()
+{
+    for (auto& [run, entry] : entries_)
+        voidDemands(entry);
+}
+
+void QueueingSlotBroker::declare(const ServiceDeclaration& declaration)
+{
+    for (auto& [id, backer] : backers_)
+        backer->quota = 0;
+    for (const BackerDeclaration& declared : declaration.backers)
+        backerFor(declared.backer).quota = declared.quota;
+    for (const TaskKindDeclaration& declared : declaration.kinds) {
+        TaskKind& kind = kindFor(declared.kind);
+        if (kind.samples == 0)
+            kind.runTime = declared.expectedRunTime;
+        kind.pool = &slots_.poolFor(declared.needs);
+    }
+    updateShares();
+    isDue_ = true;
+}
+
+void QueueingSlotBroker::minionAnnounced(const MinionAnnouncement& announcement, absl::Time now)
+{
+    slots_.announce(announcement, now);
+    updateShares();
+    isDue_ = true;
+}
+
+void QueueingSlotBroker::minionGone(const MinionId& id, absl::Time)
+{
+    slots_.expire(id);
+    updateShares();
+}
+
+void QueueingSlotBroker::entryUpdated(const BrokerUpdate& update, absl::Time now)
+{
+    Entry* entry = entryFor(update.entry, now);
+    if (!entry || !isInOrder(*entry, update))
+        return;
+    if (update.sequence == 1)
+        takeWholeState(*entry, update);
+    entry->sequence = update.sequence;
+    for (const SlotReport& report : update.reports)
+        takeReport(*entry, report, now);
+    for (const Demand& demand : update.demands)
+        takeDemand(*entry, demand);
+    isDue_ = true;
+}
+
+bool QueueingSlotBroker::isInOrder(Entry& entry, const BrokerUpdate& update)
+{
+    if (update.stream < entry.stream)
+        return false;
+    if (update.sequence == 1)
+        return update.stream > entry.stream || entry.sequence == 0;
+    if (update.stream == entry.stream && entry.sequence != 0) {
+        if (update.sequence <= entry.sequence)
+            return false;
+        if (update.sequence == entry.sequence + 1)
+            return true;
+    }
+    // Updates are missing, so nothing is granted to the entry until it has told its whole state.
+    voidDemands(entry);
+    entry.stream = update.stream;
+    entry.sequence = 0;
+    pendingOf(entry).wantsWholeState = true;
+    isDue_ = true;
+    return false;
+}
+
+void QueueingSlotBroker::entryGone(const DaemonRun& run, absl::Time now)
+{
+    auto found = entries_.find(run);
+    if (found == entries_.end())
+        return;
+    Entry& entry = found->second;
+    voidDemands(entry);
+    // Its tasks may still run, so their slots count as in use until announcements show otherwise.
+    for (const auto& [id, slots] : entry.held)
+        slots_.disown(slots_.minion(id), slots, now + orphanTime);
+    entries_.erase(found);
+    isDue_ = true;
+}
+
+QueueingSlotBroker::Entry* QueueingSlotBroker::entryFor(const DaemonRun& run, absl::Time now)
+{
+    std::vector<DaemonRun> earlierRuns;
+    for (const auto& [known, entry] : entries_) {
+        if (known.daemon != run.daemon)
+            continue;
+        if (known.incarnation > run.incarnation)
+            return nullptr;
+        if (known.incarnation < run.incarnation)
+            earlierRuns.push_back(known);
+    }
+    for (const DaemonRun& earlier : earlierRuns)
+        entryGone(earlier, now);
+    Entry& entry = entries_[run];
+    entry.run = run;
+    return &entry;
+}
+
+void QueueingSlotBroker::takeWholeState(Entry& entry, const BrokerUpdate& update)
+{
+    entry.stream = update.stream;
+    entry.decided = 0;
+    entry.pending = {};
+    entry.hasPending = false;
+    voidDemands(entry);
+    for (const auto& [id, slots] : entry.held)
+        slots_.release(slots_.minion(id), slots);
+    entry.held.clear();
+    for (const auto& [id, slots] : update.held) {
+        slots_.account(slots_.minion(id), slots);
+        entry.held[id] = slots;
+    }
+}
+
+void QueueingSlotBroker::takeDemand(Entry& entry, const Demand& demand)
+{
+    JobPtr& held = entry.jobs[demand.job];
+    if (!held)
+        held = new Job;
+    JobPtr job = held;
+    clearDemand(*job);
+    job->ref = { entry.run, demand.job };
+    if (!job->backer)
+        job->backer = &backerFor(demand.backer);
+    job->submitted = demand.submitted;
+    job->deadline = demand.deadline;
+    job->excluded = demand.excluded;
+    job->hasStarted = job->hasStarted || demand.hasStarted;
+    for (const auto& [id, count] : demand.waiting) {
+        if (count == 0)
+            continue;
+        TaskKind& kind = kindFor(id);
+        Lane& lane = laneFor(kind);
+        auto queued = std::find_if(job->queued.begin(), job->queued.end(), [&](const auto& q) { return q->lane == &lane; });
+        if (queued == job->queued.end()) {
+            queued = job->queued.insert(queued, std::make_unique<QueuedDemand>());
+            (*queued)->job = job.get();
+            (*queued)->lane = &lane;
+            (*queued)->arrival = ++arrivals_;
+        }
+        (*queued)->kinds.push_back({ &kind, count });
+        job->waiting += count;
+    }
+    for (const auto& queued : job->queued)
+        queue_.insert(*queued);
+    if (job->waiting > 0 && !job->hasStarted)
+        time(*job);
+    dropIfIdle(entry, *job);
+}
+
+void QueueingSlotBroker::takeReport(Entry& entry, const SlotReport& report, absl::Time now)
+{
+    auto held = entry.held.find(report.minion);
+    if (held == entry.held.end())
+        return;
+    if (--held->second == 0)
+        entry.held.erase(held);
+    settleMinion(slots_.minion(report.minion), report, now);
+    auto found = entry.jobs.find(report.job);
+    if (found == entry.jobs.end() || found->second->granted == 0)
+        return;
+    JobPtr job = found->second;
+    --job->granted;
+    changeUse(*job->backer, -1);
+    queue_.reorder(*job);
+    dropIfIdle(entry, *job);
+}
+
+void QueueingSlotBroker::settleMinion(Minion& minion, const SlotReport& report, absl::Time now)
+{
+    if (report.ending == SlotEnding::RefusedBusy)
+        slots_.markBusy(minion, now + busyTime);
+    else
+        slots_.release(minion, 1);
+    if (!minion.isPresent && minion.granted == 0)
+        slots_.expire(minion.id);
+}
+
+void QueueingSlotBroker::voidDemands(Entry& entry)
+{
+    for (auto& [number, job] : entry.jobs) {
+        clearDemand(*job);
+        changeUse(*job->backer, -static_cast<int32_t>(job->granted));
+        job->granted = 0;
+    }
+    entry.jobs.clear();
+}
+
+void QueueingSlotBroker::clearDemand(Job& job)
+{
+    for (const auto& queued : job.queued)
+        queue_.remove(*queued);
+    job.queued.clear();
+    job.waiting = 0;
+    untime(job);
+}
+
+void QueueingSlotBroker::dropIfIdle(Entry& entry, Job& job)
+{
+    if (job.waiting == 0 && job.granted == 0)
+        entry.jobs.erase(job.ref.job);
+}
+
+std::vector<EntryDecisions> QueueingSlotBroker::decide(absl::Time now)
+{
+    isDue_ = false;
+    slots_.expireUnaccounted(now);
+    rejectOverdue(now);
+    while (QueuedDemand* demand = firstServable())
+        grantFirst(*demand, now);
+    for (QueuedDemand* demand : passedOver_)
+        queue_.insert(*demand);
+    passedOver_.clear();
+
+    std::vector<EntryDecisions> decisions;
+    for (auto& [run, entry] : entries_) {
+        if (!std::exchange(entry.hasPending, false))
+            continue;
+        entry.pending.stream = entry.stream;
+        entry.pending.sequence = ++entry.decided;
+        decisions.push_back(std::exchange(entry.pending, {}));
+    }
+    return decisions;
+}
+
+absl::Time QueueingSlotBroker::nextWakeup() const
+{
+    if (isDue_)
+        return absl::InfinitePast();
+    const absl::Time giveUp = timed_.empty() ? absl::InfiniteFuture() : timed_.begin()->givenUpAt;
+    return std::min(giveUp, slots_.nextExpiry());
+}
+
+void QueueingSlotBroker::rejectOverdue(absl::Time now)
+{
+    while (!timed_.empty() && timed_.begin()->givenUpAt <= now) {
+        Job& job = *timed_.begin();
+        reject(job, strategies_.admission->rejection(job));
+    }
+}
+
+void QueueingSlotBroker::reject(Job& job, Error error)
+{
+    Entry& entry = entries_.at(job.ref.entry);
+    pendingOf(entry).rejections.push_back({ job.ref.job, std::move(error) });
+    clearDemand(job);
+    dropIfIdle(entry, job);
+}
+
+void QueueingSlotBroker::time(Job& job)
+{
+    job.givenUpAt = strategies_.admission->giveUpAt(job);
+    job.isTimed = true;
+    timed_.insert(job);
+}
+
+void QueueingSlotBroker::untime(Job& job)
+{
+    if (std::exchange(job.isTimed, false))
+        timed_.erase(timed_.iterator_to(job));
+}
+
+QueuedDemand* QueueingSlotBroker::firstServable()
+{
+    QueuedDemand* best = nullptr;
+    for (auto& [pool, lane] : lanes_) {
+        if (pool->free.empty())
+            continue;
+        QueuedDemand* first = broker::DemandQueue::first(lane);
+        if (first && (!best || broker::DemandQueue::goesBefore(*first, *best)))
+            best = first;
+    }
+    return best;
+}
+
+void QueueingSlotBroker::grantFirst(QueuedDemand& demand, absl::Time)
+{
+    WaitingTasks& tasks = demand.kinds.back();
+    Minion* minion = strategies_.minionChoice->choose(demand.lane->pool->free, *demand.job, *tasks.kind, random_);
+    if (!minion) {
+        queue_.remove(demand);
+        passedOver_.push_back(&demand);
+        return;
+    }
+    grant(demand, tasks, *minion);
+}
+
+void QueueingSlotBroker::grant(QueuedDemand& demand, WaitingTasks& tasks, Minion& minion)
+{
+    Job& job = *demand.job;
+    Entry& entry = entries_.at(job.ref.entry);
+    std::vector<Grant>& grants = pendingOf(entry).grants;
+    const TaskKindId& kind = tasks.kind->id;
+    if (!grants.empty() && grants.back().job == job.ref.job && grants.back().kind == kind && grants.back().minion == minion.id)
+        grants.back().slots = SlotCount(grants.back().slots.value() + 1);
+    else
+        grants.push_back({ job.ref.job, kind, minion.id, SlotCount(1) });
+    ++entry.held[minion.id];
+    slots_.grant(minion, 1);
+    changeUse(*job.backer, 1);
+    untime(job);
+    job.hasStarted = true;
+    ++job.granted;
+    --job.waiting;
+    if (--tasks.count == 0)
+        demand.kinds.pop_back();
+    if (demand.kinds.empty())
+        queue_.remove(demand);
+    queue_.reorder(job);
+}
+
+void QueueingSlotBroker::changeUse(Backer& backer, int32_t slots)
+{
+    backer.inUse += slots;
+    queue_.backerChanged(backer);
+}
+
+void QueueingSlotBroker::updateShares()
+{
+    uint64_t quotas = 0;
+    for (const auto& [id, backer] : backers_)
+        quotas += backer->quota;
+    for (auto& [id, backer] : backers_) {
+        backer->share = quotas == 0 ? 0 : static_cast<double>(slots_.totalSlots()) * backer->quota / static_cast<double>(quotas);
+        queue_.backerChanged(*backer);
+    }
+}
+
+TaskKind& QueueingSlotBroker::kindFor(const TaskKindId& id)
+{
+    std::unique_ptr<TaskKind>& kind = kinds_[id];
+    if (!kind) {
+        kind = std::make_unique<TaskKind>();
+        kind->id = id;
+        kind->runTime = undeclaredRunTime;
+        kind->pool = &slots_.poolFor({});
+    }
+    return *kind;
+}
+
+Backer& QueueingSlotBroker::backerFor(const BackerId& id)
+{
+    std::unique_ptr<Backer>& backer = backers_[id];
+    if (!backer) {
+        backer = std::make_unique<Backer>();
+        backer->id = id;
+        backer->quota = 0;
+    }
+    return *backer;
+}
+
+Lane& QueueingSlotBroker::laneFor(const TaskKind& kind)
+{
+    Lane& lane = lanes_[kind.pool];
+    lane.pool = kind.pool;
+    return lane;
+}
+
+EntryDecisions& QueueingSlotBroker::pendingOf(Entry& entry)
+{
+    entry.hasPending = true;
+    entry.pending.entry = entry.run;
+    return entry.pending;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "Base/Error.h"
+#include "Dispatch/Broker/Admission.h"
+#include "Dispatch/Broker/BrokerPolicy.h"
+#include "Dispatch/Broker/DemandQueue.h"
+#include "Dispatch/Broker/MinionChoice.h"
+#include "Dispatch/Broker/SlotTable.h"
+#include "Dispatch/SlotBroker.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace trefoilwing {
+
+/// A slot broker that queues all entries' jobs in one order and grants free slots to the first.
+///
+/// What varies is in small strategies that the policy names.
+class QueueingSlotBroker : public SlotBroker {
+public:
+    /// @param random outlives the broker.
+    /// @return the broker, or an error that says which strategy isn't known.
+    static Result<std::unique_ptr<QueueingSlotBroker>> create(const BrokerPolicy&, Random& random);
+
+    ~QueueingSlotBroker() override;
+
+    void declare(const ServiceDeclaration&) override;
+    void minionAnnounced(const MinionAnnouncement&, absl::Time now) override;
+    void minionGone(const MinionId&, absl::Time now) override;
+    void entryUpdated(const BrokerUpdate&, absl::Time now) override;
+    void entryGone(const DaemonRun&, absl::Time now) override;
+    std::vector<EntryDecisions> decide(absl::Time now) override;
+    absl::Time nextWakeup() const override;
+
+private:
+    struct Strategies {
+        std::unique_ptr<broker::JobOrder> jobOrder;
+        std::unique_ptr<broker::BackerOrder> backerOrder;
+        std::unique_ptr<broker::MinionChoice> minionChoice;
+        std::unique_ptr<broker::Admission> admission;
+    };
+
+    /// What the broker knows of one run of one entry.
+    struct Entry {
+        DaemonRun run;
+        uint64_t stream = 0;
+        /// The sequence of the last update taken; 0 while its state isn't known.
+        uint64_t sequence = 0;
+        /// The sequence of the last decisions of the stream.
+        uint64_t decided = 0;
+        absl::flat_hash_map<MinionId, uint32_t> held;
+        absl::flat_hash_map<JobNumber, broker::JobPtr> jobs;
+        EntryDecisions pending;
+        bool hasPending = false;
+    };
+
+    QueueingSlotBroker(Strategies, Random&);
+
+    Entry* entryFor(const DaemonRun&, absl::Time now);
+    bool isInOrder(Entry&, const BrokerUpdate&);
+    void takeWholeState(Entry&, const BrokerUpdate&);
+    void takeDemand(Entry&, const Demand&);
+    void takeReport(Entry&, const SlotReport&, absl::Time now);
+    void settleMinion(broker::Minion&, const SlotReport&, absl::Time now);
+    void voidDemands(Entry&);
+    void clearDemand(broker::Job&);
+    void dropIfIdle(Entry&, broker::Job&);
+    void rejectOverdue(absl::Time now);
+    void reject(broker::Job&, Error);
+    void time(broker::Job&);
+    void untime(broker::Job&);
+    broker::QueuedDemand* firstServable();
+    void grantFirst(broker::QueuedDemand&, absl::Time now);
+    void grant(broker::QueuedDemand&, broker::WaitingTasks&, broker::Minion&);
+    void changeUse(broker::Backer&, int32_t slots);
+    void updateShares();
+    broker::TaskKind& kindFor(const TaskKindId&);
+    broker::Backer& backerFor(const BackerId&);
+    broker::Lane& laneFor(const broker::TaskKind&);
+    EntryDecisions& pendingOf(Entry&);
+
+    Strategies strategies_;
+    Random& random_;
+    broker::SlotTable slots_;
+    broker::DemandQueue queue_;
+    std::map<broker::MinionPool*, broker::Lane> lanes_;
+    absl::flat_hash_map<TaskKindId, std::unique_ptr<broker::TaskKind>> kinds_;
+    absl::flat_hash_map<BackerId, std::unique_ptr<broker::Backer>> backers_;
+    std::map<DaemonRun, Entry> entries_;
+    /// Jobs that haven't started, by the time at which they are given up.
+    boost::intrusive::set<broker::Job, boost::intrusive::compare<broker::SoonerGivenUp>> timed_;
+    /// Demands that no free minion suits in this round of decisions.
+    std::vector<broker::QueuedDemand*> passedOver_;
+    uint64_t arrivals_ = 0;
+    bool isDue_ = false;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/Broker/SlotTable.cpp
@@ -0,0 +1,221 @@
+#include "Dispatch/Broker/SlotTable.h"
+
+namespace trefoilwing::broker {
+
+namespace {
+
+    /// A first announcement's busy slots that no entry claims are taken to be free after this time.
+    constexpr absl::Duration firstAccountingTime = absl::Seconds(10);
+
+    bool ranksBefore(const Minion* a, const Minion* b)
+    {
+        return a->rank != b->rank ? a->rank < b->rank : a->id < b->id;
+    }
+
+} // namespace
+
+MinionPool& SlotTable::poolFor(const Resources& needs)
+{
+    std::unique_ptr<MinionPool>& pool = pools_[needs];
+    if (!pool) {
+        pool = std::make_unique<MinionPool>();
+        pool->needs = needs;
+        for (auto& [id, minion] : minions_) {
+            if (!minion->isPresent || !meets(minion->resources, needs))
+                continue;
+            unfile(*minion);
+            minion->pools.push_back(pool.get());
+            pool->members.push_back(minion.get());
+            file(*minion);
+        }
+    }
+    return *pool;
+}
+
+void SlotTable::announce(const MinionAnnouncement& announcement, absl::Time now)
+{
+    Minion& known = minion(announcement.minion);
+    const bool isNewIncarnation = announcement.incarnation > known.incarnation;
+    if (announcement.incarnation < known.incarnation
+        || (!isNewIncarnation && known.isPresent && announcement.sequence < known.announcementSequence))
+        return;
+    unfile(known);
+    const bool isFirst = !known.isPresent;
+    if (isFirst || known.resources != announcement.resources) {
+        leavePools(known);
+        known.resources = announcement.resources;
+        known.isPresent = true;
+        joinPools(known);
+    }
+    known.incarnation = announcement.incarnation;
+    known.announcementSequence = announcement.sequence;
+    known.state = announcement.state;
+    totalSlots_ += announcement.slots.value();
+    totalSlots_ -= known.slots;
+    known.slots = announcement.slots.value();
+    const uint32_t busySlots = announcement.busySlots.value();
+    if (isFirst) {
+        addUnaccounted(known, busySlots > known.granted ? busySlots - known.granted : 0, now + firstAccountingTime);
+    } else {
+        reconcile(known, busySlots);
+    }
+    known.leastGranted = known.granted;
+    file(known);
+}
+
+void SlotTable::reconcile(Minion& minion, uint32_t busySlots)
+{
+    // The announcement lags, so only slots beyond the fewest grants of the time since the last one can be others' use.
+    const uint32_t others = busySlots > minion.leastGranted ? busySlots - minion.leastGranted : 0;
+    minion.unaccounted = std::min(minion.unaccounted, others);
+}
+
+void SlotTable::expire(const MinionId& id)
+{
+    Minion* known = find(id);
+    if (!known || !known->isPresent)
+        return;
+    unfile(*known);
+    leavePools(*known);
+    known->isPresent = false;
+    known->unaccounted = 0;
+    totalSlots_ -= known->slots;
+    known->slots = 0;
+    if (known->granted == 0)
+        minions_.erase(id);
+}
+
+Minion& SlotTable::minion(const MinionId& id)
+{
+    std::unique_ptr<Minion>& known = minions_[id];
+    if (!known) {
+        known = std::make_unique<Minion>();
+        known->id = id;
+    }
+    return *known;
+}
+
+Minion* SlotTable::find(const MinionId& id)
+{
+    auto known = minions_.find(id);
+    return known == minions_.end() ? nullptr : known->second.get();
+}
+
+void SlotTable::grant(Minion& minion, uint32_t slots)
+{
+    unfile(minion);
+    minion.granted += slots;
+    file(minion);
+}
+
+void SlotTable::release(Minion& minion, uint32_t slots)
+{
+    unfile(minion);
+    minion.granted -= std::min(minion.granted, slots);
+    minion.leastGranted = std::min(minion.leastGranted, minion.granted);
+    file(minion);
+}
+
+void SlotTable::account(Minion& minion, uint32_t slots)
+{
+    unfile(minion);
+    minion.unaccounted -= std::min(minion.unaccounted, slots);
+    minion.granted += slots;
+    file(minion);
+}
+
+void SlotTable::disown(Minion& minion, uint32_t slots, absl::Time until)
+{
+    unfile(minion);
+    minion.granted -= std::min(minion.granted, slots);
+    minion.leastGranted = std::min(minion.leastGranted, minion.granted);
+    addUnaccounted(minion, slots, until);
+    file(minion);
+}
+
+void SlotTable::addUnaccounted(Minion& minion, uint32_t slots, absl::Time until)
+{
+    if (slots == 0)
+        return;
+    minion.unaccountedUntil = minion.unaccounted == 0 ? until : std::max(minion.unaccountedUntil, until);
+    minion.unaccounted += slots;
+    nextExpiry_ = std::min(nextExpiry_, minion.unaccountedUntil);
+}
+
+void SlotTable::markBusy(Minion& minion, absl::Time until)
+{
+    disown(minion, 1, until);
+}
+
+void SlotTable::expireUnaccounted(absl::Time now)
+{
+    if (now < nextExpiry_)
+        return;
+    nextExpiry_ = absl::InfiniteFuture();
+    for (auto& [id, minion] : minions_) {
+        if (minion->unaccounted == 0)
+            continue;
+        if (minion->unaccountedUntil <= now) {
+            unfile(*minion);
+            minion->unaccounted = 0;
+            file(*minion);
+        } else {
+            nextExpiry_ = std::min(nextExpiry_, minion->unaccountedUntil);
+        }
+    }
+}
+
+void SlotTable::refile(Minion& minion)
+{
+    unfile(minion);
+    file(minion);
+}
+
+void SlotTable::file(Minion& minion)
+{
+    const uint32_t free = minion.freeSlots();
+    if (free == 0)
+        return;
+    freeSlots_ += free;
+    minion.rank = minion.slowness;
+    minion.isFiledAsFree = true;
+    for (MinionPool* pool : minion.pools)
+        pool->free.insert(std::lower_bound(pool->free.begin(), pool->free.end(), &minion, ranksBefore), &minion);
+}
+
+void SlotTable::unfile(Minion& minion)
+{
+    if (!minion.isFiledAsFree)
+        return;
+    freeSlots_ -= minion.freeSlots();
+    minion.isFiledAsFree = false;
+    for (MinionPool* pool : minion.pools)
+        pool->free.erase(std::lower_bound(pool->free.begin(), pool->free.end(), &minion, ranksBefore));
+}
+
+void SlotTable::joinPools(Minion& minion)
+{
+    for (auto& [needs, pool] : pools_) {
+        if (!meets(minion.resources, needs))
+            continue;
+        minion.pools.push_back(pool.get());
+        pool->members.push_back(&minion);
+    }
+}
+
+void SlotTable::leavePools(Minion& minion)
+{
+    for (MinionPool* pool : minion.pools)
+        std::erase(pool->members, &minion);
+    minion.pools.clear();
+}
+
+bool SlotTable::meets(const Resources& offered, const Resources& needs)
+{
+    return std::all_of(needs.begin(), needs.end(), [&](const auto& need) {
+        auto offer = offered.find(need.first);
+        return need.second == 0 || (offer != offered.end() && offer->second >= need.second);
+    });
+}
+
+} // namespace trefoilwing::broker
--- /dev/null
+++ b/Source/Dispatch/Broker/SlotTable.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "Dispatch/Broker/Minion.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <map>
+#include <memory>
+
+namespace trefoilwing::broker {
+
+/// Counts the slots of all minions and files those that have free ones, by pool.
+class SlotTable {
+public:
+    /// @return the pool of the minions that meet the needs; it lives as long as the table.
+    MinionPool& poolFor(const Resources& needs);
+
+    /// Takes an announcement; one that is older than what is known changes nothing.
+    void announce(const MinionAnnouncement&, absl::Time now);
+
+    /// Takes the end of a minion's lease.
+    void expire(const MinionId&);
+
+    /// @return the minion, made known without slots if it hasn't announced itself.
+    Minion& minion(const MinionId&);
+
+    /// @return the minion, or null if it isn't known.
+    Minion* find(const MinionId&);
+
+    /// Counts slots as granted to an entry.
+    void grant(Minion&, uint32_t slots);
+
+    /// Counts granted slots as free again.
+    void release(Minion&, uint32_t slots);
+
+    /// Counts slots as granted that had been in use unaccounted for.
+    void account(Minion&, uint32_t slots);
+
+    /// Counts granted slots as used by nobody known, until announcements show that they are free or the time comes.
+    void disown(Minion&, uint32_t slots, absl::Time until);
+
+    /// Counts a slot as in use that was thought to be free.
+    void markBusy(Minion&, absl::Time until);
+
+    /// Frees the slots whose time to be accounted for has passed.
+    void expireUnaccounted(absl::Time now);
+
+    /// @return the earliest time at which expireUnaccounted() frees a slot.
+    absl::Time nextExpiry() const { return nextExpiry_; }
+
+    /// Files a minion anew after a change of what decides on its place among the free ones.
+    void refile(Minion&);
+
+    /// @return the slots of all present minions.
+    uint32_t totalSlots() const { return totalSlots_; }
+
+    /// @return the free slots of all minions.
+    uint32_t freeSlots() const { return freeSlots_; }
+
+private:
+    void file(Minion&);
+    void unfile(Minion&);
+    void joinPools(Minion&);
+    void leavePools(Minion&);
+    static bool meets(const Resources& offered, const Resources& needs);
+    void addUnaccounted(Minion&, uint32_t slots, absl::Time until);
+    static void reconcile(Minion&, uint32_t busySlots);
+
+    absl::flat_hash_map<MinionId, std::unique_ptr<Minion>> minions_;
+    std::map<Resources, std::unique_ptr<MinionPool>> pools_;
+    uint32_t totalSlots_ = 0;
+    uint32_t freeSlots_ = 0;
+    absl::Time nextExpiry_ = absl::InfiniteFuture();
+};
+
+} // namespace trefoilwing::broker
--- a/Source/Dispatch/SlotBroker.h
+++ b/Source/Dispatch/SlotBroker.h
@@ -13,6 +13,9 @@
 /// What a broker decided, for one entry.
 struct EntryDecisions {
     DaemonRun entry;
+    /// The entry's stream that the decisions belong to, and their number in it, from 1.
+    uint64_t stream = 0;
+    uint64_t sequence = 0;
     std::vector<Grant> grants;
     std::vector<Rejection> rejections;
     bool wantsWholeState = false;
--- a/Source/Model/BrokerMessages.h
+++ b/Source/Model/BrokerMessages.h
@@ -37,6 +37,8 @@
     std::map<TaskKindId, uint32_t> waiting;
     /// Minions that must not be granted to this job, e.g. since they refused its task as seen.
     std::vector<MinionId> excluded;
+    /// Whether a slot has been granted for a task of the job before, so that it can't be rejected as not run.
+    bool hasStarted = false;
 
     friend bool operator==(const Demand&, const Demand&) = default;
 };
--- /dev/null
+++ b/Tests/Dispatch/Broker/BrokerFixture.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "Dispatch/Broker/QueueingSlotBroker.h"
+#include "Support/SeededRandom.h"
+
+#include <map>
+#include <string>
+
+namespace trefoilwing {
+
+/// One broker with a hand-turned clock and the few messages that tests need.
+class BrokerFixture {
+public:
+    explicit BrokerFixture(const BrokerPolicy& policy = {})
+        : random(1)
+        , broker(std::get<0>(QueueingSlotBroker::create(policy, random)))
+    {
+    }
+
+    static DaemonRun run(const std::string& daemon, uint64_t incarnation = 1) { return { DaemonId(daemon), Incarnation(incarnation) }; }
+
+    void announce(const std::string& minion, uint32_t slots, uint32_t busy = 0, MinionState state = MinionState::Serving)
+    {
+        MinionAnnouncement announcement;
+        announcement.minion = MinionId(minion);
+        announcement.incarnation = Incarnation(1);
+        announcement.sequence = ++announcements;
+        announcement.slots = SlotCount(slots);
+        announcement.busySlots = SlotCount(busy);
+        announcement.state = state;
+        broker->minionAnnounced(announcement, now);
+    }
+
+    Demand demand(uint64_t job, uint32_t tasks, const std::string& backer = "b", const std::string& kind = "k") const
+    {
+        Demand demand { JobNumber(job), BackerId(backer), now, now + absl::Seconds(30), {}, {} };
+        if (tasks > 0)
+            demand.waiting[TaskKindId(kind)] = tasks;
+        return demand;
+    }
+
+    static SlotReport report(uint64_t job, const std::string& minion, SlotEnding ending = SlotEnding::Succeeded)
+    {
+        return { JobNumber(job), MinionId(minion), TaskKindId("k"), ending, absl::Milliseconds(100) };
+    }
+
+    void update(const DaemonRun& entry, std::vector<Demand> demands, std::vector<SlotReport> reports = {})
+    {
+        BrokerUpdate update;
+        update.entry = entry;
+        update.stream = 1;
+        update.sequence = ++sequences[entry];
+        update.demands = std::move(demands);
+        update.reports = std::move(reports);
+        broker->entryUpdated(update, now);
+    }
+
+    /// Begins an entry's next stream with its whole state.
+    void wholeState(const DaemonRun& entry, uint64_t stream, std::vector<Demand> demands, std::map<MinionId, uint32_t> held)
+    {
+        sequences[entry] = 1;
+        broker->entryUpdated({ ServiceId("s"), entry, stream, 1, std::move(demands), {}, std::move(held) }, now);
+    }
+
+    /// Decides, and counts the slots that are granted by job.
+    std::map<uint64_t, uint32_t> grants()
+    {
+        std::map<uint64_t, uint32_t> slots;
+        last = broker->decide(now);
+        for (const EntryDecisions& decisions : last) {
+            for (const Grant& grant : decisions.grants) {
+                slots[grant.job.value()] += grant.slots.value();
+                byMinion[grant.minion.value()] += grant.slots.value();
+            }
+        }
+        return slots;
+    }
+
+    absl::Time now = absl::FromUnixSeconds(1000000);
+    uint64_t announcements = 0;
+    std::map<DaemonRun, uint64_t> sequences;
+    std::map<std::string, uint32_t> byMinion;
+    std::vector<EntryDecisions> last;
+    SeededRandom random;
+    std::unique_ptr<QueueingSlotBroker> broker;
+};
+
+} // namespace trefoilwing
