--- /dev/null
+++ b/Source/Control/ReplicatedConfiguration.cpp
@@ -0,0 +1,87 @@
+#include "Control/ReplicatedConfiguration.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// How long a publish waits for the group.
+    constexpr absl::Duration publishTimeout = absl::Seconds(9);
+
+} // namespace
+
+ReplicatedConfiguration::ReplicatedConfiguration(LogSettings settings, JournalContent content, GroupPorts ports, ChangeListener listener)
+    : ReplicatedGroup(std::move(settings), std::move(content), ports)
+    , listener_(std::move(listener))
+{
+}
+
+void ReplicatedConfiguration::publish(PublishRecord record, PublishCallback done)
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        pending_.push_back({ record, time + publishTimeout, std::move(done) });
+        propose(std::move(record), time);
+        settle();
+    }
+    flush();
+}
+
+void ReplicatedConfiguration::applyEntry(const LogEntry& entry)
+{
+    const auto* record = std::get_if<PublishRecord>(&entry.command);
+    if (!record)
+        return;
+    const ConfigurationVersion before = state_.configuration().version;
+    const Result<ConfigurationVersion> result = state_.publish(*record);
+    tellListener(before);
+    std::erase_if(pending_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        const bool isThis = pending.record.base == record->base && pending.record.digest == record->digest;
+        if (isThis)
+            later([done = std::move(pending.done), result] { done(result); });
+        return isThis;
+    });
+}
+
+void ReplicatedConfiguration::tellListener(ConfigurationVersion since)
+{
+    if (state_.configuration().version > since)
+        later([this, delta = state_.deltaSince(since)] { listener_(delta); });
+}
+
+void ReplicatedConfiguration::restoreState(const Snapshot& snapshot)
+{
+    const ConfigurationVersion before = state_.configuration().version;
+    state_.restore(snapshot.pieces);
+    tellListener(before);
+}
+
+std::vector<SnapshotPiece> ReplicatedConfiguration::snapshotState() const
+{
+    return state_.snapshot();
+}
+
+void ReplicatedConfiguration::repeatPending(absl::Time now)
+{
+    const Error timedOut { ErrorCode::Unavailable, "no majority of the keepers answers; publish the same again", Verdict::MayHaveRun };
+    std::erase_if(pending_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        const bool isOld = pending.givenUpAt <= now;
+        if (isOld)
+            later([done = std::move(pending.done), timedOut] { done(timedOut); });
+        return isOld;
+    });
+    for (const PendingPublish& pending : pending_)
+        propose(pending.record, now);
+}
+
+void ReplicatedConfiguration::failPending(const Error& error)
+{
+    const Error failed { ErrorCode::Unavailable, absl::StrCat("the configuration's journal has failed: ", error.message), Verdict::MayHaveRun };
+    for (PendingPublish& pending : pending_)
+        later([done = std::move(pending.done), failed] { done(failed); });
+    pending_.clear();
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/ReplicatedConfiguration.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Control/ConfigurationState.h"
+#include "Control/ReplicatedGroup.h"
+
+#include <functional>
+#include <vector>
+
+namespace trefoilwing {
+
+/// The configuration as a member of its group sees it.
+class ReplicatedConfiguration final : public ReplicatedGroup {
+public:
+    using PublishCallback = std::function<void(Result<ConfigurationVersion>)>;
+    /// Called with the changes since the last call, with no lock held.
+    using ChangeListener = std::function<void(const ConfigurationDelta&)>;
+
+    ReplicatedConfiguration(LogSettings, JournalContent, GroupPorts, ChangeListener);
+
+    /// Publishes a change; a repeat of it gives the first one's answer.
+    /// @param done gets the version, or Conflict naming the winner, or Unavailable with MayHaveRun: then
+    /// the same change may be published again.
+    void publish(PublishRecord, PublishCallback done);
+
+private:
+    struct PendingPublish {
+        PublishRecord record;
+        absl::Time givenUpAt;
+        PublishCallback done;
+    };
+
+    void applyEntry(const LogEntry&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void restoreState(const Snapshot&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    std::vector<SnapshotPiece> snapshotState() const override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void repeatPending(absl::Time now) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void failPending(const Error&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void tellListener(ConfigurationVersion since) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    ChangeListener listener_;
+    ConfigurationState state_ ABSL_GUARDED_BY(mutex_);
+    std::vector<PendingPublish> pending_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/ReplicatedGroup.cpp
@@ -0,0 +1,152 @@
+#include "Control/ReplicatedGroup.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// How often proposals that haven't been applied are repeated; a new leader gets them at once.
+    constexpr absl::Duration repeatInterval = absl::Seconds(1);
+
+} // namespace
+
+ReplicatedGroup::ReplicatedGroup(LogSettings settings, JournalContent content, GroupPorts ports)
+    : ports_(ports)
+    , log_(std::move(settings), std::move(content), ports.random, ports.clock.now())
+{
+}
+
+void ReplicatedGroup::receive(const LogMessage& message)
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        if (hasFailed_)
+            return;
+        log_.receive(message, time);
+        settle();
+    }
+    flush();
+}
+
+void ReplicatedGroup::wake()
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        if (hasFailed_)
+            return;
+        log_.tick(time);
+        // What waited for a leader is proposed as soon as one is known.
+        settle();
+        if (time >= repeatDue_) {
+            repeatDue_ = time + repeatInterval;
+            repeatPending(time);
+        }
+        settle();
+    }
+    flush();
+}
+
+absl::Time ReplicatedGroup::nextWakeup() const
+{
+    MutexLock lock(mutex_);
+    return hasFailed_ ? absl::InfiniteFuture() : std::min(log_.nextWakeup(), repeatDue_);
+}
+
+bool ReplicatedGroup::removeDaemon(const DaemonId& daemon)
+{
+    const absl::Time time = now();
+    bool isRemoved = false;
+    {
+        MutexLock lock(mutex_);
+        isRemoved = !hasFailed_ && log_.removeDaemon(daemon, time);
+        settle();
+    }
+    flush();
+    return isRemoved;
+}
+
+GroupStatus ReplicatedGroup::status() const
+{
+    const absl::Time time = now();
+    MutexLock lock(mutex_);
+    return { log_.role(), isLeading(time), log_.leader(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), hasFailed_ };
+}
+
+void ReplicatedGroup::synced(SyncToken token)
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        if (hasFailed_)
+            return;
+        log_.synced(token, time);
+        settle();
+    }
+    flush();
+}
+
+void ReplicatedGroup::journalFailed(const Error& error)
+{
+    {
+        MutexLock lock(mutex_);
+        // A member that can keep nothing must not answer; the others go on without it.
+        hasFailed_ = true;
+        failPending(error);
+    }
+    flush();
+}
+
+bool ReplicatedGroup::propose(Command command, absl::Time now)
+{
+    return !hasFailed_ && log_.propose(std::move(command), now);
+}
+
+void ReplicatedGroup::settle()
+{
+    LogOutbox outbox = log_.takeOutbox();
+    applyOutbox(outbox);
+    if (!log_.wantsSnapshot())
+        return;
+    log_.compact(snapshotState());
+    outbox = log_.takeOutbox();
+    applyOutbox(outbox);
+}
+
+void ReplicatedGroup::applyOutbox(LogOutbox& outbox)
+{
+    if (outbox.roleChanged)
+        repeatDue_ = absl::InfinitePast();
+    if (outbox.restored)
+        restoreState(*outbox.restored);
+    for (const LogEntry& entry : outbox.committed)
+        applyEntry(entry);
+    // Batches go out first, so that the disk works while the messages travel.
+    for (JournalBatch& batch : outbox.batches)
+        later([this, batch = std::move(batch)] { ports_.journal->append(batch); });
+    for (Envelope& envelope : outbox.messages)
+        later([this, envelope = std::move(envelope)] { ports_.peers.send(envelope.to, envelope.message); });
+}
+
+void ReplicatedGroup::flush()
+{
+    while (true) {
+        std::vector<Effect> effects;
+        {
+            MutexLock lock(mutex_);
+            if (isFlushing_ || effects_.empty())
+                return;
+            isFlushing_ = true;
+            effects = std::exchange(effects_, {});
+        }
+        for (const Effect& effect : effects)
+            effect();
+        MutexLock lock(mutex_);
+        isFlushing_ = false;
+    }
+}
+
+} // namespace trefoilwing
--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -1,5 +1,7 @@
 #include "Control/ReplicatedLog.h"
 
+#include "Control/CommandTime.h"
+
 #include <algorithm>
 
 namespace trefoilwing {
@@ -101,6 +103,7 @@
 
 void ReplicatedLog::appendOwn(Command command, absl::Time now)
 {
+    stampTime(command, now);
     append({ next(store_.lastIndex()), hardState_.term, std::move(command) });
     replicate(now, false);
     advanceCommit(now);
