--- a/Source/Adapters/Http/HttpMinionLink.cpp
+++ b/Source/Adapters/Http/HttpMinionLink.cpp
@@ -155,6 +155,11 @@
         if (sender.joinable())
             sender.join();
     }
+    // Closes the connections, so that the minions' servers needn't wait for them.
+    for (Shard& shard : shards_) {
+        const MutexLock lock(shard.mutex);
+        shard.lanes.clear();
+    }
 }
 
 } // namespace trefoilwing
