--- /dev/null
+++ b/Source/Dispatch/SubmissionDesk.cpp
@@ -0,0 +1,434 @@
+#include "Dispatch/SubmissionDesk.h"
+
+#include "Dispatch/SubmissionRules.h"
+
+#include <absl/hash/hash.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr absl::Duration forwardTimeout = absl::Seconds(3);
+    /// What an answer may take on its way, beyond the patience of the question.
+    constexpr absl::Duration answerAllowance = absl::Seconds(1);
+    constexpr absl::Duration recordRepeatInterval = absl::Milliseconds(500);
+    /// How long the outcome of a request without an id is kept; nobody can ask for it again.
+    constexpr absl::Duration anonymousRetention = absl::Seconds(1);
+    /// Begins the ids made here; callers' ids may not begin so.
+    constexpr char anonymousPrefix[] = "~";
+
+    Error drainingError()
+    {
+        return Error { ErrorCode::Draining, "This entry is shutting down and takes nothing new; send it to another entry.", Verdict::NotRun };
+    }
+
+    Error unreachableHome(const DataCentreId& home)
+    {
+        return Error { ErrorCode::Unavailable, absl::StrCat("Data centre ", home.value(), ", which keeps this backer's submissions, can't be reached. An earlier try may have been taken there."), Verdict::MayHaveRun };
+    }
+
+    /// @return the state of a submission whose owner's answer can't be had any more.
+    SubmissionState stateWithoutAnswer(const RecordedOutcome& outcome)
+    {
+        if (outcome.isComplete)
+            return Error { ErrorCode::Lost, "The job ran to its end; its answer was lost with the entry that held it.", Verdict::Ran };
+        return Error { ErrorCode::Lost, "The job failed; the entry that held it is gone.", outcome.verdict };
+    }
+
+    RecordedOutcome recordOf(const JobOutcome& outcome)
+    {
+        return RecordedOutcome { verdictOf(outcome), valueOf(outcome) != nullptr };
+    }
+
+    SubmissionState stateOf(const JobOutcome& outcome)
+    {
+        return std::visit([](const auto& value) { return SubmissionState { value }; }, outcome);
+    }
+
+} // namespace
+
+SubmissionDesk::SubmissionDesk(DeskPorts ports)
+    : ports_(ports)
+{
+}
+
+void SubmissionDesk::submit(Submission submission, StateCallback done)
+{
+    const auto declaration = ports_.declarations.find(submission.id.service);
+    const Result<Done> checked = checkSubmission(declaration.get(), submission, ports_.clock.now());
+    if (const Error* error = errorOf(checked))
+        return done(*error);
+    if (isAnonymous(submission.id))
+        return done(Error { ErrorCode::Malformed, absl::StrCat("Ids that begin with '", anonymousPrefix, "' are reserved; use another id."), Verdict::NotRun });
+    const DataCentreId& home = findBacker(*declaration, submission.id.backer)->home;
+    if (home == ports_.directory.dataCentre())
+        submitHere(*declaration, submission, done);
+    else
+        forward(home, std::move(submission), std::move(done));
+}
+
+void SubmissionDesk::request(Submission submission, StateCallback done)
+{
+    const absl::Time now = ports_.clock.now();
+    const auto declaration = ports_.declarations.find(submission.id.service);
+    const Result<Done> checked = checkSubmission(declaration.get(), submission, now);
+    if (const Error* error = errorOf(checked))
+        return done(*error);
+    if (isDraining_)
+        return done(drainingError());
+    const SubmissionKey key = submission.id;
+    StateNotices notices;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        shard.table.admit(
+            key, digestOf(submission), anonymousRetention, [](const SubmissionState&) {}, notices);
+        shard.table.setRunning(key, notices);
+        shard.table.watch(key, submission.deadline + answerAllowance, std::move(done), notices);
+    }
+    notices.deliver();
+    ports_.runner.run(std::move(submission));
+}
+
+void SubmissionDesk::awaitOutcome(const SubmissionKey& key, absl::Duration patience, StateCallback done)
+{
+    if (watchHere(key, patience, done))
+        return;
+    const auto declaration = ports_.declarations.find(key.service);
+    const BackerDeclaration* backer = declaration ? findBacker(*declaration, key.backer) : nullptr;
+    if (!backer)
+        return done(Error { declaration ? ErrorCode::UnknownBacker : ErrorCode::UnknownService, "The service or the backer isn't declared.", Verdict::NotRun });
+    if (backer->home == ports_.directory.dataCentre())
+        return awaitByLedger(key, patience, done);
+    const auto entry = ports_.directory.entryIn(backer->home);
+    if (!entry)
+        return done(unreachableHome(backer->home));
+    query(*entry, key, patience, unreachableHome(backer->home), std::move(done));
+}
+
+void SubmissionDesk::cancel(const SubmissionKey& key, StateCallback done)
+{
+    ports_.runner.cancel(key);
+    awaitOutcome(key, forwardTimeout, std::move(done));
+}
+
+CallerKey SubmissionDesk::nextRequestKey()
+{
+    const DaemonRun self = ports_.directory.self();
+    return CallerKey { absl::StrCat(anonymousPrefix, self.daemon.value(), "-", self.incarnation.value(), "-", ++lastRequest_) };
+}
+
+void SubmissionDesk::jobDecided(const SubmissionKey& key, JobOutcome outcome)
+{
+    if (isAnonymous(key))
+        return publish(key, stateOf(outcome));
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        if (!shard.table.setRecording(key, std::move(outcome)))
+            return;
+    }
+    recordOutcome(key);
+}
+
+void SubmissionDesk::submissionForwarded(const DaemonId& from, const ForwardedSubmission& forwarded)
+{
+    const auto reply = [this, from, request = forwarded.request](const SubmissionState& state) {
+        ports_.peers.send(from, ForwardReply { request, state });
+    };
+    const Submission& submission = forwarded.submission;
+    const auto declaration = ports_.declarations.find(submission.id.service);
+    const Result<Done> checked = checkSubmission(declaration.get(), submission, ports_.clock.now());
+    if (const Error* error = errorOf(checked))
+        return reply(*error);
+    // Sent on once only, so that two views of the home can't pass it to and fro.
+    if (findBacker(*declaration, submission.id.backer)->home != ports_.directory.dataCentre())
+        return reply(Error { ErrorCode::Unavailable, "The backer's home has changed; try again.", Verdict::MayHaveRun });
+    submitHere(*declaration, submission, reply);
+}
+
+void SubmissionDesk::outcomeQueried(const DaemonId& from, const OutcomeQuery& asked)
+{
+    const auto reply = [this, from, request = asked.request](const SubmissionState& state) {
+        ports_.peers.send(from, ForwardReply { request, state });
+    };
+    if (!watchHere(asked.submission, asked.patience, reply))
+        awaitByLedger(asked.submission, asked.patience, reply);
+}
+
+void SubmissionDesk::forwardAnswered(const ForwardReply& answer)
+{
+    StateCallback callback;
+    {
+        MutexLock lock(forwardsMutex_);
+        callback = forwards_.take(answer.request);
+    }
+    if (callback)
+        callback(answer.state);
+}
+
+size_t SubmissionDesk::openCount() const
+{
+    size_t count = 0;
+    for (const Shard& shard : shards_) {
+        MutexLock lock(shard.mutex);
+        count += shard.table.openCount();
+    }
+    return count;
+}
+
+size_t SubmissionDesk::untoldCount() const
+{
+    size_t count = 0;
+    for (const Shard& shard : shards_) {
+        MutexLock lock(shard.mutex);
+        count += shard.table.untoldCount();
+    }
+    return count;
+}
+
+absl::Time SubmissionDesk::pump(absl::Time now)
+{
+    absl::Time next = absl::InfiniteFuture();
+    StateNotices notices;
+    for (Shard& shard : shards_) {
+        MutexLock lock(shard.mutex);
+        shard.table.tick(now, notices);
+        next = std::min(next, shard.table.nextWakeup());
+    }
+    {
+        MutexLock lock(forwardsMutex_);
+        for (auto& [callback, state] : forwards_.expire(now))
+            notices.add(std::move(callback), state);
+        next = std::min(next, forwards_.nextWakeup());
+    }
+    notices.deliver();
+    repeatRecordings(now);
+    MutexLock lock(repeatsMutex_);
+    return std::min(next, nextRepeat_);
+}
+
+SubmissionDesk::Shard& SubmissionDesk::shardOf(const SubmissionKey& key)
+{
+    return shards_[absl::Hash<SubmissionKey>()(key) % shardCount];
+}
+
+bool SubmissionDesk::isAnonymous(const SubmissionKey& key)
+{
+    return absl::StartsWith(key.key.value(), anonymousPrefix);
+}
+
+void SubmissionDesk::submitHere(const ServiceDeclaration& declaration, const Submission& submission, const StateCallback& done)
+{
+    const SubmissionKey& key = submission.id;
+    const Digest digest = digestOf(submission);
+    StateNotices notices;
+    SubmissionTable::Admission admission;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        if (isDraining_ && !shard.table.stageOf(key)) {
+            notices.add(done, drainingError());
+            admission = SubmissionTable::Admission::IsKnown;
+        } else {
+            admission = shard.table.admit(key, digest, declaration.retention, done, notices);
+        }
+    }
+    notices.deliver();
+    if (admission == SubmissionTable::Admission::IsNew)
+        ports_.ledger.claim(key, digest, declaration.retention, [this, submission](const ClaimReply& reply) { claimAnswered(submission, reply); });
+}
+
+void SubmissionDesk::claimAnswered(const Submission& submission, const ClaimReply& reply)
+{
+    if (const Error* error = std::get_if<Error>(&reply))
+        refuse(submission.id, *error);
+    else if (const ClaimHolder* holder = std::get_if<ClaimHolder>(&reply))
+        claimHeld(submission, *holder);
+    else
+        claimGranted(submission);
+}
+
+void SubmissionDesk::claimGranted(const Submission& submission)
+{
+    StateNotices notices;
+    {
+        Shard& shard = shardOf(submission.id);
+        MutexLock lock(shard.mutex);
+        shard.table.setRunning(submission.id, notices);
+    }
+    ports_.runner.run(submission);
+    notices.deliver();
+}
+
+void SubmissionDesk::claimHeld(const Submission& submission, const ClaimHolder& holder)
+{
+    if (holder.digest != digestOf(submission))
+        return refuse(submission.id, Error { ErrorCode::Conflict, "Another submission with the same id and other content was taken before; use a new id.", Verdict::NotRun });
+    // A claim of this very run that isn't in the table was made by a try whose answer was lost
+    // before anything started, so it may run now.
+    if (holder.owner == ports_.directory.self() && !holder.outcome)
+        return claimGranted(submission);
+    // Joined by the ledger: those who wait hear that it was taken and ask on from there.
+    StateNotices notices;
+    std::vector<StateCallback> accepted;
+    {
+        Shard& shard = shardOf(submission.id);
+        MutexLock lock(shard.mutex);
+        accepted = shard.table.release(submission.id);
+    }
+    for (StateCallback& callback : accepted) {
+        if (holder.outcome)
+            awaitFromOwner(submission.id, holder, absl::ZeroDuration(), std::move(callback));
+        else
+            notices.add(std::move(callback), StillRunning {});
+    }
+    notices.deliver();
+}
+
+void SubmissionDesk::refuse(const SubmissionKey& key, const Error& error)
+{
+    StateNotices notices;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        shard.table.refuse(key, error, notices);
+    }
+    notices.deliver();
+}
+
+void SubmissionDesk::forward(const DataCentreId& home, Submission submission, StateCallback done)
+{
+    const auto entry = ports_.directory.entryIn(home);
+    if (!entry)
+        return done(unreachableHome(home));
+    RequestId request;
+    {
+        MutexLock lock(forwardsMutex_);
+        request = forwards_.add(ports_.clock.now() + forwardTimeout, unreachableHome(home), std::move(done));
+    }
+    signal_.raise();
+    ports_.peers.send(*entry, ForwardedSubmission { request, std::move(submission) });
+}
+
+void SubmissionDesk::awaitByLedger(const SubmissionKey& key, absl::Duration patience, const StateCallback& done)
+{
+    ports_.ledger.lookUp(key, [this, key, patience, done](const Result<std::optional<ClaimHolder>>& found) {
+        if (const Error* error = errorOf(found))
+            return done(*error);
+        const std::optional<ClaimHolder>& holder = *valueOf(found);
+        if (!holder)
+            return done(Error { ErrorCode::UnknownSubmission, "No submission with this id is known here; it may be past its retention.", Verdict::MayHaveRun });
+        awaitFromOwner(key, *holder, patience, done);
+    });
+}
+
+void SubmissionDesk::awaitFromOwner(const SubmissionKey& key, const ClaimHolder& holder, absl::Duration patience, StateCallback done)
+{
+    const DaemonRun& owner = holder.owner;
+    const bool isElsewhere = owner != ports_.directory.self() && ports_.directory.isAlive(owner);
+    if (isElsewhere) {
+        const SubmissionState unanswered = holder.outcome ? stateWithoutAnswer(*holder.outcome) : SubmissionState { StillRunning {} };
+        return query(owner.daemon, key, patience, unanswered, std::move(done));
+    }
+    if (watchHere(key, patience, done))
+        return;
+    // The owner is gone. Until the ledger has recorded that, the submission counts as running.
+    done(holder.outcome ? stateWithoutAnswer(*holder.outcome) : SubmissionState { StillRunning {} });
+}
+
+void SubmissionDesk::query(const DaemonId& entry, const SubmissionKey& key, absl::Duration patience, SubmissionState unanswered, StateCallback done)
+{
+    RequestId request;
+    {
+        MutexLock lock(forwardsMutex_);
+        request = forwards_.add(ports_.clock.now() + patience + answerAllowance, std::move(unanswered), std::move(done));
+    }
+    signal_.raise();
+    ports_.peers.send(entry, OutcomeQuery { request, key, patience });
+}
+
+bool SubmissionDesk::watchHere(const SubmissionKey& key, absl::Duration patience, const StateCallback& done)
+{
+    StateNotices notices;
+    bool isKnown;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        isKnown = shard.table.watch(key, ports_.clock.now() + patience, done, notices);
+    }
+    if (isKnown)
+        signal_.raise();
+    notices.deliver();
+    return isKnown;
+}
+
+void SubmissionDesk::recordOutcome(const SubmissionKey& key)
+{
+    std::optional<RecordedOutcome> record;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        if (const JobOutcome* outcome = shard.table.recordedOutcome(key))
+            record = recordOf(*outcome);
+    }
+    if (record)
+        ports_.ledger.decide(key, *record, [this, key](const Result<RecordedOutcome>& recorded) { outcomeRecorded(key, recorded); });
+}
+
+void SubmissionDesk::outcomeRecorded(const SubmissionKey& key, const Result<RecordedOutcome>& recorded)
+{
+    if (errorOf(recorded)) {
+        {
+            MutexLock lock(repeatsMutex_);
+            unrecorded_.push_back(key);
+            nextRepeat_ = std::min(nextRepeat_, ports_.clock.now() + recordRepeatInterval);
+        }
+        signal_.raise();
+        return;
+    }
+    const RecordedOutcome& standing = *valueOf(recorded);
+    SubmissionState state;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        const JobOutcome* own = shard.table.recordedOutcome(key);
+        if (!own)
+            return;
+        state = standing == recordOf(*own) ? stateOf(*own) : stateWithoutAnswer(standing);
+    }
+    publish(key, state);
+}
+
+void SubmissionDesk::publish(const SubmissionKey& key, const SubmissionState& state)
+{
+    StateNotices notices;
+    {
+        Shard& shard = shardOf(key);
+        MutexLock lock(shard.mutex);
+        shard.table.publish(key, state, ports_.clock.now(), notices);
+    }
+    notices.deliver();
+    signal_.raise();
+}
+
+void SubmissionDesk::repeatRecordings(absl::Time now)
+{
+    std::vector<SubmissionKey> due;
+    {
+        MutexLock lock(repeatsMutex_);
+        if (now < nextRepeat_)
+            return;
+        nextRepeat_ = absl::InfiniteFuture();
+        due = std::exchange(unrecorded_, {});
+    }
+    for (const SubmissionKey& key : due)
+        recordOutcome(key);
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/SubmissionDesk.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "Base/MutexLock.h"
+#include "Dispatch/ForwardTable.h"
+#include "Dispatch/Pumped.h"
+#include "Dispatch/SubmissionTable.h"
+#include "Dispatch/WorkSignal.h"
+#include "Ports/CallerDesk.h"
+#include "Ports/Clock.h"
+#include "Ports/DaemonDirectory.h"
+#include "Ports/Declarations.h"
+#include "Ports/JobRunner.h"
+#include "Ports/Ledger.h"
+#include "Ports/OutcomeSink.h"
+#include "Ports/PeerLink.h"
+
+#include <array>
+#include <atomic>
+
+namespace trefoilwing {
+
+/// The ports that the desk works through.
+struct DeskPorts {
+    const Clock& clock;
+    const Declarations& declarations;
+    const DaemonDirectory& directory;
+    Ledger& ledger;
+    JobRunner& runner;
+    PeerLink& peers;
+};
+
+/// Takes callers' submissions and requests, whichever entry they reach: claims those whose home is
+/// here, forwards the others, joins resubmissions, and tells each outcome once it is recorded.
+///
+/// Lock order: no two locks of the desk are held at once, and no port is called under one.
+class SubmissionDesk : public CallerDesk, public OutcomeSink, public Pumped {
+public:
+    explicit SubmissionDesk(DeskPorts);
+
+    void submit(Submission, StateCallback done) override;
+    void request(Submission, StateCallback done) override;
+    void awaitOutcome(const SubmissionKey&, absl::Duration patience, StateCallback done) override;
+    void cancel(const SubmissionKey&, StateCallback done) override;
+    CallerKey nextRequestKey() override;
+
+    void jobDecided(const SubmissionKey&, JobOutcome) override;
+
+    void submissionForwarded(const DaemonId& from, const ForwardedSubmission&);
+    void outcomeQueried(const DaemonId& from, const OutcomeQuery&);
+    void forwardAnswered(const ForwardReply&);
+
+    /// Takes nothing new from now on; what was taken goes on.
+    void drain() { isDraining_ = true; }
+    bool isDraining() const { return isDraining_; }
+    size_t openCount() const;
+    size_t untoldCount() const;
+
+    absl::Time pump(absl::Time now) override;
+    void waitForWork(absl::Time until) override { signal_.wait(until); }
+    void wake() override { signal_.raise(); }
+
+private:
+    struct Shard {
+        mutable absl::Mutex mutex;
+        SubmissionTable table ABSL_GUARDED_BY(mutex);
+    };
+
+    Shard& shardOf(const SubmissionKey&);
+    static bool isAnonymous(const SubmissionKey&);
+
+    /// Claims and runs a submission whose home is this data centre.
+    void submitHere(const ServiceDeclaration&, const Submission&, const StateCallback& done);
+    void claimAnswered(const Submission&, const ClaimReply&);
+    void claimGranted(const Submission&);
+    void claimHeld(const Submission&, const ClaimHolder&);
+    void refuse(const SubmissionKey&, const Error&);
+
+    /// Sends a submission to its home.
+    void forward(const DataCentreId& home, Submission, StateCallback done);
+    /// Finds an outcome by the ledger and the owner that it names.
+    void awaitByLedger(const SubmissionKey&, absl::Duration patience, const StateCallback& done);
+    void awaitFromOwner(const SubmissionKey&, const ClaimHolder&, absl::Duration patience, StateCallback done);
+    void query(const DaemonId&, const SubmissionKey&, absl::Duration patience, SubmissionState unanswered, StateCallback done);
+    bool watchHere(const SubmissionKey&, absl::Duration patience, const StateCallback& done);
+
+    void recordOutcome(const SubmissionKey&);
+    void outcomeRecorded(const SubmissionKey&, const Result<RecordedOutcome>&);
+    void publish(const SubmissionKey&, const SubmissionState&);
+    void repeatRecordings(absl::Time now);
+
+    static constexpr size_t shardCount = 16;
+
+    DeskPorts ports_;
+    std::array<Shard, shardCount> shards_;
+    absl::Mutex forwardsMutex_;
+    ForwardTable forwards_ ABSL_GUARDED_BY(forwardsMutex_);
+    absl::Mutex repeatsMutex_;
+    /// Outcomes that the ledger couldn't record at the first try.
+    std::vector<SubmissionKey> unrecorded_ ABSL_GUARDED_BY(repeatsMutex_);
+    absl::Time nextRepeat_ ABSL_GUARDED_BY(repeatsMutex_) = absl::InfiniteFuture();
+    std::atomic<uint64_t> lastRequest_ { 0 };
+    std::atomic<bool> isDraining_ { false };
+    WorkSignal signal_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/SubmissionRules.cpp
@@ -0,0 +1,72 @@
+#include "Dispatch/SubmissionRules.h"
+
+#include "Base/StableHash.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr size_t longestCallerKey = 200;
+
+    Error refusal(ErrorCode code, std::string message)
+    {
+        return Error { code, std::move(message), Verdict::NotRun };
+    }
+
+    Result<Done> checkTasks(const ServiceDeclaration& declaration, const Submission& submission)
+    {
+        if (submission.tasks.empty())
+            return refusal(ErrorCode::Malformed, "A submission needs at least one task.");
+        if (submission.tasks.size() > declaration.maxTasks)
+            return refusal(ErrorCode::TooLarge, absl::StrCat("The submission has ", submission.tasks.size(), " tasks; service ", declaration.service.value(), " allows ", declaration.maxTasks, ". Split it."));
+        for (size_t index = 0; index < submission.tasks.size(); ++index) {
+            const TaskSpec& task = submission.tasks[index];
+            if (!findKind(declaration, task.kind))
+                return refusal(ErrorCode::UnknownTaskKind, absl::StrCat("Task ", index, " is of kind '", task.kind.value(), "', which service ", declaration.service.value(), " doesn't declare."));
+            if (task.payload.size() > declaration.maxPayload.value())
+                return refusal(ErrorCode::TooLarge, absl::StrCat("The payload of task ", index, " has ", task.payload.size(), " bytes; service ", declaration.service.value(), " allows ", declaration.maxPayload.value(), "."));
+        }
+        return Done {};
+    }
+
+} // namespace
+
+Result<Done> checkSubmission(const ServiceDeclaration* declaration, const Submission& submission, absl::Time now)
+{
+    if (!declaration)
+        return refusal(ErrorCode::UnknownService, absl::StrCat("Service '", submission.id.service.value(), "' isn't declared; publish its declaration first."));
+    if (!findBacker(*declaration, submission.id.backer))
+        return refusal(ErrorCode::UnknownBacker, absl::StrCat("Backer '", submission.id.backer.value(), "' isn't declared for service ", declaration->service.value(), "."));
+    if (submission.id.key.value().empty() || submission.id.key.value().size() > longestCallerKey)
+        return refusal(ErrorCode::Malformed, absl::StrCat("The id must have 1 to ", longestCallerKey, " bytes."));
+    if (submission.deadline <= now)
+        return refusal(ErrorCode::PastDeadline, "The deadline had passed when the request came; nothing was started.");
+    return checkTasks(*declaration, submission);
+}
+
+const BackerDeclaration* findBacker(const ServiceDeclaration& declaration, const BackerId& backer)
+{
+    const auto found = std::find_if(declaration.backers.begin(), declaration.backers.end(), [&](const BackerDeclaration& each) { return each.backer == backer; });
+    return found == declaration.backers.end() ? nullptr : &*found;
+}
+
+const TaskKindDeclaration* findKind(const ServiceDeclaration& declaration, const TaskKindId& kind)
+{
+    const auto found = std::find_if(declaration.kinds.begin(), declaration.kinds.end(), [&](const TaskKindDeclaration& each) { return each.kind == kind; });
+    return found == declaration.kinds.end() ? nullptr : &*found;
+}
+
+Digest digestOf(const Submission& submission)
+{
+    // Lengths stand before the texts, so that no two different lists give the same bytes.
+    std::string bytes = absl::StrCat(submission.isIdempotent ? 1 : 0, ";");
+    for (const TaskSpec& task : submission.tasks)
+        absl::StrAppend(&bytes, task.kind.value().size(), ":", task.kind.value(), task.payload.size(), ":", task.payload);
+    return Digest { stableHash(bytes) };
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/SubmissionRules.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Base/Error.h"
+#include "Model/Declaration.h"
+#include "Model/Submission.h"
+
+#include <absl/time/time.h>
+
+namespace trefoilwing {
+
+/// Checks a submission against the service's declaration.
+///
+/// @param declaration null where the service is unknown.
+/// @return an error with the verdict NotRun that names what is wrong, and the cure.
+Result<Done> checkSubmission(const ServiceDeclaration* declaration, const Submission&, absl::Time now);
+
+/// @return the backer's part of the service, or null.
+const BackerDeclaration* findBacker(const ServiceDeclaration&, const BackerId&);
+
+/// @return the kind's part of the service, or null.
+const TaskKindDeclaration* findKind(const ServiceDeclaration&, const TaskKindId&);
+
+/// @return a digest of all that a resubmission must repeat: tasks and idempotency, not the deadline.
+Digest digestOf(const Submission&);
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Dispatch/SubmissionTable.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "Model/Submission.h"
+#include "Model/Units.h"
+#include "Ports/CallerDesk.h"
+
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
+
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Callbacks with the state that each is to be told, once no lock is held.
+class StateNotices {
+public:
+    void add(CallerDesk::StateCallback callback, const SubmissionState& state) { notices_.emplace_back(std::move(callback), state); }
+    void add(std::vector<CallerDesk::StateCallback>&& callbacks, const SubmissionState& state);
+
+    /// Calls all callbacks. No lock may be held.
+    void deliver();
+
+private:
+    std::vector<std::pair<CallerDesk::StateCallback, SubmissionState>> notices_;
+};
+
+/// The submissions that this entry took or joined, with those who wait for them.
+///
+/// A decision object that holds one part of all submissions; its user has the lock.
+class SubmissionTable {
+public:
+    enum class Stage {
+        /// The claim isn't durable yet.
+        Claiming,
+        Running,
+        /// The outcome is known here and isn't recorded in the ledger yet.
+        Recording,
+        Decided,
+    };
+
+    enum class Admission {
+        /// The submission is new here and has to be claimed.
+        IsNew,
+        /// It was here before; the callback gets its state.
+        IsKnown,
+    };
+
+    /// Takes a submission or joins it to the one with the same id.
+    Admission admit(const SubmissionKey&, Digest, absl::Duration retention, CallerDesk::StateCallback accepted, StateNotices&);
+
+    /// Ends the claiming: the submission runs here.
+    void setRunning(const SubmissionKey&, StateNotices&);
+
+    /// Ends the claiming with an error; the submission isn't kept.
+    void refuse(const SubmissionKey&, const Error&, StateNotices&);
+
+    /// Ends the claiming since another entry holds the submission; it isn't kept here.
+    /// @return those who wait to hear that it was taken.
+    std::vector<CallerDesk::StateCallback> release(const SubmissionKey&);
+
+    /// Keeps an outcome while the ledger records it.
+    /// @return whether the submission ran here and had no outcome yet.
+    bool setRecording(const SubmissionKey&, JobOutcome);
+    const JobOutcome* recordedOutcome(const SubmissionKey&) const;
+
+    /// Publishes the outcome that stands. Its answer is kept for the submission's retention.
+    void publish(const SubmissionKey&, const SubmissionState&, absl::Time now, StateNotices&);
+
+    /// Adds a watch, or tells the state at once where it is decided.
+    /// @return whether the submission is known here.
+    bool watch(const SubmissionKey&, absl::Time until, CallerDesk::StateCallback, StateNotices&);
+
+    std::optional<Stage> stageOf(const SubmissionKey&) const;
+
+    /// Ends the watches whose patience is over and forgets outcomes past their retention.
+    void tick(absl::Time now, StateNotices&);
+    absl::Time nextWakeup() const;
+
+    /// @return how many submissions have no published outcome yet.
+    size_t openCount() const { return openCount_; }
+    /// @return how many outcomes nobody has been told yet.
+    size_t untoldCount() const { return untold_.size(); }
+
+private:
+    struct Watch {
+        uint64_t number = 0;
+        CallerDesk::StateCallback callback;
+    };
+
+    struct Entry {
+        Stage stage = Stage::Claiming;
+        Digest digest;
+        absl::Duration retention;
+        /// Those who wait to hear that the submission was taken.
+        std::vector<CallerDesk::StateCallback> accepted;
+        std::vector<Watch> watches;
+        std::optional<JobOutcome> unrecorded;
+        SubmissionState state;
+    };
+
+    void addWatch(const SubmissionKey&, Entry&, absl::Time until, CallerDesk::StateCallback);
+
+    absl::flat_hash_map<SubmissionKey, Entry> entries_;
+    absl::btree_set<std::pair<absl::Time, std::pair<SubmissionKey, uint64_t>>> watchEnds_;
+    absl::btree_set<std::pair<absl::Time, SubmissionKey>> expiries_;
+    absl::btree_set<SubmissionKey> untold_;
+    uint64_t lastWatch_ = 0;
+    size_t openCount_ = 0;
+};
+
+} // namespace trefoilwing
--- a/Source/Model/ForwardMessages.h
+++ b/Source/Model/ForwardMessages.h
@@ -4,6 +4,8 @@
 #include "Model/Identifiers.h"
 #include "Model/Submission.h"
 
+#include <absl/time/time.h>
+
 namespace trefoilwing {
 
 /// Passes a caller's submission to an entry of its home data centre.
@@ -18,6 +20,8 @@
 struct OutcomeQuery {
     RequestId request;
     SubmissionKey submission;
+    /// How long to hold the answer back while the submission runs.
+    absl::Duration patience;
 
     friend bool operator==(const OutcomeQuery&, const OutcomeQuery&) = default;
 };
--- /dev/null
+++ b/Source/Ports/DaemonDirectory.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "Model/Identifiers.h"
+
+#include <optional>
+
+namespace trefoilwing {
+
+/// Tells which daemons can be reached, as far as this daemon knows.
+class DaemonDirectory {
+public:
+    virtual ~DaemonDirectory() = default;
+
+    virtual DaemonRun self() const = 0;
+    virtual DataCentreId dataCentre() const = 0;
+
+    /// @return an entry of the data centre that is alive, if any.
+    virtual std::optional<DaemonId> entryIn(const DataCentreId&) const = 0;
+
+    /// @return whether this very run of a daemon is alive.
+    virtual bool isAlive(const DaemonRun&) const = 0;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Ports/Declarations.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "Model/Declaration.h"
+
+#include <memory>
+
+namespace trefoilwing {
+
+/// Gives the declarations in force to those who check and route requests.
+class Declarations {
+public:
+    virtual ~Declarations() = default;
+
+    /// @return the service's declaration, or null if there is none in force.
+    virtual std::shared_ptr<const ServiceDeclaration> find(const ServiceId&) const = 0;
+};
+
+} // namespace trefoilwing
