--- a/Source/Dispatch/DispatchShard.cpp
+++ b/Source/Dispatch/DispatchShard.cpp
@@ -59,10 +59,18 @@
     signal_.raise();
 }
 
-void DispatchShard::minionAnnounced(const MinionAnnouncement& announcement)
+void DispatchShard::minionAnnounced(const MinionAnnouncement& announcement, absl::Time now)
 {
-    MutexLock lock(mutex_);
-    serviceOf(announcement.service).endpoints[announcement.minion] = announcement.endpoint;
+    {
+        MutexLock lock(mutex_);
+        Service& service = serviceOf(announcement.service);
+        MinionAddress& address = service.addresses[announcement.minion];
+        const bool isAnotherRun = address.incarnation != Incarnation {} && address.incarnation != announcement.incarnation;
+        if (isAnotherRun)
+            service.dispatcher.minionGone(announcement.minion, now);
+        address = MinionAddress { announcement.minion, announcement.incarnation, announcement.endpoint };
+    }
+    signal_.raise();
 }
 
 void DispatchShard::minionGone(const ServiceId& id, const MinionId& minion, absl::Time now)
@@ -70,7 +78,7 @@
     {
         MutexLock lock(mutex_);
         Service& service = serviceOf(id);
-        service.endpoints.erase(minion);
+        service.addresses.erase(minion);
         service.dispatcher.minionGone(minion, now);
     }
     signal_.raise();
@@ -150,15 +158,15 @@
     Delivery delivery { id, service.dispatcher.takeEffects(), {}, service.client.broker(), std::nullopt };
     for (const DecidedJob& decided : delivery.effects.decided)
         service.jobs.erase(decided.submission);
-    const auto noteEndpoint = [&](const MinionId& minion) {
-        const auto found = service.endpoints.find(minion);
-        if (found != service.endpoints.end())
-            delivery.endpoints.emplace(minion, found->second);
+    const auto noteAddress = [&](const MinionId& minion) {
+        const auto found = service.addresses.find(minion);
+        if (found != service.addresses.end())
+            delivery.addresses.emplace(minion, found->second);
     };
     for (const auto& [minion, starts] : delivery.effects.starts)
-        noteEndpoint(minion);
+        noteAddress(minion);
     for (const auto& [minion, cancels] : delivery.effects.cancels)
-        noteEndpoint(minion);
+        noteAddress(minion);
     if (delivery.broker && (owesUpdate || !delivery.effects.demands.empty() || !delivery.effects.reports.empty()))
         addUpdate(service, delivery, now);
     return delivery;
@@ -192,9 +200,9 @@
 void DispatchShard::deliverStarts(Delivery& delivery, absl::Time now)
 {
     for (auto& [minion, starts] : delivery.effects.starts) {
-        const auto endpoint = delivery.endpoints.find(minion);
-        if (endpoint != delivery.endpoints.end()) {
-            ports_.minions.sendStarts(delivery.service, minion, endpoint->second, std::move(starts));
+        const auto address = delivery.addresses.find(minion);
+        if (address != delivery.addresses.end()) {
+            ports_.minions.sendStarts(delivery.service, address->second, std::move(starts));
             continue;
         }
         // The grant crossed the end of the minion's lease.
@@ -208,9 +216,9 @@
 void DispatchShard::deliverCancels(Delivery& delivery, absl::Time now)
 {
     for (auto& [minion, cancels] : delivery.effects.cancels) {
-        const auto endpoint = delivery.endpoints.find(minion);
-        if (endpoint != delivery.endpoints.end()) {
-            ports_.minions.sendCancels(delivery.service, minion, endpoint->second, std::move(cancels));
+        const auto address = delivery.addresses.find(minion);
+        if (address != delivery.addresses.end()) {
+            ports_.minions.sendCancels(delivery.service, address->second, std::move(cancels));
             continue;
         }
         std::vector<CancelAnswer> answers;
--- a/Source/Dispatch/DispatchShard.h
+++ b/Source/Dispatch/DispatchShard.h
@@ -5,6 +5,7 @@
 #include "Dispatch/Pumped.h"
 #include "Dispatch/ServiceDispatcher.h"
 #include "Dispatch/WorkSignal.h"
+#include "Model/MinionBatches.h"
 #include "Ports/Metrics.h"
 #include "Ports/MinionLink.h"
 #include "Ports/OutcomeSink.h"
@@ -37,7 +38,8 @@
     void accept(Submission, absl::Time now);
     void cancel(const SubmissionKey&, absl::Time now);
     void decisionsReceived(const DaemonId& from, const BrokerDecisions&, absl::Time now);
-    void minionAnnounced(const MinionAnnouncement&);
+    /// Takes a new or renewed announcement. Another run of a minion ends the one before.
+    void minionAnnounced(const MinionAnnouncement&, absl::Time now);
     void minionGone(const ServiceId&, const MinionId&, absl::Time now);
     void startsAnswered(const ServiceId&, const MinionId&, const std::vector<StartAnswer>&, absl::Time now);
     void cancelsAnswered(const ServiceId&, const MinionId&, const std::vector<CancelAnswer>&, absl::Time now);
@@ -54,7 +56,7 @@
     struct Service {
         ServiceDispatcher dispatcher;
         BrokerClient client;
-        absl::flat_hash_map<MinionId, Endpoint> endpoints;
+        absl::flat_hash_map<MinionId, MinionAddress> addresses;
         absl::flat_hash_map<SubmissionKey, JobNumber> jobs;
     };
 
@@ -62,7 +64,7 @@
     struct Delivery {
         ServiceId service;
         DispatchEffects effects;
-        absl::flat_hash_map<MinionId, Endpoint> endpoints;
+        absl::flat_hash_map<MinionId, MinionAddress> addresses;
         std::optional<DaemonId> broker;
         std::optional<BrokerUpdate> update;
     };
