--- a/Source/Model/BrokerMessages.h
+++ b/Source/Model/BrokerMessages.h
@@ -96,12 +96,12 @@
     uint64_t stream = 0;
     /// Numbers the updates of a stream, from 1; 1 carries the whole state and replaces what was known.
     uint64_t sequence = 0;
-    /// The number of the last decisions received in this stream, so that the broker notices lost ones.
-    uint64_t received = 0;
     std::vector<Demand> demands;
     std::vector<SlotReport> reports;
     /// With sequence 1: slots that the entry's running tasks hold, by minion.
     std::map<MinionId, uint32_t> held;
+    /// The number of the last decisions received in this stream, so that the broker notices lost ones.
+    uint64_t received = 0;
 
     friend bool operator==(const BrokerUpdate&, const BrokerUpdate&) = default;
 };
