--- /dev/null
+++ b/Tests/Bench/BenchWorkload.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Model/Declaration.h"
+
+#include <absl/time/time.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+namespace trefoilwing::bench {
+
+/// One job of a bench run: true task sizes are run times at a minion of speed 1.
+struct BenchJob {
+    double arrival = 0;
+    uint32_t backer = 0;
+    uint32_t entry = 0;
+    std::string kind;
+    double deadline = 0;
+    std::vector<double> sizes;
+
+    double work() const;
+};
+
+/// One kind of work and how much of a workload's tasks it makes up.
+struct KindMix {
+    std::string kind;
+    double shortest;
+    double longest;
+    uint32_t fewestTasks;
+    uint32_t mostTasks;
+    /// The share of jobs of this kind.
+    double weight;
+    /// Seconds from submission.
+    double deadline;
+};
+
+/// A span of time at one load, as a share of the capacity.
+struct LoadSpan {
+    double seconds;
+    double load;
+    /// Whether the part of the load above 0.6 comes from the first backer alone.
+    bool isExcessOfOneBacker = false;
+};
+
+/// The minions of one data centre and what is asked of them.
+struct Scenario {
+    std::vector<double> speeds;
+    uint32_t slots = 8;
+    uint32_t backers = 20;
+    uint32_t entries = 3;
+    std::vector<KindMix> kinds;
+    std::vector<LoadSpan> spans;
+
+    double capacity() const;
+};
+
+/// @return the sign printers' service at one load for some seconds; jobs are never late.
+Scenario addis(double load, double seconds);
+
+/// @return the sign printers' service with deadlines and a crest of 5 s.
+Scenario addisCrest(bool isExcessOfOneBacker);
+
+/// @return the loan division's short checks while reviews take all the rest.
+Scenario khangai(double seconds);
+
+/// @return the jobs of a scenario in the order of arrival.
+std::vector<BenchJob> makeJobs(const Scenario&, std::mt19937_64&);
+
+/// @return the declaration of the scenario's service, with run times wrong by up to 5 times.
+ServiceDeclaration makeDeclaration(const Scenario&, std::mt19937_64&);
+
+} // namespace trefoilwing::bench
--- /dev/null
+++ b/Tests/Bench/DataCentreRun.cpp
@@ -0,0 +1,229 @@
+#include "Bench/DataCentreRun.h"
+
+#include <algorithm>
+
+namespace trefoilwing::bench {
+
+namespace {
+
+    constexpr absl::Duration messageDelay = absl::Microseconds(250);
+    constexpr absl::Duration announcementPeriod = absl::Seconds(1);
+    constexpr absl::Duration samplePeriod = absl::Milliseconds(50);
+
+} // namespace
+
+DataCentreRun::DataCentreRun(const Scenario& scenario, const ServiceDeclaration& declaration, const std::vector<BenchJob>& jobs,
+    const BrokerPolicy& policy, Sharing sharing, uint64_t seed)
+    : scenario_(scenario)
+    , jobs_(jobs)
+    , sharing_(sharing)
+    , random_(seed)
+    , undecided_(jobs.size())
+    , brokers_(sharing == Sharing::OneBroker ? 1 : scenario.entries)
+    , entries_(scenario.entries)
+{
+    result_.jobs.resize(jobs.size());
+    for (BrokerHost& host : brokers_) {
+        host.broker = std::move(std::get<0>(QueueingSlotBroker::create(policy, random_)));
+        host.broker->declare(declaration);
+    }
+    for (size_t i = 0; i < entries_.size(); ++i) {
+        entries_[i].run = { DaemonId("entry" + std::to_string(i)), Incarnation(1) };
+        entries_[i].dispatcher = std::make_unique<ServiceDispatcher>(declaration.service);
+        entries_[i].broker = i % brokers_.size();
+    }
+    for (size_t i = 0; i < scenario.speeds.size(); ++i) {
+        minions_.push_back({ MinionId("minion" + std::to_string(i)), scenario.speeds[i], i });
+        announce(minions_.back());
+    }
+    for (size_t i = 0; i < jobs.size(); ++i)
+        at(epoch_ + absl::Seconds(jobs[i].arrival), [this, i] { submit(i); });
+    at(epoch_, [this] { sample(); });
+}
+
+RunResult DataCentreRun::run()
+{
+    while (undecided_ > 0 && !queue_.empty()) {
+        // The element is const only to keep the heap's order, which moving the action out doesn't touch.
+        Event event = std::move(const_cast<Event&>(queue_.top()));
+        queue_.pop();
+        now_ = event.at;
+        event.act();
+    }
+    return std::move(result_);
+}
+
+void DataCentreRun::at(absl::Time time, std::function<void()> act)
+{
+    queue_.push({ time, ++events_, std::move(act) });
+}
+
+void DataCentreRun::after(absl::Duration delay, std::function<void()> act)
+{
+    at(now_ + delay, std::move(act));
+}
+
+absl::Duration DataCentreRun::hopToBroker(size_t entry) const
+{
+    // One of the entries hosts the broker.
+    return sharing_ != Sharing::OneBroker || entry == 0 ? absl::ZeroDuration() : messageDelay;
+}
+
+void DataCentreRun::submit(size_t job)
+{
+    const BenchJob& asked = jobs_[job];
+    Submission submission;
+    submission.id = { ServiceId("bench"), BackerId("backer" + std::to_string(asked.backer)), CallerKey(std::to_string(job)) };
+    submission.tasks.assign(asked.sizes.size(), { TaskKindId(asked.kind), {} });
+    submission.deadline = now_ + absl::Seconds(asked.deadline);
+    submission.isIdempotent = true;
+    waitingTasks_ += asked.sizes.size();
+    entries_[asked.entry].dispatcher->accept(std::move(submission), now_);
+    flush(asked.entry);
+}
+
+void DataCentreRun::flush(size_t index)
+{
+    FakeEntry& entry = entries_[index];
+    DispatchEffects effects = entry.dispatcher->takeEffects();
+    for (const auto& [minion, starts] : effects.starts)
+        send(index, minion, starts);
+    for (const DecidedJob& job : effects.decided)
+        decided(job);
+    for (const SlotReport& report : effects.reports)
+        result_.wasted += report.ending == SlotEnding::Returned || report.ending == SlotEnding::RefusedBusy;
+    if (!effects.demands.empty() || !effects.reports.empty()) {
+        BrokerUpdate update;
+        update.entry = entry.run;
+        update.stream = 1;
+        update.sequence = ++entry.sequence;
+        update.demands = std::move(effects.demands);
+        update.reports = std::move(effects.reports);
+        after(hopToBroker(index), [this, broker = entry.broker, update = std::move(update)] {
+            brokers_[broker].broker->entryUpdated(update, now_);
+            brokerActs(broker);
+        });
+    }
+    if (entry.dispatcher->nextWakeup() < entry.wakeup) {
+        entry.wakeup = entry.dispatcher->nextWakeup();
+        at(std::max(now_, entry.wakeup), [this, index] {
+            entries_[index].wakeup = absl::InfiniteFuture();
+            entries_[index].dispatcher->tick(now_);
+            flush(index);
+        });
+    }
+}
+
+void DataCentreRun::send(size_t entry, const MinionId& minion, const std::vector<TaskStart>& starts)
+{
+    auto found = std::find_if(minions_.begin(), minions_.end(), [&](const FakeMinion& known) { return known.id == minion; });
+    after(messageDelay, [this, entry, &target = *found, starts] { startAt(entry, target, starts); });
+}
+
+void DataCentreRun::startAt(size_t entry, FakeMinion& minion, const std::vector<TaskStart>& starts)
+{
+    std::vector<StartAnswer> answers;
+    for (const TaskStart& start : starts) {
+        const bool hasSlot = minion.busy < scenario_.slots;
+        answers.push_back({ start.attempt, hasSlot ? StartReply::Started : StartReply::RefusedBusy });
+        if (!hasSlot)
+            continue;
+        ++minion.busy;
+        ++result_.starts;
+        --waitingTasks_;
+        const size_t job = jobIndex(start.task.submission);
+        const double runTime = jobs_[job].sizes[start.task.index.value()] / minion.speed;
+        const double begin = absl::ToDoubleSeconds(now_ - epoch_);
+        if (result_.jobs[job].wait < 0)
+            result_.jobs[job].wait = begin - jobs_[job].arrival;
+        result_.executions.push_back({ static_cast<uint32_t>(job), begin, begin + runTime, minion.speed });
+        after(absl::Seconds(runTime), [this, entry, &minion, start, runTime] { finish(entry, minion, start, absl::Seconds(runTime)); });
+    }
+    after(messageDelay, [this, entry, id = minion.id, answers = std::move(answers)] {
+        entries_[entry].dispatcher->startsAnswered(id, answers, now_);
+        flush(entry);
+    });
+}
+
+void DataCentreRun::finish(size_t entry, FakeMinion& minion, const TaskStart& start, absl::Duration runTime)
+{
+    --minion.busy;
+    after(messageDelay, [this, entry, id = minion.id, start, runTime] {
+        entries_[entry].dispatcher->resultsPosted(id, { { start.attempt, start.task, TaskStatus::Succeeded, {}, runTime } }, now_);
+        flush(entry);
+    });
+}
+
+void DataCentreRun::decided(const DecidedJob& job)
+{
+    const size_t index = jobIndex(job.submission);
+    JobEnd& end = result_.jobs[index];
+    end.response = absl::ToDoubleSeconds(job.responseTime);
+    const Error* error = errorOf(job.outcome);
+    end.isComplete = !error;
+    end.isRejected = error && error->verdict == Verdict::NotRun;
+    if (end.isRejected)
+        waitingTasks_ -= jobs_[index].sizes.size();
+    --undecided_;
+}
+
+void DataCentreRun::brokerActs(size_t index)
+{
+    BrokerHost& host = brokers_[index];
+    for (EntryDecisions& decisions : host.broker->decide(now_)) {
+        for (size_t i = 0; i < entries_.size(); ++i) {
+            if (entries_[i].run != decisions.entry)
+                continue;
+            after(hopToBroker(i), [this, i, decisions] {
+                for (const Grant& grant : decisions.grants)
+                    entries_[i].dispatcher->applyGrant(grant, now_);
+                for (const Rejection& rejection : decisions.rejections)
+                    entries_[i].dispatcher->applyRejection(rejection, now_);
+                flush(i);
+            });
+        }
+    }
+    const absl::Time wakeup = std::max(now_, host.broker->nextWakeup());
+    if (wakeup >= host.wakeup || wakeup == absl::InfiniteFuture())
+        return;
+    host.wakeup = wakeup;
+    at(wakeup, [this, index] {
+        brokers_[index].wakeup = absl::InfiniteFuture();
+        brokerActs(index);
+    });
+}
+
+void DataCentreRun::announce(FakeMinion& minion)
+{
+    MinionAnnouncement announcement;
+    announcement.minion = minion.id;
+    announcement.incarnation = Incarnation(1);
+    announcement.sequence = ++minion.announcements;
+    announcement.service = ServiceId("bench");
+    announcement.slots = SlotCount(scenario_.slots);
+    announcement.busySlots = SlotCount(minion.busy);
+    for (size_t i = 0; i < brokers_.size(); ++i) {
+        MinionAnnouncement part = announcement;
+        if (sharing_ == Sharing::OwnSlots) {
+            const auto parts = static_cast<uint32_t>(brokers_.size());
+            part.slots = SlotCount(scenario_.slots / parts + ((minion.index + i) % parts < scenario_.slots % parts ? 1 : 0));
+            part.busySlots = SlotCount(0);
+        }
+        brokers_[i].broker->minionAnnounced(part, now_);
+        brokerActs(i);
+    }
+    after(announcementPeriod, [this, &minion] { announce(minion); });
+}
+
+void DataCentreRun::sample()
+{
+    result_.waiting.push_back(static_cast<uint32_t>(waitingTasks_));
+    after(samplePeriod, [this] { sample(); });
+}
+
+size_t DataCentreRun::jobIndex(const SubmissionKey& key)
+{
+    return std::stoul(key.key.value());
+}
+
+} // namespace trefoilwing::bench
--- /dev/null
+++ b/Tests/Bench/DataCentreRun.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "Bench/BenchWorkload.h"
+#include "Dispatch/Broker/QueueingSlotBroker.h"
+#include "Dispatch/ServiceDispatcher.h"
+#include "Support/SeededRandom.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <queue>
+
+namespace trefoilwing::bench {
+
+/// How the entries share the slots.
+enum class Sharing {
+    /// One broker grants all slots to all entries.
+    OneBroker,
+    /// Each entry has a broker of its own for its part of each minion's slots.
+    OwnSlots,
+    /// Each entry has a broker of its own that sees all slots; minions refuse what is too much.
+    Unshared,
+};
+
+/// What became of one job.
+struct JobEnd {
+    double response = 0;
+    /// From submission to the start of the first task; negative if none started.
+    double wait = -1;
+    bool isComplete = false;
+    bool isRejected = false;
+};
+
+/// What one run measured.
+struct RunResult {
+    std::vector<JobEnd> jobs;
+    uint64_t starts = 0;
+    uint64_t wasted = 0;
+    /// Tasks waiting for a slot, each 50 ms.
+    std::vector<uint32_t> waiting;
+    /// Each task that ran: its job, when it began and ended, and the work done.
+    struct Execution {
+        uint32_t job;
+        double begin;
+        double end;
+        double speed;
+    };
+    std::vector<Execution> executions;
+};
+
+/// Drives the real entries' dispatchers and brokers of one data centre with fake minions, a
+/// hand-turned clock and message delays.
+class DataCentreRun {
+public:
+    DataCentreRun(const Scenario&, const ServiceDeclaration&, const std::vector<BenchJob>&, const BrokerPolicy&, Sharing, uint64_t seed);
+
+    RunResult run();
+
+private:
+    struct Event {
+        absl::Time at;
+        uint64_t order;
+        std::function<void()> act;
+
+        bool operator>(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+    };
+
+    struct FakeMinion {
+        MinionId id;
+        double speed = 1;
+        size_t index = 0;
+        uint32_t busy = 0;
+        uint64_t announcements = 0;
+    };
+
+    struct FakeEntry {
+        DaemonRun run;
+        std::unique_ptr<ServiceDispatcher> dispatcher;
+        uint64_t sequence = 0;
+        absl::Time wakeup = absl::InfiniteFuture();
+        size_t broker = 0;
+    };
+
+    struct BrokerHost {
+        std::unique_ptr<QueueingSlotBroker> broker;
+        absl::Time wakeup = absl::InfiniteFuture();
+    };
+
+    void at(absl::Time, std::function<void()>);
+    void after(absl::Duration, std::function<void()>);
+    absl::Duration hopToBroker(size_t entry) const;
+    void submit(size_t job);
+    void flush(size_t entry);
+    void send(size_t entry, const MinionId&, const std::vector<TaskStart>&);
+    void startAt(size_t entry, FakeMinion&, const std::vector<TaskStart>&);
+    void finish(size_t entry, FakeMinion&, const TaskStart&, absl::Duration runTime);
+    void decided(const DecidedJob&);
+    void brokerActs(size_t broker);
+    void announce(FakeMinion&);
+    void sample();
+    static size_t jobIndex(const SubmissionKey&);
+
+    const Scenario& scenario_;
+    const std::vector<BenchJob>& jobs_;
+    Sharing sharing_;
+    SeededRandom random_;
+    absl::Time epoch_ = absl::FromUnixSeconds(1000000000);
+    absl::Time now_ = epoch_;
+    uint64_t events_ = 0;
+    size_t undecided_ = 0;
+    std::priority_queue<Event, std::vector<Event>, std::greater<>> queue_;
+    std::vector<BrokerHost> brokers_;
+    std::vector<FakeEntry> entries_;
+    std::deque<FakeMinion> minions_;
+    uint64_t waitingTasks_ = 0;
+    RunResult result_;
+};
+
+} // namespace trefoilwing::bench
