Serve the job with the least waiting work first, by learned run times

Cause: first come first served keeps small jobs behind large ones. Ruled out: the fewest waiting tasks first, which is blind to kinds. Kept: least work.

--- a/Source/Dispatch/Broker/BrokerPolicy.h
+++ b/Source/Dispatch/Broker/BrokerPolicy.h
@@ -6,7 +6,7 @@
 
 /// Names the strategies that a slot broker is made of.
 struct BrokerPolicy {
-    std::string jobOrder = "fifo";
+    std::string jobOrder = "least-work";
     std::string backerOrder = "equal";
     std::string minionChoice = "random";
     std::string admission = "all";
--- a/Source/Dispatch/Broker/JobOrder.cpp
+++ b/Source/Dispatch/Broker/JobOrder.cpp
@@ -15,11 +15,36 @@
         double key(const Job& job) const override { return seconds(job.submitted); }
     };
 
+    double waitingWork(const Job& job)
+    {
+        absl::Duration work;
+        for (const auto& demand : job.queued) {
+            for (const WaitingTasks& tasks : demand->kinds)
+                work += tasks.count * tasks.kind->runTime;
+        }
+        return absl::ToDoubleSeconds(work);
+    }
+
+    /// The job with the fewest waiting tasks first.
+    class FewestTasksOrder : public JobOrder {
+    public:
+        double key(const Job& job) const override { return job.waiting; }
+    };
+
+    /// The job with the least waiting work first, by learned run times.
+    class LeastWorkOrder : public JobOrder {
+    public:
+        double key(const Job& job) const override { return waitingWork(job); }
+    };
+
 } // namespace
 
 const StrategyRegistry<JobOrder>& jobOrders()
 {
-    static const StrategyRegistry<JobOrder> registry = StrategyRegistry<JobOrder>().add<FifoOrder>("fifo");
+    static const StrategyRegistry<JobOrder> registry = StrategyRegistry<JobOrder>()
+                                                           .add<FewestTasksOrder>("fewest-tasks")
+                                                           .add<FifoOrder>("fifo")
+                                                           .add<LeastWorkOrder>("least-work");
     return registry;
 }
 
--- a/Source/Dispatch/Broker/JobOrder.h
+++ b/Source/Dispatch/Broker/JobOrder.h
@@ -14,7 +14,7 @@
     virtual double key(const Job&) const = 0;
 };
 
-/// @return all job orders: "fifo".
+/// @return all job orders: "fifo", "fewest-tasks", "least-work".
 const StrategyRegistry<JobOrder>& jobOrders();
 
 } // namespace trefoilwing::broker
--- a/Source/Dispatch/Broker/Minion.h
+++ b/Source/Dispatch/Broker/Minion.h
@@ -34,6 +34,8 @@
     std::vector<MinionPool*> pools;
     /// Its run times relative to those of an average minion.
     double slowness = 1;
+    /// How many run times its slowness has been learned from.
+    uint64_t samples = 0;
     /// Where it stands among the free minions of its pools: the slowness of its last filing.
     double rank = 1;
     bool isFiledAsFree = false;
--- a/Source/Dispatch/Broker/MinionChoice.cpp
+++ b/Source/Dispatch/Broker/MinionChoice.cpp
@@ -24,11 +24,23 @@
         }
     };
 
+    /// The fastest minion that has a free slot.
+    class FastestChoice : public MinionChoice {
+    public:
+        Minion* choose(const std::vector<Minion*>& free, const Job& job, const TaskKind&, Random&) const override
+        {
+            auto found = std::find_if(free.begin(), free.end(), [&](const Minion* minion) { return !excludes(job, minion); });
+            return found == free.end() ? nullptr : *found;
+        }
+    };
+
 } // namespace
 
 const StrategyRegistry<MinionChoice>& minionChoices()
 {
-    static const StrategyRegistry<MinionChoice> registry = StrategyRegistry<MinionChoice>().add<RandomChoice>("random");
+    static const StrategyRegistry<MinionChoice> registry = StrategyRegistry<MinionChoice>()
+                                                               .add<FastestChoice>("fastest")
+                                                               .add<RandomChoice>("random");
     return registry;
 }
 
--- a/Source/Dispatch/Broker/MinionChoice.h
+++ b/Source/Dispatch/Broker/MinionChoice.h
@@ -16,7 +16,7 @@
     virtual Minion* choose(const std::vector<Minion*>& free, const Job&, const TaskKind&, Random&) const = 0;
 };
 
-/// @return all choices of a minion: "random".
+/// @return all choices of a minion: "random", "fastest".
 const StrategyRegistry<MinionChoice>& minionChoices();
 
 } // namespace trefoilwing::broker
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -1,5 +1,8 @@
 #include "Dispatch/Broker/QueueingSlotBroker.h"
 
+#include "Dispatch/Broker/RunTimeLearner.h"
+
+#include <cmath>
 #include <utility>
 
 namespace trefoilwing {
@@ -21,6 +24,9 @@
     /// A slot that a minion refused as busy isn't granted again before this time, unless an announcement shows it free.
     constexpr absl::Duration busyTime = absl::Milliseconds(20);
 
+    /// A minion keeps its place among the free ones while its slowness changes by less than this share.
+    constexpr double rankTolerance = 0.02;
+
     /// The run time taken for a kind that isn't declared.
     constexpr absl::Duration undeclaredRunTime = absl::Milliseconds(500);
 
@@ -235,8 +241,15 @@
         slots_.markBusy(minion, now + busyTime);
     else
         slots_.release(minion, 1);
-    if (!minion.isPresent && minion.granted == 0)
-        slots_.expire(minion.id);
+    if (report.ending == SlotEnding::Succeeded)
+        learn(minion, report);
+}
+
+void QueueingSlotBroker::learn(Minion& minion, const SlotReport& report)
+{
+    broker::RunTimeLearner::learn(kindFor(report.kind), minion, report.runTime);
+    if (std::abs(minion.slowness - minion.rank) > rankTolerance * minion.rank)
+        slots_.refile(minion);
 }
 
 void QueueingSlotBroker::voidDemands(Entry& entry)
--- a/Source/Dispatch/Broker/QueueingSlotBroker.h
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -65,6 +65,7 @@
     void takeDemand(Entry&, const Demand&);
     void takeReport(Entry&, const SlotReport&, absl::Time now);
     void settleMinion(broker::Minion&, const SlotReport&, absl::Time now);
+    void learn(broker::Minion&, const SlotReport&);
     void voidDemands(Entry&);
     void clearDemand(broker::Job&);
     void dropIfIdle(Entry&, broker::Job&);
--- /dev/null
+++ b/Source/Dispatch/Broker/RunTimeLearner.cpp
@@ -0,0 +1,37 @@
+#include "Dispatch/Broker/RunTimeLearner.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoilwing::broker {
+
+namespace {
+
+    constexpr double kindRate = 0.01;
+    constexpr double minionRate = 0.03;
+    /// A kind's first samples say more of the kind than of the minions.
+    constexpr uint64_t samplesBeforeMinions = 20;
+    /// Keeps the minions' slownesses about 1, since only their products with run times are observed.
+    constexpr double slownessDecay = 0.9995;
+    constexpr double leastSlowness = 0.02;
+    constexpr double greatestSlowness = 50;
+    constexpr absl::Duration shortestRunTime = absl::Microseconds(10);
+
+} // namespace
+
+void RunTimeLearner::learn(TaskKind& kind, Minion& minion, absl::Duration runTime)
+{
+    const double observed = std::log(absl::ToDoubleSeconds(std::max(runTime, shortestRunTime)));
+    const double known = std::log(absl::ToDoubleSeconds(std::max(kind.runTime, shortestRunTime)));
+    const double slowness = std::log(minion.slowness);
+    const double error = observed - known - slowness;
+    ++kind.samples;
+    kind.runTime = absl::Seconds(std::exp(known + error * std::max(kindRate, 1.0 / static_cast<double>(kind.samples))));
+    if (kind.samples < samplesBeforeMinions)
+        return;
+    ++minion.samples;
+    const double rate = std::max(minionRate, 1.0 / static_cast<double>(minion.samples + 1));
+    minion.slowness = std::clamp(std::exp(slownessDecay * slowness + error * rate), leastSlowness, greatestSlowness);
+}
+
+} // namespace trefoilwing::broker
--- a/Tests/Bench/BenchMeasures.cpp
+++ b/Tests/Bench/BenchMeasures.cpp
@@ -49,6 +49,7 @@
 ResponseRatios compareResponses(const std::vector<BenchJob>& jobs, const RunResult& run, const std::vector<double>& ideal)
 {
     std::vector<double> works;
+    works.reserve(jobs.size());
     for (const BenchJob& job : jobs)
         works.push_back(job.work());
     const double large = quantile(works, 1 - largestShare);
--- a/Tests/Bench/DispatchBench.cpp
+++ b/Tests/Bench/DispatchBench.cpp
@@ -28,12 +28,26 @@
     Sharing sharing = Sharing::OneBroker;
 };
 
+BrokerPolicy with(BrokerPolicy policy, std::string BrokerPolicy::*part, const char* strategy)
+{
+    policy.*part = strategy;
+    return policy;
+}
+
 const std::vector<NamedPolicy>& policies()
 {
+    static const BrokerPolicy baseline { "fifo", "equal", "random", "all" };
+    static const BrokerPolicy fastest { "least-work", "equal", "fastest", "all" };
     static const std::vector<NamedPolicy> all {
-        { "baseline", {} },
-        { "baseline-own-slots", {}, Sharing::OwnSlots },
-        { "baseline-unshared", {}, Sharing::Unshared },
+        { "default", {} },
+        { "baseline", baseline },
+        { "fewest-tasks", with(baseline, &BrokerPolicy::jobOrder, "fewest-tasks") },
+        { "least-work", with(baseline, &BrokerPolicy::jobOrder, "least-work") },
+        { "fifo-fastest", with(baseline, &BrokerPolicy::minionChoice, "fastest") },
+        { "fewest-tasks-fastest", with(fastest, &BrokerPolicy::jobOrder, "fewest-tasks") },
+        { "least-work-fastest", fastest },
+        { "baseline-own-slots", baseline, Sharing::OwnSlots },
+        { "baseline-unshared", baseline, Sharing::Unshared },
     };
     return all;
 }
