--- a/Source/Adapters/Http/MinionCodec.cpp
+++ b/Source/Adapters/Http/MinionCodec.cpp
@@ -21,6 +21,7 @@
     constexpr uint64_t maxIndex = std::numeric_limits<uint32_t>::max();
     /// Some 280,000 years: far outside any deadline, well inside absl::Time.
     constexpr uint64_t maxTimeMilliseconds = 1ULL << 53U;
+    constexpr uint64_t maxLeaseMilliseconds = 3'600'000;
     constexpr uint64_t maxDurationMicroseconds = 1ULL << 53U;
 
     template <typename Enum, size_t Count>
@@ -291,7 +292,7 @@
 Result<absl::Duration> decodeLease(const std::string& body)
 {
     const JsonFields fields = JsonFields::parse(body);
-    return fields.finish(absl::Milliseconds(static_cast<int64_t>(fields.number("lease_ms", 0, maxTimeMilliseconds))));
+    return fields.finish(absl::Milliseconds(static_cast<int64_t>(fields.number("lease_ms", 0, maxLeaseMilliseconds))));
 }
 
 std::string encodeStarts(const StartBatch& batch)
--- /dev/null
+++ b/Tests/Adapters/Http/DecoderFuzzTest.cpp
@@ -0,0 +1,134 @@
+#include "Adapters/Http/MinionCodec.h"
+
+#include <rapidcheck.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+const DaemonRun entry { DaemonId("e"), Incarnation(7) };
+
+TaskId task()
+{
+    return { { ServiceId("s"), BackerId("b"), CallerKey("k") }, TaskIndex(3) };
+}
+
+/// A decoder under test: decodes a body and, where it is right, checks that encoding and decoding keep it.
+using Decoder = std::function<void(const std::string&)>;
+
+template <typename T>
+Decoder decoder(Result<T> (*decode)(const std::string&), std::string (*encode)(const T&))
+{
+    return [decode, encode](const std::string& body) {
+        const Result<T> result = decode(body);
+        if (const Error* error = errorOf(result)) {
+            RC_ASSERT(error->code == ErrorCode::Malformed);
+            RC_ASSERT(error->verdict == Verdict::NotRun);
+            RC_ASSERT(!error->message.empty());
+            return;
+        }
+        const Result<T> again = decode(encode(*valueOf(result)));
+        RC_ASSERT(valueOf(again));
+        RC_ASSERT(*valueOf(again) == *valueOf(result));
+    };
+}
+
+std::string encodeLease(const absl::Duration& lease)
+{
+    return MinionCodec::encodeLease(lease);
+}
+
+std::vector<Decoder> decoders()
+{
+    return {
+        decoder(MinionCodec::decodeAnnouncement, MinionCodec::encodeAnnouncement),
+        decoder(MinionCodec::decodeLease, encodeLease),
+        decoder(MinionCodec::decodeStarts, MinionCodec::encodeStarts),
+        decoder(MinionCodec::decodeStartAnswers, MinionCodec::encodeStartAnswers),
+        decoder(MinionCodec::decodeCancels, MinionCodec::encodeCancels),
+        decoder(MinionCodec::decodeCancelAnswers, MinionCodec::encodeCancelAnswers),
+        decoder(MinionCodec::decodeResults, MinionCodec::encodeResults),
+    };
+}
+
+std::vector<std::string> rightBodies()
+{
+    return {
+        MinionCodec::encodeAnnouncement({ MinionId("m"), Incarnation(1), 2, { "127.0.0.1", 80 }, ServiceId("s"), DataCentreId("d"),
+            WorkerId("w"), RackId("r"), SlotCount(8), SlotCount(1), { { "accelerators", 2 } }, MinionState::Serving }),
+        MinionCodec::encodeLease(absl::Seconds(3)),
+        MinionCodec::encodeStarts({ entry, MinionId("m"), Incarnation(1), { "127.0.0.1", 80 }, { { AttemptId(1), task(), TaskKindId("t"), "{}", absl::FromUnixMillis(1), true } } }),
+        MinionCodec::encodeStartAnswers({ { AttemptId(1), StartReply::Started } }),
+        MinionCodec::encodeCancels({ entry, MinionId("m"), Incarnation(1), { { AttemptId(1), task() } } }),
+        MinionCodec::encodeCancelAnswers({ { AttemptId(1), CancelReply::Fenced } }),
+        MinionCodec::encodeResults({ ServiceId("s"), MinionId("m"), entry, { { AttemptId(1), task(), TaskStatus::Failed, "o", absl::Seconds(1) } } }),
+    };
+}
+
+/// What stands in for a piece of a right body: the texts that decoders are known to trip over.
+const std::vector<std::string> pieces {
+    "",
+    "-1",
+    "18446744073709551616",
+    "1e999",
+    "1.5",
+    "null",
+    "true",
+    "{}",
+    "[]",
+    "\"\"",
+    "\"",
+    "\\u0000",
+    "\\ud800",
+    "\xff",
+    "[[[[",
+    "}}",
+    ",",
+    ":",
+    "{\"a\":",
+};
+
+std::string mutate(std::string body, size_t place, size_t length, const std::string& piece)
+{
+    place %= body.size() + 1;
+    return body.replace(place, length, piece);
+}
+
+void decodeByAll(const std::string& body)
+{
+    for (const Decoder& decode : decoders())
+        decode(body);
+}
+
+} // namespace
+
+TEST_GROUP(DecoderFuzz) {};
+
+TEST(DecoderFuzz, RandomBytesGiveErrorsOnly)
+{
+    CHECK(rc::check("random bytes", [](const std::string& body) { decodeByAll(body); }));
+}
+
+TEST(DecoderFuzz, MutatedBodiesGiveAValueOrAnError)
+{
+    CHECK(rc::check("mutated bodies", [] {
+        std::string body = *rc::gen::elementOf(rightBodies());
+        const int mutations = *rc::gen::inRange(0, 4);
+        for (int i = 0; i < mutations; ++i)
+            body = mutate(std::move(body), *rc::gen::inRange<size_t>(0, 1000), *rc::gen::inRange<size_t>(0, 20), *rc::gen::elementOf(pieces));
+        decodeByAll(body);
+    }));
+}
+
+TEST(DecoderFuzz, DeepNestingIsNoTrouble)
+{
+    constexpr size_t depth = 1'000'000;
+    decodeByAll(std::string(depth, '['));
+    decodeByAll("{\"starts\":" + std::string(depth, '[') + std::string(depth, ']') + "}");
+}
