--- a/Source/Ports/Metrics.h
+++ b/Source/Ports/Metrics.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Model/Identifiers.h"
+#include "Model/MetricsSnapshot.h"
 
 #include <absl/time/time.h>
 
@@ -8,13 +8,6 @@
 
 namespace trefoilwing {
 
-/// What a measured value belongs to; empty ids stand for "all".
-struct MetricLabels {
-    ServiceId service;
-    BackerId backer;
-    TaskKindId kind;
-};
-
 /// Counts events and records latencies.
 class Metrics {
 public:
@@ -25,4 +18,12 @@
     virtual void set(std::string_view name, const MetricLabels&, double value) = 0;
 };
 
+/// Gives what has been measured to those who show it.
+class MetricsSource {
+public:
+    virtual ~MetricsSource() = default;
+
+    virtual MetricsSnapshot snapshot() const = 0;
+};
+
 } // namespace trefoilwing
