--- /dev/null
+++ b/Source/Adapters/Http/PendingAnswer.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Base/Error.h"
+#include "Base/MutexLock.h"
+
+#include <absl/time/clock.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace trefoilwing {
+
+/// Lets a server's thread wait, for a bounded time, for an answer that another thread brings.
+template <typename T>
+class PendingAnswer {
+public:
+    /// @return what takes the answer. It may be called after this object is gone.
+    std::function<void(Result<T>)> callback() const
+    {
+        return [state = state_](Result<T> answer) {
+            {
+                const MutexLock lock(state->mutex);
+                state->answer = std::move(answer);
+            }
+            state->changed.Signal();
+        };
+    }
+
+    /// @return the answer, or the error where none has come in time.
+    Result<T> wait(absl::Duration limit, const Error& onTimeout)
+    {
+        const absl::Time end = absl::Now() + limit;
+        const MutexLock lock(state_->mutex);
+        while (!state_->answer) {
+            if (state_->changed.WaitWithDeadline(&state_->mutex, end) && !state_->answer)
+                return onTimeout;
+        }
+        return *state_->answer;
+    }
+
+private:
+    struct State {
+        absl::Mutex mutex;
+        absl::CondVar changed;
+        std::optional<Result<T>> answer ABSL_GUARDED_BY(mutex);
+    };
+
+    std::shared_ptr<State> state_ = std::make_shared<State>();
+};
+
+} // namespace trefoilwing
