Let a job's last tasks wait for fast slots

Cause: the last task of a job on a slot four times slower decides when the job ends. A task now waits if the faster minions are expected to free enough slots to end it sooner; the wait is bounded by the expected gain.

--- a/Source/Dispatch/Broker/BrokerPolicy.h
+++ b/Source/Dispatch/Broker/BrokerPolicy.h
@@ -8,7 +8,7 @@
 struct BrokerPolicy {
     std::string jobOrder = "least-work";
     std::string backerOrder = "equal";
-    std::string minionChoice = "fastest";
+    std::string minionChoice = "patient";
     std::string admission = "all";
 };
 
--- a/Source/Dispatch/Broker/Job.h
+++ b/Source/Dispatch/Broker/Job.h
@@ -34,6 +34,8 @@
     double key = 0;
     /// Breaks ties in the order of arrival.
     uint64_t arrival = 0;
+    /// Until when it may wait for a better slot than the free ones; unset until it has begun to.
+    absl::Time patientUntil = absl::InfiniteFuture();
 
     friend bool operator<(const QueuedDemand& a, const QueuedDemand& b)
     {
--- a/Source/Dispatch/Broker/Minion.h
+++ b/Source/Dispatch/Broker/Minion.h
@@ -50,6 +50,14 @@
     }
 };
 
+/// How fast the slots of the faster minions come free.
+struct SpeedStep {
+    /// The slowness of the slowest of these minions.
+    double slowness = 1;
+    /// Task ends a second for tasks that run 1 s at an average minion, with all their slots in use.
+    double endRate = 0;
+};
+
 /// The minions that meet the same needs.
 struct MinionPool {
     Resources needs;
@@ -57,6 +65,8 @@
     std::vector<Minion*> members;
     /// Those with free slots, the fastest first.
     std::vector<Minion*> free;
+    /// What the minions up to a slowness can do, the fastest first.
+    std::vector<SpeedStep> steps;
 };
 
 } // namespace trefoilwing::broker
--- a/Source/Dispatch/Broker/MinionChoice.cpp
+++ b/Source/Dispatch/Broker/MinionChoice.cpp
@@ -12,25 +12,52 @@
     /// Any minion that has a free slot.
     class RandomChoice : public MinionChoice {
     public:
-        Minion* choose(const std::vector<Minion*>& free, const Job& job, const TaskKind&, Random& random) const override
+        Choice choose(const ChoiceInput& input, Random& random) const override
         {
+            const std::vector<Minion*>& free = input.pool.free;
             const size_t first = random.below(free.size());
             for (size_t i = 0; i < free.size(); ++i) {
                 Minion* minion = free[(first + i) % free.size()];
-                if (!excludes(job, minion))
-                    return minion;
+                if (!excludes(input.job, minion))
+                    return { minion };
             }
-            return nullptr;
+            return {};
         }
     };
 
+    Minion* fastestFree(const ChoiceInput& input)
+    {
+        const std::vector<Minion*>& free = input.pool.free;
+        auto found = std::find_if(free.begin(), free.end(), [&](const Minion* minion) { return !excludes(input.job, minion); });
+        return found == free.end() ? nullptr : *found;
+    }
+
     /// The fastest minion that has a free slot.
     class FastestChoice : public MinionChoice {
     public:
-        Minion* choose(const std::vector<Minion*>& free, const Job& job, const TaskKind&, Random&) const override
+        Choice choose(const ChoiceInput& input, Random&) const override { return { fastestFree(input) }; }
+    };
+
+    /// The fastest minion that has a free slot, unless the job is expected to end sooner by waiting for faster ones.
+    class PatientChoice : public MinionChoice {
+    public:
+        Choice choose(const ChoiceInput& input, Random&) const override
         {
-            auto found = std::find_if(free.begin(), free.end(), [&](const Minion* minion) { return !excludes(job, minion); });
-            return found == free.end() ? nullptr : *found;
+            Minion* minion = fastestFree(input);
+            if (!minion || !input.mayWait)
+                return { minion };
+            const double runTime = absl::ToDoubleSeconds(input.kind.runTime);
+            const double tasksTime = input.tasksToPlace * absl::ToDoubleSeconds(input.meanRunTime);
+            const double now = runTime * minion->slowness;
+            double best = now;
+            for (const SpeedStep& step : input.pool.steps) {
+                if (step.slowness >= minion->slowness)
+                    break;
+                best = std::min(best, tasksTime / step.endRate + runTime * step.slowness);
+            }
+            if (best >= now)
+                return { minion };
+            return { nullptr, absl::Seconds(now - best) };
         }
     };
 
@@ -40,6 +67,7 @@
 {
     static const StrategyRegistry<MinionChoice> registry = StrategyRegistry<MinionChoice>()
                                                                .add<FastestChoice>("fastest")
+                                                               .add<PatientChoice>("patient")
                                                                .add<RandomChoice>("random");
     return registry;
 }
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -24,6 +24,11 @@
     /// A slot that a minion refused as busy isn't granted again before this time, unless an announcement shows it free.
     constexpr absl::Duration busyTime = absl::Milliseconds(20);
 
+    constexpr double meanRunTimeRate = 0.002;
+
+    /// So many demands may wait for a better slot than the free ones at a time.
+    constexpr size_t mostPassedOver = 32;
+
     /// A minion keeps its place among the free ones while its slowness changes by less than this share.
     constexpr double rankTolerance = 0.02;
 
@@ -248,6 +253,8 @@
 void QueueingSlotBroker::learn(Minion& minion, const SlotReport& report)
 {
     broker::RunTimeLearner::learn(kindFor(report.kind), minion, report.runTime);
+    const absl::Duration atAverage = report.runTime / minion.slowness;
+    meanRunTime_ += (atAverage - meanRunTime_) * meanRunTimeRate;
     if (std::abs(minion.slowness - minion.rank) > rankTolerance * minion.rank)
         slots_.refile(minion);
 }
@@ -281,12 +288,15 @@
 {
     isDue_ = false;
     slots_.expireUnaccounted(now);
+    slots_.refreshSteps(now);
     rejectOverdue(now);
+    patienceEnds_ = absl::InfiniteFuture();
     while (QueuedDemand* demand = firstServable())
         grantFirst(*demand, now);
     for (QueuedDemand* demand : passedOver_)
         queue_.insert(*demand);
     passedOver_.clear();
+    tasksPassedOver_ = 0;
 
     std::vector<EntryDecisions> decisions;
     for (auto& [run, entry] : entries_) {
@@ -304,7 +314,7 @@
     if (isDue_)
         return absl::InfinitePast();
     const absl::Time giveUp = timed_.empty() ? absl::InfiniteFuture() : timed_.begin()->givenUpAt;
-    return std::min(giveUp, slots_.nextExpiry());
+    return std::min({ giveUp, slots_.nextExpiry(), patienceEnds_ });
 }
 
 void QueueingSlotBroker::rejectOverdue(absl::Time now)
@@ -349,16 +359,36 @@
     return best;
 }
 
-void QueueingSlotBroker::grantFirst(QueuedDemand& demand, absl::Time)
+void QueueingSlotBroker::grantFirst(QueuedDemand& demand, absl::Time now)
 {
-    WaitingTasks& tasks = demand.kinds.back();
-    Minion* minion = strategies_.minionChoice->choose(demand.lane->pool->free, *demand.job, *tasks.kind, random_);
-    if (!minion) {
-        queue_.remove(demand);
-        passedOver_.push_back(&demand);
+    const broker::Choice choice = chooseFor(demand, now);
+    if (!choice.minion) {
+        passOver(demand);
         return;
     }
-    grant(demand, tasks, *minion);
+    demand.patientUntil = absl::InfiniteFuture();
+    grant(demand, demand.kinds.back(), *choice.minion);
+}
+
+broker::Choice QueueingSlotBroker::chooseFor(QueuedDemand& demand, absl::Time now)
+{
+    const TaskKind& kind = *demand.kinds.back().kind;
+    const bool mayWait = demand.patientUntil > now && passedOver_.size() < mostPassedOver;
+    const absl::Duration meanRunTime = meanRunTime_ == absl::ZeroDuration() ? kind.runTime : meanRunTime_;
+    const broker::ChoiceInput input { *demand.lane->pool, *demand.job, kind, tasksPassedOver_ + demand.job->waiting, meanRunTime, mayWait };
+    broker::Choice choice = strategies_.minionChoice->choose(input, random_);
+    if (!choice.minion && choice.patience != absl::InfiniteDuration()) {
+        demand.patientUntil = std::min(demand.patientUntil, now + choice.patience);
+        patienceEnds_ = std::min(patienceEnds_, demand.patientUntil);
+    }
+    return choice;
+}
+
+void QueueingSlotBroker::passOver(QueuedDemand& demand)
+{
+    queue_.remove(demand);
+    passedOver_.push_back(&demand);
+    tasksPassedOver_ += demand.job->waiting;
 }
 
 void QueueingSlotBroker::grant(QueuedDemand& demand, WaitingTasks& tasks, Minion& minion)
--- a/Source/Dispatch/Broker/QueueingSlotBroker.h
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -75,6 +75,8 @@
     void untime(broker::Job&);
     broker::QueuedDemand* firstServable();
     void grantFirst(broker::QueuedDemand&, absl::Time now);
+    broker::Choice chooseFor(broker::QueuedDemand&, absl::Time now);
+    void passOver(broker::QueuedDemand&);
     void grant(broker::QueuedDemand&, broker::WaitingTasks&, broker::Minion&);
     void changeUse(broker::Backer&, int32_t slots);
     void updateShares();
@@ -95,6 +97,12 @@
     boost::intrusive::set<broker::Job, boost::intrusive::compare<broker::SoonerGivenUp>> timed_;
     /// Demands that no free minion suits in this round of decisions.
     std::vector<broker::QueuedDemand*> passedOver_;
+    /// Tasks of the demands passed over.
+    uint32_t tasksPassedOver_ = 0;
+    /// When the first demand that waits for a better slot takes any.
+    absl::Time patienceEnds_ = absl::InfiniteFuture();
+    /// The mean run time of all tasks at a minion of average speed.
+    absl::Duration meanRunTime_ = absl::ZeroDuration();
     uint64_t arrivals_ = 0;
     bool isDue_ = false;
 };
--- a/Source/Dispatch/Broker/SlotTable.cpp
+++ b/Source/Dispatch/Broker/SlotTable.cpp
@@ -7,6 +7,11 @@
     /// A first announcement's busy slots that no entry claims are taken to be free after this time.
     constexpr absl::Duration firstAccountingTime = absl::Seconds(10);
 
+    constexpr absl::Duration stepsRefreshPeriod = absl::Milliseconds(100);
+
+    /// So many speed steps describe a pool well enough.
+    constexpr size_t mostSteps = 16;
+
     bool ranksBefore(const Minion* a, const Minion* b)
     {
         return a->rank != b->rank ? a->rank < b->rank : a->id < b->id;
@@ -165,6 +170,33 @@
     }
 }
 
+void SlotTable::refreshSteps(absl::Time now)
+{
+    if (now < stepsRefreshed_ + stepsRefreshPeriod)
+        return;
+    stepsRefreshed_ = now;
+    for (auto& [needs, pool] : pools_)
+        refreshSteps(*pool);
+}
+
+void SlotTable::refreshSteps(MinionPool& pool)
+{
+    std::vector<const Minion*> serving;
+    for (const Minion* minion : pool.members) {
+        if (minion->state == MinionState::Serving)
+            serving.push_back(minion);
+    }
+    std::sort(serving.begin(), serving.end(), [](const Minion* a, const Minion* b) { return a->slowness < b->slowness; });
+    const size_t stride = (serving.size() + mostSteps - 1) / mostSteps;
+    pool.steps.clear();
+    double endRate = 0;
+    for (size_t i = 0; i < serving.size(); ++i) {
+        endRate += serving[i]->slots / serving[i]->slowness;
+        if ((i + 1) % stride == 0 || i + 1 == serving.size())
+            pool.steps.push_back({ serving[i]->slowness, endRate });
+    }
+}
+
 void SlotTable::refile(Minion& minion)
 {
     unfile(minion);
--- a/Source/Dispatch/Broker/SlotTable.h
+++ b/Source/Dispatch/Broker/SlotTable.h
@@ -51,6 +51,9 @@
     /// Files a minion anew after a change of what decides on its place among the free ones.
     void refile(Minion&);
 
+    /// Works out the pools' speed steps anew if they are older than a while.
+    void refreshSteps(absl::Time now);
+
     /// @return the slots of all present minions.
     uint32_t totalSlots() const { return totalSlots_; }
 
@@ -60,6 +63,7 @@
 private:
     void file(Minion&);
     void unfile(Minion&);
+    static void refreshSteps(MinionPool&);
     void joinPools(Minion&);
     void leavePools(Minion&);
     static bool meets(const Resources& offered, const Resources& needs);
@@ -70,6 +74,7 @@
     std::map<Resources, std::unique_ptr<MinionPool>> pools_;
     uint32_t totalSlots_ = 0;
     uint32_t freeSlots_ = 0;
+    absl::Time stepsRefreshed_ = absl::InfinitePast();
     absl::Time nextExpiry_ = absl::InfiniteFuture();
 };
 
--- a/Tests/Bench/DispatchBench.cpp
+++ b/Tests/Bench/DispatchBench.cpp
@@ -46,6 +46,7 @@
         { "fifo-fastest", with(baseline, &BrokerPolicy::minionChoice, "fastest") },
         { "fewest-tasks-fastest", with(fastest, &BrokerPolicy::jobOrder, "fewest-tasks") },
         { "least-work-fastest", fastest },
+        { "least-work-patient", with(fastest, &BrokerPolicy::minionChoice, "patient") },
         { "baseline-own-slots", baseline, Sharing::OwnSlots },
         { "baseline-unshared", baseline, Sharing::Unshared },
     };
--- a/Tests/Dispatch/Broker/BrokerFixture.h
+++ b/Tests/Dispatch/Broker/BrokerFixture.h
@@ -48,20 +48,37 @@
     {
         BrokerUpdate update;
         update.entry = entry;
-        update.stream = 1;
+        update.stream = streams;
         update.sequence = ++sequences[entry];
         update.demands = std::move(demands);
         update.reports = std::move(reports);
         broker->entryUpdated(update, now);
     }
 
-    /// Begins an entry's next stream with its whole state.
+    /// Begins an entry's stream with its whole state.
     void wholeState(const DaemonRun& entry, uint64_t stream, std::vector<Demand> demands, std::map<MinionId, uint32_t> held)
     {
         sequences[entry] = 1;
+        streams = stream;
         broker->entryUpdated({ ServiceId("s"), entry, stream, 1, std::move(demands), {}, std::move(held) }, now);
     }
 
+    /// Lets the broker learn from tasks of a job that it doesn't know.
+    void teach(const DaemonRun& entry, const std::vector<std::pair<std::string, absl::Duration>>& minions, const std::string& kind = "k")
+    {
+        constexpr uint32_t tasks = 200;
+        std::map<MinionId, uint32_t> held;
+        std::vector<SlotReport> reports;
+        for (uint32_t task = 0; task < tasks; ++task) {
+            for (const auto& [minion, runTime] : minions) {
+                ++held[MinionId(minion)];
+                reports.push_back({ JobNumber(0), MinionId(minion), TaskKindId(kind), SlotEnding::Succeeded, runTime });
+            }
+        }
+        wholeState(entry, ++streams, {}, std::move(held));
+        update(entry, {}, std::move(reports));
+    }
+
     /// Decides, and counts the slots that are granted by job.
     std::map<uint64_t, uint32_t> grants()
     {
@@ -78,6 +95,7 @@
 
     absl::Time now = absl::FromUnixSeconds(1000000);
     uint64_t announcements = 0;
+    uint64_t streams = 1;
     std::map<DaemonRun, uint64_t> sequences;
     std::map<std::string, uint32_t> byMinion;
     std::vector<EntryDecisions> last;
