--- a/Source/Adapters/Http/JsonFields.cpp
+++ b/Source/Adapters/Http/JsonFields.cpp
@@ -60,6 +60,23 @@
     return text;
 }
 
+std::string JsonFields::anyText(const char* name, size_t maxLength) const
+{
+    const nlohmann::json* value = find(name);
+    if (!value) {
+        fail(name, "given");
+        return {};
+    }
+    if (value->is_string())
+        return text(name, maxLength);
+    std::string dumped = value->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    if (dumped.size() > maxLength) {
+        fail(name, absl::StrCat("at most ", maxLength, " bytes long"));
+        return {};
+    }
+    return dumped;
+}
+
 std::string JsonFields::nonEmptyText(const char* name) const
 {
     std::string value = text(name, maxIdLength);
--- a/Source/Adapters/Http/JsonFields.h
+++ b/Source/Adapters/Http/JsonFields.h
@@ -33,6 +33,10 @@
     }
     /// @return the whole number between the bounds.
     uint64_t number(const char* name, uint64_t minimum, uint64_t maximum) const;
+    /// @return whether the field is there at all.
+    bool has(const char* name) const { return find(name) != nullptr; }
+    /// @return a string as it is, or any other value as JSON text, at most maxLength bytes long.
+    std::string anyText(const char* name, size_t maxLength) const;
     /// @return the flag, or false where it is absent.
     bool optionalFlag(const char* name) const;
     /// @return the numbers by name, empty where the field is absent.
--- a/Source/Dispatch/SubmissionDesk.cpp
+++ b/Source/Dispatch/SubmissionDesk.cpp
@@ -59,8 +59,10 @@
 
 void SubmissionDesk::submit(Submission submission, StateCallback done)
 {
+    const absl::Time now = ports_.clock.now();
     const auto declaration = ports_.declarations.find(submission.id.service);
-    const Result<Done> checked = checkSubmission(declaration.get(), submission, ports_.clock.now());
+    applyDefaultDeadline(declaration.get(), submission, now);
+    const Result<Done> checked = checkSubmission(declaration.get(), submission, now);
     if (const Error* error = errorOf(checked))
         return done(*error);
     if (isAnonymous(submission.id))
@@ -76,6 +78,7 @@
 {
     const absl::Time now = ports_.clock.now();
     const auto declaration = ports_.declarations.find(submission.id.service);
+    applyDefaultDeadline(declaration.get(), submission, now);
     const Result<Done> checked = checkSubmission(declaration.get(), submission, now);
     if (const Error* error = errorOf(checked))
         return done(*error);
--- a/Source/Dispatch/SubmissionRules.cpp
+++ b/Source/Dispatch/SubmissionRules.cpp
@@ -48,6 +48,12 @@
     return checkTasks(*declaration, submission);
 }
 
+void applyDefaultDeadline(const ServiceDeclaration* declaration, Submission& submission, absl::Time now)
+{
+    if (declaration && submission.deadline == absl::InfiniteFuture())
+        submission.deadline = now + declaration->defaultDeadline;
+}
+
 const BackerDeclaration* findBacker(const ServiceDeclaration& declaration, const BackerId& backer)
 {
     const auto found = std::find_if(declaration.backers.begin(), declaration.backers.end(), [&](const BackerDeclaration& each) { return each.backer == backer; });
--- a/Source/Dispatch/SubmissionRules.h
+++ b/Source/Dispatch/SubmissionRules.h
@@ -14,6 +14,9 @@
 /// @return an error with the verdict NotRun that names what is wrong, and the cure.
 Result<Done> checkSubmission(const ServiceDeclaration* declaration, const Submission&, absl::Time now);
 
+/// Gives a submission without a deadline the service's default one.
+void applyDefaultDeadline(const ServiceDeclaration* declaration, Submission&, absl::Time now);
+
 /// @return the backer's part of the service, or null.
 const BackerDeclaration* findBacker(const ServiceDeclaration&, const BackerId&);
 
