--- /dev/null
+++ b/Source/Daemon/ControlRole.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Adapters/Clock/SeededRandom.h"
+#include "Control/ConfigurationReplica.h"
+#include "Control/ReplicatedConfiguration.h"
+#include "Control/ReplicatedLedger.h"
+#include "Daemon/GroupPump.h"
+#include "Daemon/PumpThread.h"
+#include "Model/Settings.h"
+#include "Ports/EventLog.h"
+#include "Ports/PeerLink.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace trefoilwing {
+
+/// The ports that the control role is composed with.
+struct ControlPorts {
+    Clock& clock;
+    PeerLink& peers;
+    EventLog& log;
+};
+
+/// Keeps the durable state: this daemon's members of the configuration's and the ledgers' groups,
+/// and its copy of the configuration in force.
+class ControlRole {
+public:
+    using ConfigurationListener = std::function<void(std::shared_ptr<const Configuration>)>;
+
+    ControlRole(const DaemonSettings&, DaemonRun self, ControlPorts, ConfigurationListener);
+    ~ControlRole();
+
+    /// The ledger of this data centre.
+    Ledger& ledger() { return *ownLedger_; }
+    const ConfigurationReplica& configuration() const { return replica_; }
+
+    /// Publishes a change, or fails as Unavailable where this daemon is no keeper.
+    void publish(PublishRecord, ReplicatedConfiguration::PublishCallback done);
+
+    void receive(const DaemonId& from, const LogMessage&, const GroupId&);
+    void receive(const DaemonId& from, const ConfigurationQuery&);
+    void receive(const DaemonId& from, const ConfigurationDelta&);
+
+    /// A daemon told its version of the configuration.
+    void versionHeard(const DaemonId&, ConfigurationVersion);
+    /// A daemon's run has ended.
+    void daemonGone(const DaemonRun&);
+
+    std::map<GroupId, GroupStatus> status() const;
+    bool isKeeper() const { return keeper_ != nullptr; }
+
+    void stop();
+
+private:
+    void addLedger(const DataCentreId&);
+    void addKeeper();
+    void add(const GroupId&, std::unique_ptr<ReplicatedGroup>);
+    LogSettings logSettings(const GroupId&, std::vector<DaemonId> members) const;
+    GroupPorts groupPorts();
+
+    const DaemonSettings& settings_;
+    DaemonRun self_;
+    ControlPorts ports_;
+    ConfigurationReplica replica_;
+    std::vector<std::unique_ptr<SeededRandom>> randoms_;
+    std::map<GroupId, std::unique_ptr<ReplicatedGroup>> groups_;
+    ReplicatedLedger* ownLedger_ = nullptr;
+    std::vector<ReplicatedLedger*> ledgers_;
+    ReplicatedConfiguration* keeper_ = nullptr;
+    std::vector<std::unique_ptr<GroupPump>> groupPumps_;
+    std::vector<std::unique_ptr<PumpThread>> threads_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/Daemon.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "Adapters/Clock/SystemClock.h"
+#include "Adapters/Http/CallerApi.h"
+#include "Adapters/Http/HttpServer.h"
+#include "Adapters/Http/MinionApi.h"
+#include "Daemon/ControlRole.h"
+#include "Daemon/DeclarationBoard.h"
+#include "Daemon/EntryRole.h"
+#include "Daemon/LoopbackLink.h"
+#include "Daemon/MembershipRole.h"
+#include "Model/Settings.h"
+#include "Ports/EventLog.h"
+#include "Ports/MinionSink.h"
+
+#include <memory>
+
+namespace trefoilwing {
+
+/// One daemon: composes the roles that its settings name, and routes events between them.
+class Daemon : public PeerEvents, public MinionSink, public MembershipEvents {
+public:
+    /// @param metrics and log outlive the daemon.
+    Daemon(const DaemonSettings&, Metrics&, EventLog&);
+    ~Daemon() override;
+
+    /// Binds the addresses and begins to serve.
+    /// @return an error that names what couldn't be bound.
+    Result<Done> start();
+
+    /// Takes nothing new, finishes what was taken, and lets callers fetch the outcomes.
+    /// @return whether all was finished before the limit.
+    bool drain(absl::Duration limit);
+
+    /// Ends all threads.
+    void stop();
+
+    void messageReceived(const DaemonId& from, PeerMessage) override;
+
+    Result<absl::Duration> announced(const MinionAnnouncement&) override;
+    void resultsPosted(ResultBatch) override;
+
+    void minionAnnounced(const MinionAnnouncement&) override;
+    void minionGone(const ServiceId&, const MinionId&) override;
+    void daemonGone(const DaemonRun&) override;
+    void brokersMoved() override;
+
+private:
+    void configurationChanged(const Configuration&);
+
+    const DaemonSettings settings_;
+    EventLog& log_;
+    SystemClock clock_;
+    DaemonRun self_;
+    DeclarationBoard declarations_;
+    std::unique_ptr<PeerLink> others_;
+    LoopbackLink peers_;
+    MembershipRole membership_;
+    ControlRole control_;
+    std::unique_ptr<EntryRole> entry_;
+    PumpThread membershipThread_;
+    HttpServer server_;
+    MinionApi minionApi_;
+    std::unique_ptr<CallerApi> callerApi_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/DeclarationBoard.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Base/MutexLock.h"
+#include "Ports/Declarations.h"
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Holds the declarations in force, for many readers.
+class DeclarationBoard : public Declarations {
+public:
+    std::shared_ptr<const ServiceDeclaration> find(const ServiceId&) const override;
+
+    /// Puts a configuration in force.
+    /// @return the services that it no longer declares.
+    std::vector<ServiceId> set(const Configuration&);
+
+    std::vector<std::shared_ptr<const ServiceDeclaration>> all() const;
+    ConfigurationVersion version() const;
+
+private:
+    mutable absl::Mutex mutex_;
+    absl::flat_hash_map<ServiceId, std::shared_ptr<const ServiceDeclaration>> services_ ABSL_GUARDED_BY(mutex_);
+    ConfigurationVersion version_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/EntryRole.cpp
@@ -0,0 +1,147 @@
+#include "Daemon/EntryRole.h"
+
+#include "Base/StableHash.h"
+#include "Dispatch/Broker/QueueingSlotBroker.h"
+
+#include <utility>
+
+namespace trefoilwing {
+
+EntryRole::EntryRole(EntryPorts ports, HttpMinionLinkOptions linkOptions)
+    : ports_(ports)
+    , desk_(DeskPorts { ports.clock, ports.declarations, ports.directory, ports.ledger, *this, ports.peers })
+    , minions_(std::move(linkOptions), *this)
+{
+    const DaemonRun self = ports.directory.self();
+    for (size_t shard = 0; shard < shardCount; ++shard) {
+        randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
+        dispatch_.push_back(std::make_unique<DispatchShard>(self, DispatchPorts { minions_, ports.peers, desk_, ports.metrics }));
+        brokers_.push_back(std::make_unique<BrokerShard>(
+            self, [this, shard](const ServiceDeclaration&) { return makeBroker(shard); }, ports.peers));
+    }
+    pumps_.push_back(std::make_unique<PumpThread>(desk_, ports.clock));
+    for (size_t shard = 0; shard < shardCount; ++shard) {
+        pumps_.push_back(std::make_unique<PumpThread>(*dispatch_[shard], ports.clock));
+        pumps_.push_back(std::make_unique<PumpThread>(*brokers_[shard], ports.clock));
+    }
+}
+
+EntryRole::~EntryRole()
+{
+    stop();
+}
+
+void EntryRole::refreshServices(const std::vector<ServiceId>& removed)
+{
+    const DaemonId self = ports_.directory.self().daemon;
+    for (const ServiceId& service : removed) {
+        shardOf(service).setBroker(service, std::nullopt);
+        brokerShardOf(service).dropService(service);
+    }
+    for (const auto& declaration : ports_.declarations.all()) {
+        const std::optional<DaemonId> broker = ports_.directory.brokerFor(declaration->service);
+        brokerShardOf(declaration->service).setService(*declaration, broker == self, ports_.clock.now());
+        shardOf(declaration->service).setBroker(declaration->service, broker);
+    }
+}
+
+void EntryRole::minionAnnounced(const MinionAnnouncement& announcement)
+{
+    const absl::Time now = ports_.clock.now();
+    shardOf(announcement.service).minionAnnounced(announcement, now);
+    brokerShardOf(announcement.service).minionAnnounced(announcement, now);
+}
+
+void EntryRole::minionGone(const ServiceId& service, const MinionId& minion)
+{
+    const absl::Time now = ports_.clock.now();
+    shardOf(service).minionGone(service, minion, now);
+    brokerShardOf(service).minionGone(service, minion, now);
+}
+
+void EntryRole::daemonGone(const DaemonRun& run)
+{
+    for (const auto& brokers : brokers_)
+        brokers->entryGone(run, ports_.clock.now());
+}
+
+void EntryRole::resultsPosted(ResultBatch batch)
+{
+    // Attempt numbers of another run mean other attempts.
+    if (batch.entry == ports_.directory.self())
+        shardOf(batch.service).resultsPosted(batch.service, batch.minion, std::move(batch.results), ports_.clock.now());
+}
+
+void EntryRole::receive(const DaemonId&, const BrokerUpdate& update)
+{
+    brokerShardOf(update.service).entryUpdated(update, ports_.clock.now());
+}
+
+void EntryRole::receive(const DaemonId& from, const BrokerDecisions& decisions)
+{
+    shardOf(decisions.service).decisionsReceived(from, decisions, ports_.clock.now());
+}
+
+void EntryRole::receive(const DaemonId& from, const ForwardedSubmission& forwarded)
+{
+    desk_.submissionForwarded(from, forwarded);
+}
+
+void EntryRole::receive(const DaemonId& from, const OutcomeQuery& query)
+{
+    desk_.outcomeQueried(from, query);
+}
+
+void EntryRole::receive(const DaemonId&, const ForwardReply& reply)
+{
+    desk_.forwardAnswered(reply);
+}
+
+void EntryRole::run(Submission submission)
+{
+    DispatchShard& shard = shardOf(submission.id.service);
+    shard.accept(std::move(submission), ports_.clock.now());
+}
+
+void EntryRole::cancel(const SubmissionKey& key)
+{
+    shardOf(key.service).cancel(key, ports_.clock.now());
+}
+
+void EntryRole::startsAnswered(const ServiceId& service, const MinionId& minion, const std::vector<StartAnswer>& answers)
+{
+    shardOf(service).startsAnswered(service, minion, answers, ports_.clock.now());
+}
+
+void EntryRole::cancelsAnswered(const ServiceId& service, const MinionId& minion, const std::vector<CancelAnswer>& answers)
+{
+    shardOf(service).cancelsAnswered(service, minion, answers, ports_.clock.now());
+}
+
+size_t EntryRole::jobCount() const
+{
+    size_t count = 0;
+    for (const auto& shard : dispatch_)
+        count += shard->jobCount();
+    return count;
+}
+
+void EntryRole::stop()
+{
+    for (const auto& pump : pumps_)
+        pump->stop();
+    minions_.stop();
+}
+
+size_t EntryRole::shardIndex(const ServiceId& service) const
+{
+    return stableHash(service.value()) % shardCount;
+}
+
+std::unique_ptr<SlotBroker> EntryRole::makeBroker(size_t shard)
+{
+    auto created = QueueingSlotBroker::create(BrokerPolicy {}, *randoms_[shard]);
+    return std::move(std::get<std::unique_ptr<QueueingSlotBroker>>(created));
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/GroupPump.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Control/ReplicatedGroup.h"
+#include "Dispatch/Pumped.h"
+#include "Dispatch/WorkSignal.h"
+
+namespace trefoilwing {
+
+/// Wakes a replicated group when it is due. Events may bring that forward, so it looks again often.
+class GroupPump : public Pumped {
+public:
+    explicit GroupPump(ReplicatedGroup& group)
+        : group_(group)
+    {
+    }
+
+    absl::Time pump(absl::Time now) override;
+    void waitForWork(absl::Time until) override;
+    void wake() override { signal_.raise(); }
+
+private:
+    static constexpr absl::Duration longestSleep = absl::Milliseconds(50);
+
+    ReplicatedGroup& group_;
+    WorkSignal signal_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/Main.cpp
@@ -0,0 +1,85 @@
+#include "Adapters/Glog/GlogEventLog.h"
+#include "Adapters/Yaml/SettingsLoader.h"
+#include "Daemon/Daemon.h"
+#include "Daemon/DaemonOptions.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr int exitUndrained = 1;
+    constexpr int exitUsage = 2;
+    constexpr int exitSettings = 3;
+    constexpr int exitAddress = 4;
+    constexpr char version[] = "0.1";
+    constexpr absl::Duration drainLimit = absl::Minutes(5);
+
+    class NullMetrics : public Metrics {
+    public:
+        void count(std::string_view, const MetricLabels&, uint64_t) override { }
+        void observe(std::string_view, const MetricLabels&, absl::Duration) override { }
+        void set(std::string_view, const MetricLabels&, double) override { }
+    };
+
+    /// Blocks the signals that end the daemon in this thread and all it starts, so that one sigwait takes them.
+    sigset_t blockEndSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        // A peer or a minion that closes its connection must not end the daemon.
+        std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler,cert-err33-c): SIG_IGN can't fail here.
+        return signals;
+    }
+
+    int runDaemon(const DaemonSettings& settings)
+    {
+        const sigset_t signals = blockEndSignals();
+        GlogEventLog log("trefoilwing", settings.logFolder);
+        NullMetrics metrics;
+        Daemon daemon(settings, metrics, log);
+        const Result<Done> started = daemon.start();
+        if (const Error* error = errorOf(started)) {
+            std::cerr << "trefoilwing: " << error->message << "\n";
+            return exitAddress;
+        }
+        int signal = 0;
+        sigwait(&signals, &signal);
+        log.write(Severity::Info, "signal", { { "number", static_cast<uint64_t>(signal) } });
+        const bool isDrained = daemon.drain(drainLimit);
+        daemon.stop();
+        return isDrained ? 0 : exitUndrained;
+    }
+
+    int runMain(int argc, char** argv)
+    {
+        const Result<DaemonOptions> options = parseDaemonOptions(argc, argv);
+        if (const Error* error = errorOf(options)) {
+            std::cerr << "trefoilwing: " << error->message << "\n";
+            return exitUsage;
+        }
+        if (valueOf(options)->wantsHelp || valueOf(options)->wantsVersion) {
+            std::cout << (valueOf(options)->wantsHelp ? daemonHelp() : std::string("trefoilwing ") + version + "\n");
+            return 0;
+        }
+        const Result<DaemonSettings> settings = loadSettings(valueOf(options)->settingsFile);
+        if (const Error* error = errorOf(settings)) {
+            std::cerr << error->message << "\n";
+            return exitSettings;
+        }
+        return runDaemon(*valueOf(settings));
+    }
+
+} // namespace
+
+} // namespace trefoilwing
+
+int main(int argc, char** argv)
+{
+    return trefoilwing::runMain(argc, argv);
+}
--- a/Source/Ports/DaemonDirectory.h
+++ b/Source/Ports/DaemonDirectory.h
@@ -17,6 +17,9 @@
     /// @return an entry of the data centre that is alive, if any.
     virtual std::optional<DaemonId> entryIn(const DataCentreId&) const = 0;
 
+    /// @return the entry of this data centre that hosts the service's slot broker, if any entry is alive.
+    virtual std::optional<DaemonId> brokerFor(const ServiceId&) const = 0;
+
     /// @return whether this very run of a daemon is alive.
     virtual bool isAlive(const DaemonRun&) const = 0;
 };
