Test the replicated log over fake networks and disks, and bring a group back from its only survivor

The tests found two faults. A voter that heard its leader was always due, so its timer never rested. And a group whose two members without a disk restarted at once stayed without a majority for ever, though its one disk held all that was committed: now the only voter left founds a new epoch on top of its log, once every other daemon has said that it doesn't vote.

--- a/Source/Adapters/Msgpack/LogFields.h
+++ b/Source/Adapters/Msgpack/LogFields.h
@@ -146,7 +146,7 @@
 
 void visitFields(auto&& visit, Fields<JoinReply> auto& value)
 {
-    visit(value.group, value.to, value.member);
+    visit(value.group, value.to, value.member, value.hasGroup, value.isVoter);
 }
 
 void visitFields(auto&& visit, Fields<ConfigurationQuery> auto& value)
--- a/Source/Control/ReplicatedGroup.cpp
+++ b/Source/Control/ReplicatedGroup.cpp
@@ -73,7 +73,7 @@
 {
     const absl::Time time = now();
     MutexLock lock(mutex_);
-    return { log_.role(), isLeading(time), log_.leader(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), hasFailed_ };
+    return { log_.role(), isLeading(time), log_.leader(), log_.epoch(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), hasFailed_ };
 }
 
 void ReplicatedGroup::synced(SyncToken token)
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -28,6 +28,7 @@
     LogRole role = LogRole::Joining;
     bool isLeading = false;
     std::optional<MemberId> leader;
+    Epoch epoch;
     Term term;
     LogIndex commitIndex;
     LogIndex lastIndex;
--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -41,7 +41,10 @@
         tickLeader(now);
     else if (now >= electionDue_ && isVoter())
         startPreVote(now);
-    if (now >= joinDue_ && needsToJoin(now))
+    if (now < joinDue_)
+        return;
+    joinDue_ = now + settings_.joinInterval;
+    if (needsToJoin(now))
         askToJoin(now);
 }
 
@@ -389,8 +392,8 @@
 {
     if (header.group != settings_.group || header.to != settings_.self.id || header.epoch == Epoch(0))
         return false;
-    if (hardState_.epoch == Epoch(0)) {
-        // Only a group that names this member writes to it.
+    if (header.epoch > hardState_.epoch && !isVoter()) {
+        // Only a group that names this member writes to it, and a member that never voted is bound to no other.
         hardState_.epoch = header.epoch;
         setRole(LogRole::Follower);
         noteHardState();
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -131,9 +131,9 @@
         std::shared_ptr<Snapshot> snapshot;
         MemberId from;
     };
-    /// A daemon that has said that it holds nothing of any group.
-    struct WithoutGroup {
-        Member member;
+    /// Where another daemon stands, as it said itself.
+    struct Standing {
+        JoinReply reply;
         absl::Time heardAt;
     };
 
@@ -141,12 +141,12 @@
     void receiveMessage(const JoinRequest&, absl::Time now);
     void receiveMessage(const JoinReply&, absl::Time now);
     void askToJoin(absl::Time now);
-    void foundIfAllAreWithout(absl::Time now);
+    void foundIfNobodyElseCan(absl::Time now);
     void found(std::vector<Member>, absl::Duration claimGuard, absl::Time now);
-    void foundFirst(absl::Time now);
+    void foundFirst(const std::vector<JoinReply>& others, absl::Time now);
     void foundFromSurvivor(absl::Time now);
-    bool allOthersAreWithoutGroup(absl::Time now) const;
-    bool isOnlySurvivor() const;
+    std::vector<JoinReply> standingsOfOthers(absl::Time now) const;
+    bool isOnlySurvivor(const std::vector<JoinReply>& others) const;
     bool holdsAllCommitted() const;
     bool needsToJoin(absl::Time now) const;
 
@@ -233,7 +233,7 @@
     /// The index of the leader's first entry of its term.
     LogIndex termStart_;
     std::map<DaemonId, Member> joining_;
-    std::map<DaemonId, WithoutGroup> withoutGroup_;
+    std::map<DaemonId, Standing> standings_;
     uint64_t proposals_ = 0;
     absl::flat_hash_map<ProposalId, LogIndex> forwarded_;
 
--- a/Source/Control/ReplicatedLogMembers.cpp
+++ b/Source/Control/ReplicatedLogMembers.cpp
@@ -1,5 +1,6 @@
 // How a ReplicatedLog's group begins, and how members come and go.
 
+#include "Control/CommandTime.h"
 #include "Control/ReplicatedLog.h"
 
 #include <algorithm>
@@ -34,60 +35,64 @@
 
 void ReplicatedLog::askToJoin(absl::Time now)
 {
-    joinDue_ = now + settings_.joinInterval;
     sendToOtherDaemons(JoinRequest { settings_.group, settings_.self });
-    foundIfAllAreWithout(now);
+    foundIfNobodyElseCan(now);
 }
 
 void ReplicatedLog::receiveMessage(const JoinRequest& request, absl::Time now)
 {
-    if (request.group != settings_.group || request.member.id.daemon == settings_.self.id.daemon)
+    const DaemonId& daemon = request.member.id.daemon;
+    if (request.group != settings_.group || daemon == settings_.self.id.daemon)
         return;
-    if (role_ == LogRole::Joining)
-        outbox_.messages.push_back({ request.member.id.daemon, JoinReply { settings_.group, request.member.id, settings_.self } });
-    if (role_ != LogRole::Leader)
+    if (role_ == LogRole::Leader) {
+        joining_[daemon] = request.member;
+        maintainMembers(now);
         return;
-    joining_[request.member.id.daemon] = request.member;
-    maintainMembers(now);
+    }
+    outbox_.messages.push_back({ daemon, JoinReply { settings_.group, request.member.id, settings_.self, role_ != LogRole::Joining, isVoter() } });
 }
 
 void ReplicatedLog::receiveMessage(const JoinReply& reply, absl::Time now)
 {
-    if (reply.group != settings_.group || reply.to != settings_.self.id)
+    if (reply.group != settings_.group || reply.to != settings_.self.id || !needsToJoin(now))
         return;
-    withoutGroup_[reply.member.id.daemon] = { reply.member, now };
-    foundIfAllAreWithout(now);
+    standings_[reply.member.id.daemon] = { reply, now };
+    foundIfNobodyElseCan(now);
 }
 
-bool ReplicatedLog::allOthersAreWithoutGroup(absl::Time now) const
+std::vector<JoinReply> ReplicatedLog::standingsOfOthers(absl::Time now) const
 {
-    return std::all_of(settings_.daemons.begin(), settings_.daemons.end(), [&](const DaemonId& daemon) {
-        auto heard = withoutGroup_.find(daemon);
-        return daemon == settings_.self.id.daemon
-            || (heard != withoutGroup_.end() && now - heard->second.heardAt < settings_.joinInterval * intervalsOfTrust);
-    });
+    std::vector<JoinReply> standings;
+    for (const DaemonId& daemon : settings_.daemons) {
+        auto heard = standings_.find(daemon);
+        if (heard != standings_.end() && now - heard->second.heardAt < settings_.joinInterval * intervalsOfTrust)
+            standings.push_back(heard->second.reply);
+    }
+    return standings;
 }
 
-void ReplicatedLog::foundIfAllAreWithout(absl::Time now)
+void ReplicatedLog::foundIfNobodyElseCan(absl::Time now)
 {
-    if (!allOthersAreWithoutGroup(now))
+    const std::vector<JoinReply> others = standingsOfOthers(now);
+    const bool isInSettings = std::find(settings_.daemons.begin(), settings_.daemons.end(), settings_.self.id.daemon) != settings_.daemons.end();
+    if (!isInSettings || others.size() + 1 != settings_.daemons.size())
         return;
     if (role_ == LogRole::Joining)
-        foundFirst(now);
-    else if (isOnlySurvivor())
+        foundFirst(others, now);
+    else if (isOnlySurvivor(others))
         foundFromSurvivor(now);
 }
 
-void ReplicatedLog::foundFirst(absl::Time now)
+void ReplicatedLog::foundFirst(const std::vector<JoinReply>& others, absl::Time now)
 {
     // One daemon founds, so that two never do at once.
-    if (settings_.self.id.daemon != *std::min_element(settings_.daemons.begin(), settings_.daemons.end()))
+    const bool isFounder = settings_.self.id.daemon == *std::min_element(settings_.daemons.begin(), settings_.daemons.end());
+    const bool isGroupKnown = std::any_of(others.begin(), others.end(), [](const JoinReply& other) { return other.hasGroup; });
+    if (!isFounder || isGroupKnown)
         return;
     std::vector<Member> members { settings_.self };
-    for (const DaemonId& daemon : settings_.daemons) {
-        if (daemon != settings_.self.id.daemon)
-            members.push_back(withoutGroup_.at(daemon).member);
-    }
+    for (const JoinReply& other : others)
+        members.push_back(other.member);
     std::sort(members.begin(), members.end(), [](const Member& a, const Member& b) {
         return a.hasDisk != b.hasDisk ? a.hasDisk : a.id < b.id;
     });
@@ -96,14 +101,19 @@
     found(std::move(members), settings_.claimGuard, now);
 }
 
-bool ReplicatedLog::isOnlySurvivor() const
+bool ReplicatedLog::isOnlySurvivor(const std::vector<JoinReply>& others) const
 {
+    // Nobody else votes, and every other voter has been followed by another member of its daemon, so
+    // it is gone for good: nothing can be committed without this member, now or by an earlier leader.
     const std::vector<Member>& members = store_.members();
-    return settings_.self.hasDisk && isVoter() && std::all_of(members.begin(), members.end(), [this](const Member& member) {
-        auto heard = withoutGroup_.find(member.id.daemon);
-        return member.id == settings_.self.id || !member.isVoter
-            || (heard != withoutGroup_.end() && heard->second.member.id != member.id);
-    });
+    return settings_.self.hasDisk && isVoter()
+        && std::none_of(others.begin(), others.end(), [](const JoinReply& other) { return other.isVoter; })
+        && std::all_of(members.begin(), members.end(), [&](const Member& member) {
+               return !member.isVoter || member.id == settings_.self.id
+                   || std::any_of(others.begin(), others.end(), [&](const JoinReply& other) {
+                          return other.member.id.daemon == member.id.daemon && other.member.id != member.id;
+                      });
+           });
 }
 
 bool ReplicatedLog::holdsAllCommitted() const
@@ -127,8 +137,10 @@
     const Epoch epoch(std::max(static_cast<uint64_t>(absl::ToUnixMicros(now)), hardState_.epoch.value() + 1));
     hardState_.epoch = epoch;
     setTerm(next(hardState_.term));
-    append({ next(store_.lastIndex()), hardState_.term, FoundingRecord { epoch, now, claimGuard, std::move(members) } });
-    withoutGroup_.clear();
+    Command founding = FoundingRecord { epoch, now, claimGuard, std::move(members) };
+    stampTime(founding, now);
+    append({ next(store_.lastIndex()), hardState_.term, std::move(founding) });
+    standings_.clear();
     startPreVote(now);
 }
 
--- a/Source/Model/LogMessages.h
+++ b/Source/Model/LogMessages.h
@@ -113,11 +113,15 @@
     friend bool operator==(const JoinRequest&, const JoinRequest&) = default;
 };
 
-/// Tells a member that asked to join that the sender holds nothing of any group.
+/// Tells a member that asked to join where the sender stands.
 struct JoinReply {
     GroupId group;
     MemberId to;
     Member member;
+    /// Whether the sender holds anything of a group.
+    bool hasGroup = false;
+    /// Whether the sender is a voter by its own copy of the log.
+    bool isVoter = false;
 
     friend bool operator==(const JoinReply&, const JoinReply&) = default;
 };
--- /dev/null
+++ b/Tests/Control/RecordingGroup.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Control/ConfigurationState.h"
+#include "Control/GroupCluster.h"
+#include "Control/LedgerState.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace trefoilwing {
+
+/// What must hold over all members and all time, in a few lines.
+class LogOracle {
+public:
+    /// Checks an entry that a member applied.
+    void applied(const LogEntry&);
+    void restored(LogIndex, Term);
+    /// Checks who was granted a claim.
+    void granted(const SubmissionKey&, const DaemonRun&);
+    /// Checks which content a version holds.
+    void published(ConfigurationVersion, Digest);
+    void led(Epoch, Term, const MemberId&);
+
+    bool holds() const { return violations_.empty(); }
+    std::string violation() const { return holds() ? "" : violations_.front(); }
+    LogIndex lastCommitted() const { return committed_.empty() ? LogIndex(0) : committed_.rbegin()->first; }
+    size_t grants() const { return owners_.size(); }
+    size_t versions() const { return versions_.size(); }
+
+    /// Set where whole groups are lost, so that a log may begin anew.
+    bool mayBeginAnew = false;
+
+private:
+    std::map<LogIndex, LogEntry> committed_;
+    std::map<SubmissionKey, DaemonRun> owners_;
+    std::map<ConfigurationVersion, Digest> versions_;
+    std::map<std::pair<Epoch, Term>, MemberId> leaders_;
+    std::vector<std::string> violations_;
+};
+
+/// A group that keeps both state machines and tells the oracle what it applies.
+class RecordingGroup final : public ReplicatedGroup {
+public:
+    RecordingGroup(LogOracle&, LogSettings, JournalContent, GroupPorts);
+
+    /// @return what ReplicatedLog::propose returned.
+    bool proposeCommand(Command);
+    std::optional<LedgerClaim> find(const SubmissionKey&) const;
+    ConfigurationVersion version() const;
+    size_t applied() const;
+    bool wasRestored() const;
+
+private:
+    void applyEntry(const LogEntry&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void restoreState(const Snapshot&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    std::vector<SnapshotPiece> snapshotState() const override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void repeatPending(absl::Time) override { }
+    void failPending(const Error&) override { }
+
+    LogOracle& oracle_;
+    LedgerState ledger_ ABSL_GUARDED_BY(mutex_);
+    ConfigurationState configuration_ ABSL_GUARDED_BY(mutex_);
+    size_t applied_ ABSL_GUARDED_BY(mutex_) = 0;
+    bool wasRestored_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+/// @return a claim of a numbered submission by the run of a numbered owner.
+ClaimRecord claimOf(uint64_t submission, uint64_t owner);
+
+/// @return a change under a base, whose digest is its content's number.
+PublishRecord publishOf(uint64_t base, uint64_t content);
+
+/// @return a cluster whose members are RecordingGroups; the oracle must outlive it.
+std::unique_ptr<GroupCluster> makeRecordingCluster(LogOracle&, GroupCluster::Options);
+
+/// Tells the oracle who leads now.
+void checkLeaders(GroupCluster&, LogOracle&);
+
+} // namespace trefoilwing
