--- /dev/null
+++ b/Source/Adapters/Disk/JournalFolder.cpp
@@ -0,0 +1,359 @@
+#include "Adapters/Disk/JournalFolder.h"
+
+#include "Adapters/Disk/JournalBlock.h"
+#include "Adapters/Msgpack/Codec.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <optional>
+#include <variant>
+
+namespace trefoilwing {
+
+/// Drops the entries before it, since a leader's snapshot took their place.
+struct DroppedEntries {
+    LogIndex lastIndex;
+};
+
+void visitFields(auto&& visit, Fields<DroppedEntries> auto& value)
+{
+    visit(value.lastIndex);
+}
+
+namespace {
+
+    using JournalRecord = std::variant<HardState, LogEntry, DroppedEntries>;
+
+    constexpr const char* identityName = "identity";
+    constexpr const char* segmentPrefix = "segment-";
+    constexpr const char* segmentSuffix = ".log";
+    constexpr const char* snapshotPrefix = "snapshot-";
+    constexpr const char* snapshotSuffix = ".snap";
+    constexpr const char* temporarySuffix = ".tmp";
+
+    constexpr const char* cure = "move the folder away and restart: the daemon then joins its group as a new member";
+
+    std::string numberedName(const char* prefix, uint64_t number, const char* suffix)
+    {
+        // Names sort as their numbers do.
+        return absl::StrFormat("%s%020d%s", prefix, number, suffix);
+    }
+
+    std::optional<uint64_t> numberIn(const std::string& name, const std::string& prefix, const std::string& suffix)
+    {
+        uint64_t number = 0;
+        if (name.size() <= prefix.size() + suffix.size() || !absl::StartsWith(name, prefix) || !absl::EndsWith(name, suffix)
+            || !absl::SimpleAtoi(name.substr(prefix.size(), name.size() - prefix.size() - suffix.size()), &number))
+            return std::nullopt;
+        return number;
+    }
+
+    Error damaged(const std::string& path, uint64_t offset, const std::string& reason)
+    {
+        return { ErrorCode::Malformed, absl::StrCat(path, ": offset ", offset, ": ", reason, "; ", cure), Verdict::MayHaveRun };
+    }
+
+    void applyRecord(const HardState& record, JournalContent& content)
+    {
+        content.hardState = record;
+    }
+
+    void applyRecord(const DroppedEntries&, JournalContent& content)
+    {
+        content.entries.clear();
+    }
+
+    void applyRecord(const LogEntry& record, JournalContent& content)
+    {
+        while (!content.entries.empty() && content.entries.back().index >= record.index)
+            content.entries.pop_back();
+        content.entries.push_back(record);
+    }
+
+    void addRecords(const JournalBatch& batch, std::vector<JournalRecord>& records)
+    {
+        if (batch.hardState)
+            records.emplace_back(*batch.hardState);
+        if (batch.dropsEntries)
+            records.emplace_back(DroppedEntries { batch.snapshot->lastIndex });
+        for (const LogEntry& entry : batch.entries)
+            records.emplace_back(entry);
+    }
+
+} // namespace
+
+JournalFolder::JournalFolder(FileSystem& files, std::string folder, Options options)
+    : files_(files)
+    , folder_(std::move(folder))
+    , options_(options)
+{
+}
+
+// Reading.
+
+Result<JournalFolder::Opened> JournalFolder::open(Incarnation offered)
+{
+    if (auto made = files_.makeFolder(folder_); errorOf(made))
+        return *errorOf(made);
+    const auto listed = files_.list(folder_);
+    if (errorOf(listed))
+        return *errorOf(listed);
+    const std::vector<std::string>& names = *valueOf(listed);
+    const auto identity = readIdentity(names, offered);
+    if (errorOf(identity))
+        return *errorOf(identity);
+    Opened opened { {}, *valueOf(identity) };
+    if (auto read = readSnapshot(names, opened.content); errorOf(read))
+        return *errorOf(read);
+    if (auto read = readSegments(names, opened.content); errorOf(read))
+        return *errorOf(read);
+    if (auto inOrder = checkOrder(opened.content); errorOf(inOrder))
+        return *errorOf(inOrder);
+    hardState_ = opened.content.hardState;
+    if (auto begun = beginSegment(); errorOf(begun))
+        return *errorOf(begun);
+    return opened;
+}
+
+Result<Incarnation> JournalFolder::readIdentity(const std::vector<std::string>& names, Incarnation offered)
+{
+    if (std::find(names.begin(), names.end(), identityName) == names.end()) {
+        const bool hasRecords = std::any_of(names.begin(), names.end(), [](const std::string& name) {
+            return absl::EndsWith(name, segmentSuffix) || absl::EndsWith(name, snapshotSuffix);
+        });
+        if (hasRecords)
+            return damaged(pathOf(identityName), 0, "the file is missing, though there are records");
+        if (auto written = writeWhole(identityName, encode(offered)); errorOf(written))
+            return *errorOf(written);
+        return offered;
+    }
+    const auto bytes = files_.read(pathOf(identityName));
+    if (errorOf(bytes))
+        return *errorOf(bytes);
+    BlockReader reader(*valueOf(bytes));
+    if (!reader.next() || !reader.isAtEnd())
+        return damaged(pathOf(identityName), reader.offset(), "the checksum doesn't match");
+    return decode<Incarnation>(reader.content());
+}
+
+Result<Done> JournalFolder::readSnapshot(const std::vector<std::string>& names, JournalContent& content)
+{
+    for (const std::string& name : names)
+        snapshotIndex_ = std::max(snapshotIndex_, LogIndex(numberIn(name, snapshotPrefix, snapshotSuffix).value_or(0)));
+    if (snapshotIndex_ == LogIndex(0))
+        return Done {};
+    const std::string path = pathOf(numberedName(snapshotPrefix, snapshotIndex_.value(), snapshotSuffix));
+    const auto bytes = files_.read(path);
+    if (errorOf(bytes))
+        return *errorOf(bytes);
+    // The first block holds the snapshot without its pieces, each further one a piece.
+    BlockReader reader(*valueOf(bytes));
+    std::optional<Snapshot> snapshot;
+    while (reader.next()) {
+        if (!snapshot) {
+            auto head = decode<Snapshot>(reader.content());
+            if (errorOf(head))
+                return damaged(path, reader.offset(), errorOf(head)->message);
+            snapshot = std::get<Snapshot>(std::move(head));
+            continue;
+        }
+        auto piece = decode<SnapshotPiece>(reader.content());
+        if (errorOf(piece))
+            return damaged(path, reader.offset(), errorOf(piece)->message);
+        snapshot->pieces.push_back(std::get<SnapshotPiece>(std::move(piece)));
+    }
+    if (!reader.isAtEnd() || !snapshot)
+        return damaged(path, reader.offset(), "the checksum doesn't match");
+    content.snapshot = std::make_shared<const Snapshot>(*std::move(snapshot));
+    return Done {};
+}
+
+Result<Done> JournalFolder::readSegments(const std::vector<std::string>& names, JournalContent& content)
+{
+    for (const std::string& name : names) {
+        if (const auto number = numberIn(name, segmentPrefix, segmentSuffix))
+            segments_.push_back({ *number, {} });
+    }
+    for (size_t i = 0; i < segments_.size(); ++i) {
+        if (i > 0 && segments_[i].number != segments_[i - 1].number + 1)
+            return damaged(pathOf(numberedName(segmentPrefix, segments_[i - 1].number + 1, segmentSuffix)), 0, "the segment is missing");
+        if (auto read = readSegment(segments_[i], i + 1 == segments_.size(), content); errorOf(read))
+            return read;
+    }
+    return Done {};
+}
+
+Result<Done> JournalFolder::readSegment(Segment& segment, bool isLast, JournalContent& content)
+{
+    const std::string path = pathOf(numberedName(segmentPrefix, segment.number, segmentSuffix));
+    const auto bytes = files_.read(path);
+    if (errorOf(bytes))
+        return *errorOf(bytes);
+    BlockReader reader(*valueOf(bytes));
+    while (reader.next()) {
+        const auto records = decode<std::vector<JournalRecord>>(reader.content());
+        if (errorOf(records))
+            return damaged(path, reader.offset(), errorOf(records)->message);
+        for (const JournalRecord& record : *valueOf(records)) {
+            std::visit([&](const auto& typed) { applyRecord(typed, content); }, record);
+            if (const auto* entry = std::get_if<LogEntry>(&record))
+                segment.lastIndex = std::max(segment.lastIndex, entry->index);
+        }
+    }
+    if (reader.isAtEnd())
+        return Done {};
+    if (!isLast || reader.hasLaterBlock())
+        return damaged(path, reader.offset(), "the checksum doesn't match");
+    return files_.truncate(path, reader.offset());
+}
+
+Result<Done> JournalFolder::checkOrder(const JournalContent& content) const
+{
+    LogIndex expected(snapshotIndex_.value() + 1);
+    if (!content.entries.empty())
+        expected = std::min(expected, content.entries.front().index);
+    for (const LogEntry& entry : content.entries) {
+        if (entry.index != expected)
+            return damaged(folder_, 0, absl::StrCat("entry ", expected.value(), " is missing"));
+        expected = LogIndex(expected.value() + 1);
+    }
+    return Done {};
+}
+
+// Writing.
+
+Result<Done> JournalFolder::write(const std::vector<JournalBatch>& batches)
+{
+    std::vector<JournalRecord> records;
+    std::shared_ptr<const Snapshot> snapshot;
+    bool dropsEntries = false;
+    for (const JournalBatch& batch : batches) {
+        if (batch.hardState)
+            hardState_ = *batch.hardState;
+        if (batch.snapshot)
+            snapshot = batch.snapshot;
+        if (batch.dropsEntries)
+            records.clear();
+        dropsEntries |= batch.dropsEntries;
+        addRecords(batch, records);
+    }
+    // A snapshot is kept before the mark that drops what it replaces.
+    if (snapshot) {
+        if (auto written = writeSnapshot(*snapshot); errorOf(written))
+            return written;
+    }
+    if (snapshot || currentBytes_ >= options_.maxSegmentBytes) {
+        if (auto begun = beginSegment(); errorOf(begun))
+            return begun;
+    }
+    for (const JournalRecord& record : records) {
+        if (const auto* entry = std::get_if<LogEntry>(&record))
+            segments_.back().lastIndex = std::max(segments_.back().lastIndex, entry->index);
+    }
+    if (!records.empty()) {
+        if (auto written = writeBlock(encode(records)); errorOf(written))
+            return written;
+    }
+    if (dropsEntries) {
+        for (Segment& segment : segments_)
+            segment.lastIndex = &segment == &segments_.back() ? segment.lastIndex : LogIndex(0);
+    }
+    return snapshot ? removeCovered() : Result<Done>(Done {});
+}
+
+Result<Done> JournalFolder::writeBlock(const std::string& content)
+{
+    const std::string block = makeBlock(content);
+    if (auto appended = current_->append(block); errorOf(appended))
+        return appended;
+    currentBytes_ += block.size();
+    bytesWritten_ += block.size();
+    ++syncs_;
+    return current_->sync();
+}
+
+Result<Done> JournalFolder::beginSegment()
+{
+    const uint64_t number = segments_.empty() ? 1 : segments_.back().number + 1;
+    auto opened = files_.open(pathOf(numberedName(segmentPrefix, number, segmentSuffix)));
+    if (errorOf(opened))
+        return *errorOf(opened);
+    current_ = std::get<std::unique_ptr<AppendFile>>(std::move(opened));
+    currentBytes_ = 0;
+    segments_.push_back({ number, {} });
+    // Earlier segments go one day, so each begins with what they said last.
+    if (auto written = writeBlock(encode(std::vector<JournalRecord> { hardState_ })); errorOf(written))
+        return written;
+    return files_.syncFolder(folder_);
+}
+
+Result<Done> JournalFolder::writeWhole(const std::string& name, const std::string& content)
+{
+    const std::string temporary = pathOf(name) + temporarySuffix;
+    // What an earlier crash left there mustn't come before the content.
+    if (auto removed = files_.remove(temporary); errorOf(removed))
+        return removed;
+    auto opened = files_.open(temporary);
+    if (errorOf(opened))
+        return *errorOf(opened);
+    AppendFile& file = **valueOf(opened);
+    if (auto appended = file.append(makeBlock(content)); errorOf(appended))
+        return appended;
+    if (auto synced = file.sync(); errorOf(synced))
+        return synced;
+    if (auto renamed = files_.rename(temporary, pathOf(name)); errorOf(renamed))
+        return renamed;
+    return files_.syncFolder(folder_);
+}
+
+Result<Done> JournalFolder::writeSnapshot(const Snapshot& snapshot)
+{
+    const std::string name = numberedName(snapshotPrefix, snapshot.lastIndex.value(), snapshotSuffix);
+    const std::string temporary = pathOf(name) + temporarySuffix;
+    if (auto removed = files_.remove(temporary); errorOf(removed))
+        return removed;
+    auto opened = files_.open(temporary);
+    if (errorOf(opened))
+        return *errorOf(opened);
+    AppendFile& file = **valueOf(opened);
+    const Snapshot head { snapshot.lastIndex, snapshot.lastTerm, snapshot.epoch, snapshot.members, {} };
+    if (auto appended = file.append(makeBlock(encode(head))); errorOf(appended))
+        return appended;
+    for (const SnapshotPiece& piece : snapshot.pieces) {
+        if (auto appended = file.append(makeBlock(encode(piece))); errorOf(appended))
+            return appended;
+    }
+    if (auto synced = file.sync(); errorOf(synced))
+        return synced;
+    if (auto renamed = files_.rename(temporary, pathOf(name)); errorOf(renamed))
+        return renamed;
+    snapshotIndex_ = snapshot.lastIndex;
+    return files_.syncFolder(folder_);
+}
+
+Result<Done> JournalFolder::removeCovered()
+{
+    // Only a run of the oldest segments goes, so that a missing one always shows.
+    while (segments_.size() > 1 && segments_.front().lastIndex <= snapshotIndex_) {
+        if (auto removed = files_.remove(pathOf(numberedName(segmentPrefix, segments_.front().number, segmentSuffix))); errorOf(removed))
+            return removed;
+        segments_.pop_front();
+    }
+    const auto names = files_.list(folder_);
+    if (errorOf(names))
+        return *errorOf(names);
+    for (const std::string& name : *valueOf(names)) {
+        const auto index = numberIn(name, snapshotPrefix, snapshotSuffix);
+        if (!index || LogIndex(*index) >= snapshotIndex_)
+            continue;
+        if (auto removed = files_.remove(pathOf(name)); errorOf(removed))
+            return removed;
+    }
+    return files_.syncFolder(folder_);
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Disk/JournalFolder.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Adapters/Disk/FileSystem.h"
+#include "Ports/Journal.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trefoilwing {
+
+/// The files of one group's journal:
+///
+///     identity                  the incarnation of this storage
+///     segment-NUMBER.log        blocks of records, in the order of writing
+///     snapshot-INDEX.snap       the state after the entry INDEX
+///
+/// Each write is one block and is synced before the next, so only the last block of the last segment
+/// can be unfinished. Not synchronised: one thread uses it.
+class JournalFolder {
+public:
+    struct Options {
+        uint64_t maxSegmentBytes = 8U << 20U;
+    };
+
+    /// What the folder holds.
+    struct Opened {
+        JournalContent content;
+        /// The incarnation of the storage; the one offered, if the folder is new.
+        Incarnation storage;
+    };
+
+    JournalFolder(FileSystem&, std::string folder, Options);
+
+    /// Reads everything and cuts off an unfinished last write.
+    /// @param offered the storage's incarnation if the folder is new: higher than any before it.
+    /// @return what was kept, or an error that names file, offset and cure.
+    Result<Opened> open(Incarnation offered);
+
+    /// Writes the batches as one and syncs them. After an error nothing more may be written.
+    Result<Done> write(const std::vector<JournalBatch>&);
+
+    uint64_t bytesWritten() const { return bytesWritten_; }
+    uint64_t syncs() const { return syncs_; }
+
+private:
+    struct Segment {
+        uint64_t number = 0;
+        LogIndex lastIndex;
+    };
+
+    Result<Incarnation> readIdentity(const std::vector<std::string>& names, Incarnation offered);
+    Result<Done> readSnapshot(const std::vector<std::string>& names, JournalContent&);
+    Result<Done> readSegments(const std::vector<std::string>& names, JournalContent&);
+    Result<Done> readSegment(Segment&, bool isLast, JournalContent&);
+    Result<Done> checkOrder(const JournalContent&) const;
+    Result<Done> beginSegment();
+    Result<Done> writeBlock(const std::string& content);
+    Result<Done> writeWhole(const std::string& name, const std::string& content);
+    Result<Done> writeSnapshot(const Snapshot&);
+    Result<Done> removeCovered();
+    std::string pathOf(const std::string& name) const { return folder_ + "/" + name; }
+
+    FileSystem& files_;
+    std::string folder_;
+    Options options_;
+    std::deque<Segment> segments_;
+    std::unique_ptr<AppendFile> current_;
+    uint64_t currentBytes_ = 0;
+    HardState hardState_;
+    LogIndex snapshotIndex_;
+    uint64_t bytesWritten_ = 0;
+    uint64_t syncs_ = 0;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Tests/Adapters/Disk/FaultyFileSystem.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "Adapters/Disk/FileSystem.h"
+
+#include <limits>
+#include <map>
+
+namespace trefoilwing {
+
+/// Files in memory that stop after a number of bytes, refuse to sync, or lose what wasn't synced.
+class FaultyFileSystem final : public FileSystem {
+public:
+    /// What is left of bytes that weren't synced.
+    enum class Unsynced {
+        Kept,
+        Lost,
+        HalfKept,
+    };
+
+    /// After so many bytes, where a call counts as one, everything fails.
+    void stopAfter(uint64_t budget) { budget_ = budget; }
+    void failSyncs(bool isFailing) { failsSyncs_ = isFailing; }
+    uint64_t used() const { return used_; }
+
+    /// Ends the machine's run and begins the next.
+    void crash(Unsynced);
+
+    /// Changes one byte of a file.
+    void damage(const std::string& path, uint64_t offset) { files_.at(path).bytes[offset] ^= 1; }
+    uint64_t sizeOf(const std::string& path) const { return files_.at(path).bytes.size(); }
+
+    Result<Done> makeFolder(const std::string&) override { return spend(1); }
+    Result<std::vector<std::string>> list(const std::string& folder) override;
+    Result<std::string> read(const std::string& path) override;
+    Result<std::unique_ptr<AppendFile>> open(const std::string& path) override;
+    Result<Done> truncate(const std::string& path, uint64_t size) override;
+    Result<Done> rename(const std::string& from, const std::string& to) override;
+    Result<Done> remove(const std::string& path) override;
+    Result<Done> syncFolder(const std::string& folder) override;
+
+private:
+    class File;
+    struct Content {
+        std::string bytes;
+        uint64_t synced = 0;
+    };
+
+    Result<Done> spend(uint64_t cost);
+    Result<Done> append(const std::string& path, std::string_view);
+    Result<Done> sync(const std::string& path);
+
+    std::map<std::string, Content> files_;
+    /// The folder's files as they would be found after a crash.
+    std::map<std::string, Content> durable_;
+    uint64_t budget_ = std::numeric_limits<uint64_t>::max();
+    uint64_t used_ = 0;
+    bool failsSyncs_ = false;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Tests/Adapters/Disk/JournalFolderTest.cpp
@@ -0,0 +1,255 @@
+#include "Adapters/Disk/JournalFolder.h"
+#include "Adapters/Disk/DiskJournal.h"
+#include "Adapters/Disk/PosixFileSystem.h"
+#include "Disk/FaultyFileSystem.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
+
+#include <filesystem>
+#include <unistd.h>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+const std::string folderName = "journal";
+const std::string firstSegment = "journal/segment-00000000000000000001.log";
+
+LogEntry entryOf(uint64_t index, uint64_t term)
+{
+    ClaimRecord claim;
+    claim.submission = { ServiceId("quotes"), BackerId("shop"), CallerKey(absl::StrCat("k", index)) };
+    return { LogIndex(index), Term(term), claim };
+}
+
+JournalBatch batchOf(uint64_t token, std::vector<LogEntry> entries)
+{
+    JournalBatch batch;
+    batch.token = SyncToken(token);
+    batch.entries = std::move(entries);
+    return batch;
+}
+
+JournalBatch snapshotOf(uint64_t token, uint64_t index, bool dropsEntries)
+{
+    JournalBatch batch;
+    batch.token = SyncToken(token);
+    batch.hardState = HardState { Epoch(1), Term(token), std::nullopt };
+    batch.snapshot = std::make_shared<const Snapshot>(Snapshot { LogIndex(index), Term(1), Epoch(1), {}, { LedgerPiece {}, LedgerPiece {} } });
+    batch.dropsEntries = dropsEntries;
+    return batch;
+}
+
+/// Every kind of write: entries, some that replace others, and snapshots of both kinds.
+std::vector<JournalBatch> script()
+{
+    JournalBatch vote = batchOf(1, { entryOf(1, 1), entryOf(2, 1), entryOf(3, 1) });
+    vote.hardState = HardState { Epoch(1), Term(1), MemberId { DaemonId("d1"), Incarnation(4) } };
+    return { vote, batchOf(2, { entryOf(2, 2), entryOf(3, 2), entryOf(4, 2) }), snapshotOf(3, 3, false), batchOf(4, { entryOf(5, 2) }),
+        snapshotOf(5, 9, true), batchOf(6, { entryOf(10, 3) }) };
+}
+
+/// What a journal must hold after the first batches, in the plainest way.
+JournalContent contentAfter(size_t batches)
+{
+    JournalContent content;
+    const std::vector<JournalBatch> all = script();
+    for (size_t i = 0; i < batches; ++i) {
+        content.hardState = all[i].hardState.value_or(content.hardState);
+        if (all[i].dropsEntries)
+            content.entries.clear();
+        if (all[i].snapshot)
+            content.snapshot = all[i].snapshot;
+        for (const LogEntry& entry : all[i].entries) {
+            std::erase_if(content.entries, [&](const LogEntry& kept) { return kept.index >= entry.index; });
+            content.entries.push_back(entry);
+        }
+    }
+    return content;
+}
+
+/// Entries that the snapshot covers may or may not be there still.
+std::vector<LogEntry> afterSnapshot(const JournalContent& content)
+{
+    std::vector<LogEntry> entries = content.entries;
+    std::erase_if(entries, [&](const LogEntry& entry) { return content.snapshot && entry.index <= content.snapshot->lastIndex; });
+    return entries;
+}
+
+bool isSame(const JournalContent& a, const JournalContent& b)
+{
+    const bool sameSnapshot = a.snapshot && b.snapshot ? *a.snapshot == *b.snapshot : a.snapshot == b.snapshot;
+    return a.hardState == b.hardState && sameSnapshot && afterSnapshot(a) == afterSnapshot(b);
+}
+
+Result<JournalFolder::Opened> reopen(FileSystem& files, uint64_t offered = 99)
+{
+    return JournalFolder(files, folderName, {}).open(Incarnation(offered));
+}
+
+/// @return how many batches were acknowledged.
+size_t writeScript(FileSystem& files, JournalFolder::Options options = {})
+{
+    JournalFolder folder(files, folderName, options);
+    if (errorOf(folder.open(Incarnation(7))))
+        return 0;
+    size_t acknowledged = 0;
+    for (const JournalBatch& batch : script()) {
+        if (errorOf(folder.write({ batch })))
+            break;
+        ++acknowledged;
+    }
+    return acknowledged;
+}
+
+} // namespace
+
+TEST_GROUP(JournalFolder)
+{
+    FaultyFileSystem files;
+
+    /// @return whether the folder opens and holds what was acknowledged, and perhaps the write after it.
+    bool keepsAcknowledged(size_t acknowledged)
+    {
+        const auto opened = reopen(files);
+        if (errorOf(opened)) {
+            UT_PRINT(errorOf(opened)->message.c_str());
+            return false;
+        }
+        const JournalContent& content = valueOf(opened)->content;
+        if (isSame(content, contentAfter(acknowledged)))
+            return true;
+        // A write that wasn't acknowledged may be there whole, or, with a snapshot, its first half.
+        if (acknowledged == script().size())
+            return false;
+        JournalContent half = contentAfter(acknowledged);
+        half.snapshot = contentAfter(acknowledged + 1).snapshot;
+        JournalContent halfWithState = half;
+        halfWithState.hardState = contentAfter(acknowledged + 1).hardState;
+        return isSame(content, contentAfter(acknowledged + 1)) || isSame(content, half) || isSame(content, halfWithState);
+    }
+};
+
+TEST(JournalFolder, KeepsEveryAcknowledgedWriteWhereverItStops)
+{
+    FaultyFileSystem whole;
+    CHECK_EQUAL(script().size(), writeScript(whole));
+    for (uint64_t budget = 1; budget <= whole.used() + 1; ++budget) {
+        for (auto unsynced : { FaultyFileSystem::Unsynced::Kept, FaultyFileSystem::Unsynced::Lost, FaultyFileSystem::Unsynced::HalfKept }) {
+            files = FaultyFileSystem();
+            files.stopAfter(budget);
+            const size_t acknowledged = writeScript(files);
+            files.crash(unsynced);
+            CHECK_TEXT(keepsAcknowledged(acknowledged), absl::StrCat("stopped after ", budget, " bytes, acknowledged ", acknowledged).c_str());
+        }
+    }
+}
+
+TEST(JournalFolder, KeepsItsIncarnationUntilItIsLost)
+{
+    writeScript(files);
+    CHECK(valueOf(reopen(files, 8))->storage == Incarnation(7));
+    files = FaultyFileSystem();
+    CHECK(valueOf(reopen(files, 8))->storage == Incarnation(8));
+}
+
+TEST(JournalFolder, KeepsAllAcrossManySegments)
+{
+    CHECK_EQUAL(script().size(), writeScript(files, { .maxSegmentBytes = 1 }));
+    CHECK(keepsAcknowledged(script().size()));
+}
+
+TEST(JournalFolder, RefusesDamageInTheMiddleAndNamesFileOffsetAndCure)
+{
+    JournalFolder folder(files, folderName, {});
+    folder.open(Incarnation(7));
+    const uint64_t offset = files.sizeOf(firstSegment);
+    CHECK(!errorOf(folder.write({ batchOf(1, { entryOf(1, 1) }) })));
+    CHECK(!errorOf(folder.write({ batchOf(2, { entryOf(2, 1) }) })));
+    files.damage(firstSegment, offset + 20);
+    const auto opened = reopen(files);
+    CHECK(errorOf(opened) != nullptr);
+    STRCMP_EQUAL(absl::StrCat(firstSegment, ": offset ", offset,
+                     ": the checksum doesn't match; move the folder away and restart: the daemon then joins its group as a new member")
+                     .c_str(),
+        errorOf(opened)->message.c_str());
+}
+
+TEST(JournalFolder, RefusesAMissingSegment)
+{
+    writeScript(files, { .maxSegmentBytes = 1 });
+    JournalFolder folder(files, folderName, { .maxSegmentBytes = 1 });
+    folder.open(Incarnation(7));
+    CHECK(!errorOf(folder.write({ batchOf(7, { entryOf(11, 3) }) })));
+    CHECK(!errorOf(folder.write({ batchOf(8, { entryOf(12, 3) }) })));
+    std::vector<std::string> segments = *valueOf(files.list(folderName));
+    std::erase_if(segments, [](const std::string& name) { return name.find("segment-") != 0; });
+    CHECK(segments.size() >= 3);
+    files.remove(absl::StrCat(folderName, "/", segments[segments.size() - 2]));
+    CHECK(errorOf(reopen(files)) != nullptr);
+}
+
+namespace {
+
+class Events final : public JournalEvents {
+public:
+    void synced(SyncToken token) override
+    {
+        if (token == awaited)
+            done.Notify();
+    }
+    void journalFailed(const Error& error) override
+    {
+        failure = error.message;
+        done.Notify();
+    }
+
+    SyncToken awaited { 3 };
+    std::string failure;
+    absl::Notification done;
+};
+
+} // namespace
+
+TEST_GROUP(DiskJournal) {};
+
+TEST(DiskJournal, StopsForGoodAfterASyncThatFailed)
+{
+    FaultyFileSystem files;
+    auto opened = DiskJournal::open(files, folderName, Incarnation(7));
+    auto& journal = **valueOf(opened);
+    files.failSyncs(true);
+    Events events;
+    journal.start(events);
+    journal.append(batchOf(1, { entryOf(1, 1) }));
+    events.done.WaitForNotification();
+    STRCMP_EQUAL("can't sync", events.failure.c_str());
+    files.failSyncs(false);
+    journal.append(batchOf(2, { entryOf(2, 1) }));
+    journal.stop();
+    CHECK_EQUAL(1, journal.totals().batches);
+}
+
+TEST(DiskJournal, KeepsBatchesOnTheMachinesOwnDisk)
+{
+    const std::string folder = absl::StrCat(std::filesystem::temp_directory_path().string(), "/trefoilwing-journal-", ::getpid());
+    PosixFileSystem files;
+    {
+        auto opened = DiskJournal::open(files, folder, Incarnation(7));
+        auto& journal = **valueOf(opened);
+        Events events;
+        journal.start(events);
+        for (uint64_t i = 1; i <= 3; ++i)
+            journal.append(batchOf(i, { entryOf(i, 1) }));
+        events.done.WaitForNotification();
+        journal.stop();
+        CHECK(journal.totals().syncs <= 4);
+    }
+    auto opened = DiskJournal::open(files, folder, Incarnation(8));
+    CHECK_EQUAL(3, (*valueOf(opened))->takeContent().entries.size());
+    CHECK((*valueOf(opened))->storage() == Incarnation(7));
+    std::filesystem::remove_all(folder);
+}
