Carry messages between daemons over TCP

One thread serves all connections with epoll; each daemon sends on connections it made itself, so a peer's messages stay in order and a half-open connection blocks nobody. A broken frame closes its connection only; a message kind of a newer version is skipped, as closing would cut two versions off from each other in an upgrade. Acknowledgement of sent bytes is left to TCP_USER_TIMEOUT; a pong of our own would double the idle traffic. The listener is edge-triggered, as a connection that can't be accepted for lack of descriptors would otherwise make the thread spin.

--- a/Source/Adapters/Msgpack/Decoder.cpp
+++ b/Source/Adapters/Msgpack/Decoder.cpp
@@ -59,7 +59,7 @@
 std::optional<uint64_t> Decoder::alternativeNumber() const
 {
     const Object& root = root_.get();
-    if (!reason_.empty() || root.type != msgpack::type::ARRAY || root.via.array.size != 2)
+    if (root.type != msgpack::type::ARRAY || root.via.array.size != 2)
         return std::nullopt;
     if (root.via.array.ptr[0].type != msgpack::type::POSITIVE_INTEGER)
         return std::nullopt;
--- /dev/null
+++ b/Source/Adapters/Wire/IncomingConnection.cpp
@@ -0,0 +1,89 @@
+#include "Adapters/Wire/IncomingConnection.h"
+
+#include <utility>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr uint64_t maxHelloFrame = 4096;
+
+    /// What is read before other connections have their turn.
+    constexpr size_t readSize = 64U << 10U;
+
+} // namespace
+
+IncomingConnection::IncomingConnection(
+    Socket socket, const WireOptions& options, Poller& poller, IncomingEvents& events, absl::Time now)
+    : socket_(std::move(socket))
+    , options_(options)
+    , events_(events)
+    , reader_(Bytes(maxHelloFrame))
+    , deadline_(now + options.handshakeTimeout)
+{
+    socket_.setPeerOptions(options_.sendTimeout);
+    poller.add(socket_.descriptor(), *this, false);
+}
+
+void IncomingConnection::ready(Readiness, absl::Time now)
+{
+    if (isClosed())
+        return;
+    static thread_local std::string buffer(readSize, '\0');
+    const std::optional<std::string_view> bytes = socket_.receive(buffer);
+    if (!bytes) {
+        close();
+        return;
+    }
+    reader_.append(*bytes);
+    takeFrames();
+    // The hello may just have been accepted.
+    if (peer_)
+        deadline_ = now + options_.receiveTimeout;
+}
+
+void IncomingConnection::service(absl::Time now)
+{
+    if (!isClosed() && now >= deadline_)
+        close();
+}
+
+void IncomingConnection::takeFrames()
+{
+    while (!isClosed()) {
+        const std::optional<std::string_view> content = reader_.next();
+        if (!content)
+            break;
+        if (!takeFrame(*content))
+            close();
+    }
+    if (!isClosed() && reader_.isBroken())
+        refuse("a frame is too long");
+}
+
+bool IncomingConnection::takeFrame(std::string_view content)
+{
+    if (!peer_)
+        return takeHello(content);
+    return content.empty() || events_.frameReceived(*this, content);
+}
+
+bool IncomingConnection::takeHello(std::string_view content)
+{
+    const Result<std::string> answer = events_.helloReceived(*this, content);
+    if (const Error* error = errorOf(answer)) {
+        refuse(error->message);
+        return false;
+    }
+    reader_.setMaxFrame(options_.maxFrame);
+    const std::string frame = makeFrame(*valueOf(answer));
+    return socket_.send(frame) == frame.size();
+}
+
+void IncomingConnection::refuse(std::string_view reason)
+{
+    events_.connectionRefused(*this, reason);
+    close();
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Wire/IncomingConnection.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Adapters/Wire/FrameReader.h"
+#include "Adapters/Wire/Hello.h"
+#include "Adapters/Wire/Poller.h"
+#include "Adapters/Wire/Socket.h"
+#include "Adapters/Wire/WireOptions.h"
+
+#include <boost/intrusive/list.hpp>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trefoilwing {
+
+class IncomingConnection;
+
+/// Judges what comes on incoming connections.
+class IncomingEvents {
+public:
+    virtual ~IncomingEvents() = default;
+
+    /// Takes the first frame. The connection is closed unless it is accepted.
+    /// @return the answer to send, or why the connection is refused.
+    virtual Result<std::string> helloReceived(IncomingConnection&, std::string_view content) = 0;
+
+    /// Takes each further frame that isn't empty.
+    /// @return whether the connection may go on.
+    virtual bool frameReceived(IncomingConnection&, std::string_view content) = 0;
+
+    /// Takes the end of a connection that broke the protocol.
+    virtual void connectionRefused(const IncomingConnection&, std::string_view reason) = 0;
+};
+
+/// A connection on which one peer sends to this daemon. Used by the link's thread only.
+class IncomingConnection : public PollHandler, public boost::intrusive::list_base_hook<> {
+public:
+    /// The references must outlive this.
+    IncomingConnection(Socket, const WireOptions&, Poller&, IncomingEvents&, absl::Time now);
+
+    void ready(Readiness, absl::Time now) override;
+
+    /// Closes the connection if its peer has been silent for too long.
+    void service(absl::Time now);
+
+    /// @return when service() is next due.
+    absl::Time nextWakeup() const { return deadline_; }
+
+    void close() { socket_.close(); }
+    bool isClosed() const { return !socket_.isOpen(); }
+
+    /// @return the run at the other end, once its hello was accepted.
+    const std::optional<DaemonRun>& peer() const { return peer_; }
+    void setPeer(DaemonRun peer) { peer_ = std::move(peer); }
+
+private:
+    void takeFrames();
+    bool takeFrame(std::string_view content);
+    bool takeHello(std::string_view content);
+    void refuse(std::string_view reason);
+
+    Socket socket_;
+    const WireOptions& options_;
+    IncomingEvents& events_;
+    FrameReader reader_;
+    std::optional<DaemonRun> peer_;
+    absl::Time deadline_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Wire/OutgoingConnection.cpp
@@ -0,0 +1,227 @@
+#include "Adapters/Wire/OutgoingConnection.h"
+
+#include "Adapters/Msgpack/Codec.h"
+
+#include <utility>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// Frames are joined up to about this size for one call of the system.
+    constexpr size_t batchSize = 64U << 10U;
+
+    /// A hello is far smaller; nothing else comes on this connection.
+    constexpr uint64_t maxHelloFrame = 4096;
+
+} // namespace
+
+OutgoingConnection::OutgoingConnection(
+    const PeerSettings& peer, const DaemonRun& self, const WireOptions& options, Poller& poller, Random& random, EventLog& log)
+    : peer_(peer)
+    , self_(self)
+    , options_(options)
+    , poller_(poller)
+    , log_(log)
+    , queue_(options.maxQueued)
+    , backoff_(options.firstBackoff, options.maxBackoff, random)
+    , reader_(Bytes(maxHelloFrame))
+{
+}
+
+bool OutgoingConnection::enqueue(std::string frame, absl::Time now)
+{
+    return queue_.push(std::move(frame), now);
+}
+
+void OutgoingConnection::service(absl::Time now)
+{
+    if (state_ == State::Ready && !wantsWrite_)
+        flush(now);
+    if (now < deadline_)
+        return;
+    switch (state_) {
+    case State::Waiting:
+        connect(now);
+        break;
+    case State::Connecting:
+        fail("connecting took too long", now);
+        break;
+    case State::Greeting:
+        fail("no hello came", now);
+        break;
+    case State::Ready:
+        if (batch_.empty())
+            batch_ = makeFrame("");
+        flush(now);
+        deadline_ = now + options_.pingInterval;
+        break;
+    }
+}
+
+absl::Time OutgoingConnection::nextWakeup() const
+{
+    return deadline_;
+}
+
+void OutgoingConnection::ready(Readiness readiness, absl::Time now)
+{
+    switch (state_) {
+    case State::Waiting:
+        break;
+    case State::Connecting:
+        if (readiness.canWrite || readiness.hasFailed)
+            connected(now);
+        break;
+    case State::Greeting:
+        if (readiness.canRead || readiness.hasFailed)
+            readHello(now);
+        break;
+    case State::Ready:
+        if (readiness.canRead || readiness.hasFailed)
+            readNothing(now);
+        if (state_ == State::Ready && readiness.canWrite)
+            flush(now);
+        break;
+    }
+}
+
+void OutgoingConnection::close()
+{
+    socket_.close();
+    state_ = State::Waiting;
+    counters_.isConnected = false;
+}
+
+PeerTraffic OutgoingConnection::traffic() const
+{
+    return { peer_.daemon, counters_.isConnected, counters_.connects, queue_.taken(), counters_.sentBytes, queue_.dropped(),
+        counters_.receivedMessages, counters_.receivedBytes, counters_.unknownMessages, counters_.malformedFrames };
+}
+
+void OutgoingConnection::connect(absl::Time now)
+{
+    Result<Socket> socket = Socket::connectTo(peer_.peerEndpoint);
+    if (const Error* error = errorOf(socket)) {
+        fail(error->message, now);
+        return;
+    }
+    socket_ = std::move(std::get<Socket>(socket));
+    socket_.setPeerOptions(options_.sendTimeout);
+    poller_.add(socket_.descriptor(), *this, true);
+    wantsWrite_ = true;
+    state_ = State::Connecting;
+    deadline_ = now + options_.handshakeTimeout;
+}
+
+void OutgoingConnection::connected(absl::Time now)
+{
+    const std::string error = socket_.connectError();
+    if (!error.empty()) {
+        fail(error, now);
+        return;
+    }
+    const std::string hello = makeFrame(encode(Hello { protocolVersion, self_, peer_.daemon }));
+    if (socket_.send(hello) != hello.size()) {
+        fail("could not send the hello", now);
+        return;
+    }
+    reader_ = FrameReader(Bytes(maxHelloFrame));
+    watchForWriting(false);
+    state_ = State::Greeting;
+}
+
+void OutgoingConnection::readHello(absl::Time now)
+{
+    std::string buffer(maxHelloFrame, '\0');
+    const std::optional<std::string_view> bytes = socket_.receive(buffer);
+    if (!bytes) {
+        fail("closed before the hello", now);
+        return;
+    }
+    reader_.append(*bytes);
+    if (const std::optional<std::string_view> content = reader_.next())
+        greeted(*content, now);
+    else if (reader_.isBroken())
+        fail("the hello is too long", now);
+}
+
+void OutgoingConnection::greeted(std::string_view content, absl::Time now)
+{
+    const Result<Hello> decoded = decode<Hello>(content);
+    const Hello* hello = valueOf(decoded);
+    if (!hello || hello->sender.daemon != peer_.daemon || hello->version < oldestProtocolVersion) {
+        fail("another daemon or version answers there", now);
+        return;
+    }
+    state_ = State::Ready;
+    deadline_ = now + options_.pingInterval;
+    backoff_.reset();
+    hasLoggedFailure_ = false;
+    ++counters_.connects;
+    counters_.isConnected = true;
+    log_.write(Severity::Info, "peer_connected",
+        { { "peer", peer_.daemon.value() }, { "incarnation", hello->sender.incarnation.value() }, { "version", uint64_t { hello->version } } });
+    flush(now);
+}
+
+void OutgoingConnection::readNothing(absl::Time now)
+{
+    std::string buffer(maxHelloFrame, '\0');
+    const std::optional<std::string_view> bytes = socket_.receive(buffer);
+    if (!bytes)
+        fail("closed by the peer", now);
+    else if (!bytes->empty())
+        fail("bytes came on a connection for sending", now);
+}
+
+void OutgoingConnection::flush(absl::Time now)
+{
+    while (fillBatch(now)) {
+        const std::optional<size_t> sent = socket_.send(std::string_view(batch_).substr(batchSent_));
+        if (!sent) {
+            fail("sending failed", now);
+            return;
+        }
+        batchSent_ += *sent;
+        counters_.sentBytes += *sent;
+        if (*sent > 0)
+            deadline_ = now + options_.pingInterval;
+        if (batchSent_ < batch_.size()) {
+            watchForWriting(true);
+            return;
+        }
+    }
+    watchForWriting(false);
+}
+
+bool OutgoingConnection::fillBatch(absl::Time now)
+{
+    if (batchSent_ == batch_.size()) {
+        batch_ = queue_.take(batchSize, now - options_.maxQueueAge);
+        batchSent_ = 0;
+    }
+    return !batch_.empty();
+}
+
+void OutgoingConnection::watchForWriting(bool wantsWrite)
+{
+    if (wantsWrite == wantsWrite_)
+        return;
+    poller_.setWantsWrite(socket_.descriptor(), *this, wantsWrite);
+    wantsWrite_ = wantsWrite;
+}
+
+void OutgoingConnection::fail(std::string_view reason, absl::Time now)
+{
+    if (!hasLoggedFailure_)
+        log_.write(Severity::Warning, "peer_disconnected", { { "peer", peer_.daemon.value() }, { "reason", std::string(reason) } });
+    hasLoggedFailure_ = true;
+    close();
+    // A frame that was sent in part is lost: the peer can't make sense of the rest on a new connection.
+    batch_.clear();
+    batchSent_ = 0;
+    deadline_ = now + backoff_.next();
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Wire/SendQueue.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "Base/MutexLock.h"
+#include "Model/Units.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <string>
+
+namespace trefoilwing {
+
+/// What waits to be sent to one peer, bounded: the oldest frames make room for new ones.
+///
+/// Every caller's thread puts frames in, the link's thread takes them out.
+class SendQueue {
+public:
+    explicit SendQueue(Bytes maxBytes);
+
+    /// @return whether the queue was empty, so that the link's thread may have to be woken.
+    bool push(std::string frame, absl::Time now) ABSL_LOCKS_EXCLUDED(mutex_);
+
+    /// Takes frames, at least one if there is any, up to about a number of bytes.
+    /// @param oldest frames that were put in before this time are dropped.
+    /// @return the frames, one behind the other.
+    std::string take(size_t maxBytes, absl::Time oldest) ABSL_LOCKS_EXCLUDED(mutex_);
+
+    /// @return the number of frames dropped so far.
+    uint64_t dropped() const ABSL_LOCKS_EXCLUDED(mutex_);
+
+    /// @return the number of frames taken so far.
+    uint64_t taken() const ABSL_LOCKS_EXCLUDED(mutex_);
+
+private:
+    struct Waiting {
+        std::string frame;
+        absl::Time since;
+    };
+
+    void dropFront() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    const uint64_t maxBytes_;
+    mutable absl::Mutex mutex_;
+    std::deque<Waiting> frames_ ABSL_GUARDED_BY(mutex_);
+    uint64_t bytes_ ABSL_GUARDED_BY(mutex_) = 0;
+    uint64_t dropped_ ABSL_GUARDED_BY(mutex_) = 0;
+    uint64_t taken_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Wire/Socket.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Base/Error.h"
+#include "Model/MinionMessages.h"
+
+#include <absl/time/time.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace trefoilwing {
+
+/// Owns a file descriptor of a non-blocking TCP socket.
+class Socket {
+public:
+    Socket() = default;
+    explicit Socket(int descriptor)
+        : descriptor_(descriptor)
+    {
+    }
+    ~Socket() { close(); }
+    Socket(Socket&& other) noexcept
+        : descriptor_(other.release())
+    {
+    }
+    Socket& operator=(Socket&&) noexcept;
+
+    /// @return a socket that listens, or why it can't.
+    static Result<Socket> listenAt(const Endpoint&);
+
+    /// @return a socket whose connection is under way, or why it can't be.
+    static Result<Socket> connectTo(const Endpoint&);
+
+    /// @return the next connection that waits to be accepted, if any.
+    std::optional<Socket> accept();
+
+    /// Sends small frames at once, and ends the connection when sent bytes aren't acknowledged in time.
+    void setPeerOptions(absl::Duration sendTimeout);
+
+    /// @return what came of an asynchronous connect: empty if it succeeded.
+    std::string connectError() const;
+
+    /// @return the number of bytes sent, which may be none; nothing where the connection is broken.
+    std::optional<size_t> send(std::string_view);
+
+    /// @return the bytes that were there, up to a buffer's size; nothing where the connection has ended.
+    ///     Empty if there is nothing to read yet.
+    std::optional<std::string_view> receive(std::string& buffer);
+
+    void close();
+    bool isOpen() const { return descriptor_ >= 0; }
+    int descriptor() const { return descriptor_; }
+
+    /// @return the port that the socket is bound to.
+    uint16_t port() const;
+
+private:
+    int release();
+
+    int descriptor_ = -1;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Wire/TcpPeerLink.cpp
@@ -0,0 +1,200 @@
+#include "Adapters/Wire/TcpPeerLink.h"
+
+#include "Adapters/Msgpack/Codec.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace trefoilwing {
+
+TcpPeerLink::TcpPeerLink(const DaemonSettings& settings, Incarnation incarnation, const Clock& clock, Random& random,
+    EventLog& log, WireOptions options)
+    : self_ { settings.daemon, incarnation }
+    , endpoint_(settings.peerEndpoint)
+    , clock_(clock)
+    , log_(log)
+    , options_(options)
+{
+    for (const PeerSettings& peer : settings.peers) {
+        if (peer.daemon != self_.daemon)
+            peers_[peer.daemon] = std::make_unique<OutgoingConnection>(peer, self_, options_, poller_, random, log_);
+    }
+}
+
+TcpPeerLink::~TcpPeerLink()
+{
+    stop();
+}
+
+Result<Done> TcpPeerLink::start(PeerEvents& events)
+{
+    Result<Socket> listener = Socket::listenAt(endpoint_);
+    if (const Error* error = errorOf(listener))
+        return *error;
+    listener_ = std::move(std::get<Socket>(listener));
+    events_ = &events;
+    isStopping_ = false;
+    poller_.addListener(listener_.descriptor(), *this);
+    thread_ = std::thread([this] { run(); });
+    return Done {};
+}
+
+void TcpPeerLink::stop()
+{
+    if (!thread_.joinable())
+        return;
+    isStopping_ = true;
+    poller_.wake();
+    thread_.join();
+}
+
+void TcpPeerLink::send(const DaemonId& to, PeerMessage message)
+{
+    const auto peer = peers_.find(to);
+    if (peer == peers_.end())
+        return;
+    std::string content = encode(message);
+    if (content.size() > options_.maxFrame.value()) {
+        log_.write(Severity::Error, "peer_message_too_long", { { "peer", to.value() }, { "bytes", uint64_t { content.size() } } });
+        return;
+    }
+    if (peer->second->enqueue(makeFrame(content), clock_.now()))
+        poller_.wake();
+}
+
+std::vector<PeerTraffic> TcpPeerLink::traffic() const
+{
+    std::vector<PeerTraffic> traffic;
+    for (const auto& [daemon, connection] : peers_)
+        traffic.push_back(connection->traffic());
+    return traffic;
+}
+
+void TcpPeerLink::run()
+{
+    while (!isStopping_) {
+        const absl::Time now = clock_.now();
+        const absl::Time due = serviceAll(now);
+        poller_.wait(due - now, [this] { return clock_.now(); });
+        reapClosed();
+    }
+    closeAll();
+}
+
+absl::Time TcpPeerLink::serviceAll(absl::Time now)
+{
+    absl::Time due = absl::InfiniteFuture();
+    for (const auto& [daemon, connection] : peers_) {
+        connection->service(now);
+        due = std::min(due, connection->nextWakeup());
+    }
+    for (IncomingConnection& connection : incoming_) {
+        connection.service(now);
+        due = std::min(due, connection.nextWakeup());
+    }
+    return due;
+}
+
+void TcpPeerLink::reapClosed()
+{
+    // Closed connections are kept until here, as the events of one wait may still name them.
+    incoming_.remove_and_dispose_if([](const IncomingConnection& connection) { return connection.isClosed(); },
+        [this](IncomingConnection* connection) {
+            strangers_ -= connection->peer() ? 0 : 1;
+            delete connection;
+        });
+}
+
+void TcpPeerLink::closeAll()
+{
+    listener_.close();
+    for (const auto& [daemon, connection] : peers_)
+        connection->close();
+    for (IncomingConnection& connection : incoming_)
+        connection.close();
+    reapClosed();
+}
+
+void TcpPeerLink::ready(Readiness, absl::Time now)
+{
+    while (std::optional<Socket> socket = listener_.accept()) {
+        // A stranger beyond the bound is turned away at once, so that it can't fill the memory.
+        if (strangers_ >= options_.maxStrangers)
+            continue;
+        ++strangers_;
+        incoming_.push_back(*new IncomingConnection(std::move(*socket), options_, poller_, *this, now));
+    }
+}
+
+Result<std::string> TcpPeerLink::helloReceived(IncomingConnection& connection, std::string_view content)
+{
+    const Result<Hello> decoded = decode<Hello>(content);
+    if (const Error* error = errorOf(decoded))
+        return *error;
+    const Hello& hello = *valueOf(decoded);
+    const Result<Done> judgement = judgeHello(hello);
+    if (const Error* error = errorOf(judgement))
+        return *error;
+    connection.setPeer(hello.sender);
+    --strangers_;
+    closeOlder(connection);
+    return encode(Hello { protocolVersion, self_, hello.sender.daemon });
+}
+
+Result<Done> TcpPeerLink::judgeHello(const Hello& hello) const
+{
+    const std::string& sender = hello.sender.daemon.value();
+    if (hello.receiver != self_.daemon)
+        return Error { ErrorCode::Conflict, absl::StrCat(sender, " takes this daemon for ", hello.receiver.value()) };
+    if (hello.version < oldestProtocolVersion)
+        return Error { ErrorCode::Conflict, absl::StrCat(sender, " speaks the old protocol version ", hello.version) };
+    if (!peers_.contains(hello.sender.daemon))
+        return Error { ErrorCode::Conflict, absl::StrCat(sender, " is not in the settings") };
+    for (const IncomingConnection& other : incoming_) {
+        if (!other.isClosed() && other.peer() && other.peer()->daemon == hello.sender.daemon
+            && other.peer()->incarnation > hello.sender.incarnation)
+            return Error { ErrorCode::Conflict, absl::StrCat(sender, " has a later run that is connected") };
+    }
+    return Done {};
+}
+
+void TcpPeerLink::closeOlder(const IncomingConnection& kept)
+{
+    // The peer made a new connection, so it has given up the old one, even if this side hasn't heard.
+    for (IncomingConnection& other : incoming_) {
+        if (&other != &kept && other.peer() && other.peer()->daemon == kept.peer()->daemon)
+            other.close();
+    }
+}
+
+bool TcpPeerLink::frameReceived(IncomingConnection& connection, std::string_view content)
+{
+    const DaemonId& from = connection.peer()->daemon;
+    PeerCounters& counters = peers_.at(from)->counters();
+    counters.receivedBytes += content.size() + frameHeaderSize;
+    Decoder decoder(content);
+    Result<PeerMessage> message = decoder.take<PeerMessage>();
+    if (PeerMessage* value = std::get_if<PeerMessage>(&message)) {
+        ++counters.receivedMessages;
+        events_->messageReceived(from, std::move(*value));
+        return true;
+    }
+    if (decoder.alternativeNumber().value_or(0) >= std::variant_size_v<PeerMessage>) {
+        // A newer version sent it during an upgrade.
+        ++counters.unknownMessages;
+        return true;
+    }
+    ++counters.malformedFrames;
+    connectionRefused(connection, errorOf(message)->message);
+    return false;
+}
+
+void TcpPeerLink::connectionRefused(const IncomingConnection& connection, std::string_view reason)
+{
+    const std::string peer = connection.peer() ? connection.peer()->daemon.value() : std::string("unknown");
+    log_.write(Severity::Warning, "peer_connection_refused", { { "peer", peer }, { "reason", std::string(reason) } });
+}
+
+} // namespace trefoilwing
