Start only jobs that can end in time, and serve backers below their share first

Cause: at 1.6 times the capacity a fifth of the work went into jobs that missed their deadline, and one backer's burst cost the others half of their requests. A job that hasn't started is rejected, truly, once it could not end in time with all slots; a started one goes first when its time runs short. Only run times learned of late count: judged by declarations, kinds declared five times too long were never run, so never learned.

--- a/Source/Dispatch/Broker/Admission.cpp
+++ b/Source/Dispatch/Broker/Admission.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/Broker/Admission.h"
 
+#include <algorithm>
+
 namespace trefoilwing::broker {
 
 namespace {
@@ -7,19 +9,79 @@
     /// Lets every job wait until its deadline.
     class AdmitAll : public Admission {
     public:
-        absl::Time giveUpAt(const Job& job) const override { return job.deadline; }
+        absl::Time giveUpAt(const Job& job, const LoadView&) const override { return job.deadline; }
+        bool mayStart(const Job&, const LoadView&) const override { return true; }
+        absl::Time urgentAt(const Job&, const LoadView&) const override { return absl::InfiniteFuture(); }
+    };
+
+    /// Starts a job only if it can end in time, and then sees to it that it does.
+    class AdmitByDeadline : public Admission {
+    public:
+        absl::Time giveUpAt(const Job& job, const LoadView& load) const override
+        {
+            return job.deadline - timeToEnd(job, load);
+        }
+
+        bool mayStart(const Job& job, const LoadView& load) const override
+        {
+            return load.now + timeToEnd(job, load) + timeFor(load.startedWork, load) <= job.deadline;
+        }
+
+        absl::Time urgentAt(const Job& job, const LoadView& load) const override
+        {
+            return job.deadline - timeToEnd(job, load) * urgencyMargin;
+        }
+
+    private:
+        static constexpr double urgencyMargin = 4;
+        /// A job's last task may run so many times as long as the mean.
+        static constexpr double tailFactor = 2;
+
+        /// Whether the kind's run time has been learned of late. A declaration, or a time learned under
+        /// other conditions, is no ground to reject a job, since it would then never be corrected.
+        static bool isKnown(const TaskKind& kind, absl::Time now)
+        {
+            constexpr uint64_t fewestSamples = 10;
+            constexpr absl::Duration longestMemory = absl::Seconds(30);
+            return kind.samples >= fewestSamples && now < kind.learnedAt + longestMemory;
+        }
 
-        Error rejection(const Job&) const override
+        static absl::Duration timeFor(absl::Duration work, const LoadView& load)
         {
-            return { ErrorCode::PastDeadline, "the deadline passed before a slot was free", Verdict::NotRun };
+            return load.capacity > 0 ? work / load.capacity : absl::ZeroDuration();
+        }
+
+        /// How long the job takes with all slots to itself.
+        static absl::Duration timeToEnd(const Job& job, const LoadView& load)
+        {
+            absl::Duration work;
+            absl::Duration longest;
+            for (const auto& demand : job.queued) {
+                for (const WaitingTasks& tasks : demand->kinds) {
+                    if (!isKnown(*tasks.kind, load.now))
+                        continue;
+                    work += tasks.count * tasks.kind->meanRunTime;
+                    longest = std::max(longest, tasks.kind->meanRunTime);
+                }
+            }
+            return timeFor(work, load) + longest * tailFactor;
         }
     };
 
 } // namespace
 
+Error Admission::rejection(const Job& job, absl::Time now) const
+{
+    if (now >= job.deadline)
+        return { ErrorCode::PastDeadline, "the deadline passed before a slot was free", Verdict::NotRun };
+    return { ErrorCode::Overloaded, "the job could no longer end within its deadline", Verdict::NotRun };
+}
+
 const StrategyRegistry<Admission>& admissions()
 {
-    static const StrategyRegistry<Admission> registry = StrategyRegistry<Admission>().add<AdmitAll>("all");
+    static const StrategyRegistry<Admission> registry = StrategyRegistry<Admission>()
+                                                            .add<AdmitAll>("all")
+                                                            .add<AdmitByDeadline>("deadline");
     return registry;
 }
 
--- a/Source/Dispatch/Broker/Backer.h
+++ b/Source/Dispatch/Broker/Backer.h
@@ -25,12 +25,17 @@
     uint32_t inUse = 0;
     /// The slots that its quota stands for.
     double share = 0;
+    /// The moving average of its slots in use.
+    double averageUse = 0;
+    absl::Time averagedAt = absl::InfinitePast();
     std::map<Lane*, BackerQueue> queues;
 };
 
-/// Jobs that wait for the same minions, backers within their share apart from those beyond it.
+/// Jobs that wait for the same minions: urgent ones, those of backers within their share, and the rest.
 struct Lane {
     MinionPool* pool = nullptr;
+    /// Backers with a job that has to go first to end in time.
+    boost::intrusive::set<BackerQueue> urgent;
     boost::intrusive::set<BackerQueue> withinShare;
     boost::intrusive::set<BackerQueue> beyondShare;
 };
--- a/Source/Dispatch/Broker/BackerOrder.h
+++ b/Source/Dispatch/Broker/BackerOrder.h
@@ -14,7 +14,8 @@
     virtual bool isWithinShare(const Backer&) const = 0;
 };
 
-/// @return all orders of backers: "equal" makes no difference between them.
+/// @return all orders of backers: "equal" makes no difference between them; "quota" puts those first that
+/// use fewer slots than their share, "average-quota" those that have done so on average of late.
 const StrategyRegistry<BackerOrder>& backerOrders();
 
 } // namespace trefoilwing::broker
--- a/Source/Dispatch/Broker/BrokerPolicy.h
+++ b/Source/Dispatch/Broker/BrokerPolicy.h
@@ -7,9 +7,9 @@
 /// Names the strategies that a slot broker is made of.
 struct BrokerPolicy {
     std::string jobOrder = "least-work";
-    std::string backerOrder = "equal";
+    std::string backerOrder = "quota";
     std::string minionChoice = "patient";
-    std::string admission = "all";
+    std::string admission = "deadline";
 };
 
 } // namespace trefoilwing
--- a/Source/Dispatch/Broker/DemandQueue.cpp
+++ b/Source/Dispatch/Broker/DemandQueue.cpp
@@ -10,7 +10,7 @@
 
 void DemandQueue::insert(QueuedDemand& demand)
 {
-    demand.key = jobOrder_.key(*demand.job);
+    demand.key = keyOf(*demand.job);
     BackerQueue& queue = demand.job->backer->queues[demand.lane];
     queue.backer = demand.job->backer;
     queue.lane = demand.lane;
@@ -33,7 +33,7 @@
 
 void DemandQueue::reorder(Job& job)
 {
-    const double key = jobOrder_.key(job);
+    const double key = keyOf(job);
     for (const std::unique_ptr<QueuedDemand>& demand : job.queued) {
         if (!demand->queue || demand->key == key)
             continue;
@@ -44,9 +44,8 @@
 
 void DemandQueue::backerChanged(Backer& backer)
 {
-    const bool isWithinShare = backerOrder_.isWithinShare(backer);
     for (auto& [lane, queue] : backer.queues) {
-        if (!queue.group || (queue.group == &lane->withinShare) == isWithinShare)
+        if (!queue.group || queue.group == groupFor(queue))
             continue;
         unfile(queue);
         file(queue);
@@ -55,7 +54,7 @@
 
 QueuedDemand* DemandQueue::first(Lane& lane)
 {
-    for (auto* group : { &lane.withinShare, &lane.beyondShare }) {
+    for (auto* group : { &lane.urgent, &lane.withinShare, &lane.beyondShare }) {
         if (!group->empty())
             return &*group->begin()->demands.begin();
     }
@@ -64,16 +63,39 @@
 
 bool DemandQueue::goesBefore(const QueuedDemand& a, const QueuedDemand& b)
 {
-    const bool isWithinShareA = a.queue->group == &a.lane->withinShare;
-    const bool isWithinShareB = b.queue->group == &b.lane->withinShare;
-    return isWithinShareA != isWithinShareB ? isWithinShareA : a < b;
+    const uint32_t rankA = rankOf(a);
+    const uint32_t rankB = rankOf(b);
+    return rankA != rankB ? rankA < rankB : a < b;
+}
+
+uint32_t DemandQueue::rankOf(const QueuedDemand& demand)
+{
+    if (demand.queue->group == &demand.lane->urgent)
+        return 0;
+    return demand.queue->group == &demand.lane->withinShare ? 1 : 2;
+}
+
+double DemandQueue::keyOf(const Job& job) const
+{
+    // Urgent jobs go before the backer's others, the earliest deadline first.
+    constexpr double beforeAllOthers = -1e15;
+    if (job.isUrgent)
+        return beforeAllOthers + absl::ToDoubleSeconds(job.deadline - absl::UnixEpoch());
+    return jobOrder_.key(job);
+}
+
+boost::intrusive::set<BackerQueue>* DemandQueue::groupFor(BackerQueue& queue) const
+{
+    if (queue.demands.begin()->job->isUrgent)
+        return &queue.lane->urgent;
+    return backerOrder_.isWithinShare(*queue.backer) ? &queue.lane->withinShare : &queue.lane->beyondShare;
 }
 
 void DemandQueue::file(BackerQueue& queue)
 {
     if (queue.demands.empty())
         return;
-    queue.group = backerOrder_.isWithinShare(*queue.backer) ? &queue.lane->withinShare : &queue.lane->beyondShare;
+    queue.group = groupFor(queue);
     queue.group->insert(queue);
 }
 
--- a/Source/Dispatch/Broker/DemandQueue.h
+++ b/Source/Dispatch/Broker/DemandQueue.h
@@ -33,6 +33,9 @@
     static bool goesBefore(const QueuedDemand&, const QueuedDemand&);
 
 private:
+    static uint32_t rankOf(const QueuedDemand&);
+    boost::intrusive::set<BackerQueue>* groupFor(BackerQueue&) const;
+    double keyOf(const Job&) const;
     void file(BackerQueue&);
     static void unfile(BackerQueue&);
 
--- a/Source/Dispatch/Broker/Job.h
+++ b/Source/Dispatch/Broker/Job.h
@@ -59,16 +59,18 @@
     uint32_t granted = 0;
     /// Whether a task has ever been granted a slot; such a job can't be rejected as not run.
     bool hasStarted = false;
-    /// When it is rejected unless a task has been granted a slot by then.
-    absl::Time givenUpAt = absl::InfiniteFuture();
+    /// Whether it has to go before all others to end in time.
+    bool isUrgent = false;
+    /// When it is looked at next: it is then given up if it hasn't started, and urgent if it has.
+    absl::Time dueAt = absl::InfiniteFuture();
     bool isTimed = false;
 };
 
-/// Orders jobs by the time at which they are given up.
-struct SoonerGivenUp {
+/// Orders jobs by the time at which they are due.
+struct SoonerDue {
     bool operator()(const Job& a, const Job& b) const
     {
-        return a.givenUpAt != b.givenUpAt ? a.givenUpAt < b.givenUpAt : a.ref < b.ref;
+        return a.dueAt != b.dueAt ? a.dueAt < b.dueAt : a.ref < b.ref;
     }
 };
 
--- a/Source/Dispatch/Broker/JobOrder.cpp
+++ b/Source/Dispatch/Broker/JobOrder.cpp
@@ -20,7 +20,7 @@
         absl::Duration work;
         for (const auto& demand : job.queued) {
             for (const WaitingTasks& tasks : demand->kinds)
-                work += tasks.count * tasks.kind->runTime;
+                work += tasks.count * tasks.kind->meanRunTime;
         }
         return absl::ToDoubleSeconds(work);
     }
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -24,6 +24,10 @@
     /// A slot that a minion refused as busy isn't granted again before this time, unless an announcement shows it free.
     constexpr absl::Duration busyTime = absl::Milliseconds(20);
 
+    /// A backer's use of slots is averaged over about this time.
+    constexpr absl::Duration useAveragingTime = absl::Seconds(10);
+    constexpr absl::Duration averagesRefreshPeriod = absl::Milliseconds(100);
+
     constexpr double meanRunTimeRate = 0.002;
 
     /// So many demands may wait for a better slot than the free ones at a time.
@@ -82,7 +86,7 @@
     for (const TaskKindDeclaration& declared : declaration.kinds) {
         TaskKind& kind = kindFor(declared.kind);
         if (kind.samples == 0)
-            kind.runTime = declared.expectedRunTime;
+            kind.runTime = kind.meanRunTime = declared.expectedRunTime;
         kind.pool = &slots_.poolFor(declared.needs);
     }
     updateShares();
@@ -104,6 +108,7 @@
 
 void QueueingSlotBroker::entryUpdated(const BrokerUpdate& update, absl::Time now)
 {
+    now_ = now;
     Entry* entry = entryFor(update.entry, now);
     if (!entry || !isInOrder(*entry, update))
         return;
@@ -140,6 +145,7 @@
 
 void QueueingSlotBroker::entryGone(const DaemonRun& run, absl::Time now)
 {
+    now_ = now;
     auto found = entries_.find(run);
     if (found == entries_.end())
         return;
@@ -217,8 +223,10 @@
     }
     for (const auto& queued : job->queued)
         queue_.insert(*queued);
-    if (job->waiting > 0 && !job->hasStarted)
-        time(*job);
+    if (job->hasStarted)
+        changeStartedWaiting(*job, 1);
+    if (job->waiting > 0)
+        time(*job, job->hasStarted ? strategies_.admission->urgentAt(*job, loadView()) : strategies_.admission->giveUpAt(*job, loadView()));
     dropIfIdle(entry, *job);
 }
 
@@ -252,7 +260,7 @@
 
 void QueueingSlotBroker::learn(Minion& minion, const SlotReport& report)
 {
-    broker::RunTimeLearner::learn(kindFor(report.kind), minion, report.runTime);
+    broker::RunTimeLearner::learn(kindFor(report.kind), minion, report.runTime, now_);
     const absl::Duration atAverage = report.runTime / minion.slowness;
     meanRunTime_ += (atAverage - meanRunTime_) * meanRunTimeRate;
     if (std::abs(minion.slowness - minion.rank) > rankTolerance * minion.rank)
@@ -271,9 +279,12 @@
 
 void QueueingSlotBroker::clearDemand(Job& job)
 {
+    if (job.hasStarted)
+        changeStartedWaiting(job, -1);
     for (const auto& queued : job.queued)
         queue_.remove(*queued);
     job.queued.clear();
+    job.isUrgent = false;
     job.waiting = 0;
     untime(job);
 }
@@ -287,9 +298,11 @@
 std::vector<EntryDecisions> QueueingSlotBroker::decide(absl::Time now)
 {
     isDue_ = false;
+    now_ = now;
+    refreshAverages();
     slots_.expireUnaccounted(now);
     slots_.refreshSteps(now);
-    rejectOverdue(now);
+    actOnDueJobs(now);
     patienceEnds_ = absl::InfiniteFuture();
     while (QueuedDemand* demand = firstServable())
         grantFirst(*demand, now);
@@ -313,29 +326,64 @@
 {
     if (isDue_)
         return absl::InfinitePast();
-    const absl::Time giveUp = timed_.empty() ? absl::InfiniteFuture() : timed_.begin()->givenUpAt;
+    const absl::Time giveUp = timed_.empty() ? absl::InfiniteFuture() : timed_.begin()->dueAt;
     return std::min({ giveUp, slots_.nextExpiry(), patienceEnds_ });
 }
 
-void QueueingSlotBroker::rejectOverdue(absl::Time now)
+void QueueingSlotBroker::actOnDueJobs(absl::Time now)
 {
-    while (!timed_.empty() && timed_.begin()->givenUpAt <= now) {
-        Job& job = *timed_.begin();
-        reject(job, strategies_.admission->rejection(job));
+    while (!timed_.empty() && timed_.begin()->dueAt <= now)
+        act(*timed_.begin(), now);
+}
+
+void QueueingSlotBroker::act(Job& job, absl::Time now)
+{
+    // The estimates move as run times are learned, so what is due by now may not be so any more.
+    const broker::LoadView load = loadView();
+    const absl::Time due = job.hasStarted ? strategies_.admission->urgentAt(job, load) : strategies_.admission->giveUpAt(job, load);
+    if (due > now) {
+        time(job, due);
+        return;
     }
+    if (!job.hasStarted) {
+        reject(job, now);
+        return;
+    }
+    untime(job);
+    job.isUrgent = true;
+    queue_.reorder(job);
 }
 
-void QueueingSlotBroker::reject(Job& job, Error error)
+void QueueingSlotBroker::reject(Job& job, absl::Time now)
 {
     Entry& entry = entries_.at(job.ref.entry);
-    pendingOf(entry).rejections.push_back({ job.ref.job, std::move(error) });
+    pendingOf(entry).rejections.push_back({ job.ref.job, strategies_.admission->rejection(job, now) });
     clearDemand(job);
     dropIfIdle(entry, job);
 }
 
-void QueueingSlotBroker::time(Job& job)
+void QueueingSlotBroker::changeStartedWaiting(const Job& job, int32_t sign)
 {
-    job.givenUpAt = strategies_.admission->giveUpAt(job);
+    for (const auto& queued : job.queued) {
+        for (const WaitingTasks& tasks : queued->kinds)
+            tasks.kind->startedWaiting += sign * static_cast<int32_t>(tasks.count);
+    }
+}
+
+broker::LoadView QueueingSlotBroker::loadView() const
+{
+    broker::LoadView load;
+    for (const auto& [id, kind] : kinds_)
+        load.startedWork += kind->startedWaiting * kind->meanRunTime;
+    load.now = now_;
+    load.capacity = slots_.capacity();
+    return load;
+}
+
+void QueueingSlotBroker::time(Job& job, absl::Time due)
+{
+    untime(job);
+    job.dueAt = due;
     job.isTimed = true;
     timed_.insert(job);
 }
@@ -361,6 +409,11 @@
 
 void QueueingSlotBroker::grantFirst(QueuedDemand& demand, absl::Time now)
 {
+    Job& job = *demand.job;
+    if (!job.hasStarted && !strategies_.admission->mayStart(job, loadView())) {
+        passOver(demand);
+        return;
+    }
     const broker::Choice choice = chooseFor(demand, now);
     if (!choice.minion) {
         passOver(demand);
@@ -404,23 +457,50 @@
     ++entry.held[minion.id];
     slots_.grant(minion, 1);
     changeUse(*job.backer, 1);
-    untime(job);
-    job.hasStarted = true;
+    if (!job.hasStarted) {
+        job.hasStarted = true;
+        changeStartedWaiting(job, 1);
+        time(job, strategies_.admission->urgentAt(job, loadView()));
+    }
+    --tasks.kind->startedWaiting;
     ++job.granted;
     --job.waiting;
     if (--tasks.count == 0)
         demand.kinds.pop_back();
     if (demand.kinds.empty())
         queue_.remove(demand);
+    if (job.waiting == 0)
+        untime(job);
     queue_.reorder(job);
 }
 
 void QueueingSlotBroker::changeUse(Backer& backer, int32_t slots)
 {
+    averageUse(backer);
     backer.inUse += slots;
     queue_.backerChanged(backer);
 }
 
+void QueueingSlotBroker::averageUse(Backer& backer) const
+{
+    if (now_ <= backer.averagedAt)
+        return;
+    const double kept = std::exp(-absl::FDivDuration(now_ - backer.averagedAt, useAveragingTime));
+    backer.averageUse = kept * backer.averageUse + (1 - kept) * backer.inUse;
+    backer.averagedAt = now_;
+}
+
+void QueueingSlotBroker::refreshAverages()
+{
+    if (now_ < averagesRefreshed_ + averagesRefreshPeriod)
+        return;
+    averagesRefreshed_ = now_;
+    for (auto& [id, backer] : backers_) {
+        averageUse(*backer);
+        queue_.backerChanged(*backer);
+    }
+}
+
 void QueueingSlotBroker::updateShares()
 {
     uint64_t quotas = 0;
@@ -438,7 +518,7 @@
     if (!kind) {
         kind = std::make_unique<TaskKind>();
         kind->id = id;
-        kind->runTime = undeclaredRunTime;
+        kind->runTime = kind->meanRunTime = undeclaredRunTime;
         kind->pool = &slots_.poolFor({});
     }
     return *kind;
--- a/Source/Dispatch/Broker/QueueingSlotBroker.h
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -69,9 +69,12 @@
     void voidDemands(Entry&);
     void clearDemand(broker::Job&);
     void dropIfIdle(Entry&, broker::Job&);
-    void rejectOverdue(absl::Time now);
-    void reject(broker::Job&, Error);
-    void time(broker::Job&);
+    void actOnDueJobs(absl::Time now);
+    void act(broker::Job&, absl::Time now);
+    void reject(broker::Job&, absl::Time now);
+    void changeStartedWaiting(const broker::Job&, int32_t sign);
+    broker::LoadView loadView() const;
+    void time(broker::Job&, absl::Time due);
     void untime(broker::Job&);
     broker::QueuedDemand* firstServable();
     void grantFirst(broker::QueuedDemand&, absl::Time now);
@@ -79,6 +82,8 @@
     void passOver(broker::QueuedDemand&);
     void grant(broker::QueuedDemand&, broker::WaitingTasks&, broker::Minion&);
     void changeUse(broker::Backer&, int32_t slots);
+    void averageUse(broker::Backer&) const;
+    void refreshAverages();
     void updateShares();
     broker::TaskKind& kindFor(const TaskKindId&);
     broker::Backer& backerFor(const BackerId&);
@@ -93,8 +98,8 @@
     absl::flat_hash_map<TaskKindId, std::unique_ptr<broker::TaskKind>> kinds_;
     absl::flat_hash_map<BackerId, std::unique_ptr<broker::Backer>> backers_;
     std::map<DaemonRun, Entry> entries_;
-    /// Jobs that haven't started, by the time at which they are given up.
-    boost::intrusive::set<broker::Job, boost::intrusive::compare<broker::SoonerGivenUp>> timed_;
+    /// Waiting jobs by the time at which they are given up or become urgent.
+    boost::intrusive::set<broker::Job, boost::intrusive::compare<broker::SoonerDue>> timed_;
     /// Demands that no free minion suits in this round of decisions.
     std::vector<broker::QueuedDemand*> passedOver_;
     /// Tasks of the demands passed over.
@@ -104,6 +109,9 @@
     /// The mean run time of all tasks at a minion of average speed.
     absl::Duration meanRunTime_ = absl::ZeroDuration();
     uint64_t arrivals_ = 0;
+    /// The time of the latest event.
+    absl::Time now_ = absl::InfinitePast();
+    absl::Time averagesRefreshed_ = absl::InfinitePast();
     bool isDue_ = false;
 };
 
--- a/Source/Dispatch/Broker/RunTimeLearner.cpp
+++ b/Source/Dispatch/Broker/RunTimeLearner.cpp
@@ -19,13 +19,15 @@
 
 } // namespace
 
-void RunTimeLearner::learn(TaskKind& kind, Minion& minion, absl::Duration runTime)
+void RunTimeLearner::learn(TaskKind& kind, Minion& minion, absl::Duration runTime, absl::Time now)
 {
     const double observed = std::log(absl::ToDoubleSeconds(std::max(runTime, shortestRunTime)));
     const double known = std::log(absl::ToDoubleSeconds(std::max(kind.runTime, shortestRunTime)));
     const double slowness = std::log(minion.slowness);
     const double error = observed - known - slowness;
     ++kind.samples;
+    kind.learnedAt = now;
+    kind.meanRunTime += (runTime / minion.slowness - kind.meanRunTime) * std::max(kindRate, 1.0 / static_cast<double>(kind.samples));
     kind.runTime = absl::Seconds(std::exp(known + error * std::max(kindRate, 1.0 / static_cast<double>(kind.samples))));
     if (kind.samples < samplesBeforeMinions)
         return;
--- a/Source/Dispatch/Broker/RunTimeLearner.h
+++ b/Source/Dispatch/Broker/RunTimeLearner.h
@@ -14,7 +14,7 @@
 class RunTimeLearner {
 public:
     /// Takes the run time of one task.
-    static void learn(TaskKind&, Minion&, absl::Duration runTime);
+    static void learn(TaskKind&, Minion&, absl::Duration runTime, absl::Time now);
 
     /// @return how long a task of the kind is expected to run at the minion.
     static absl::Duration expected(const TaskKind& kind, const Minion& minion) { return kind.runTime * minion.slowness; }
--- a/Source/Dispatch/Broker/SlotTable.cpp
+++ b/Source/Dispatch/Broker/SlotTable.cpp
@@ -177,6 +177,11 @@
     stepsRefreshed_ = now;
     for (auto& [needs, pool] : pools_)
         refreshSteps(*pool);
+    capacity_ = 0;
+    for (const auto& [id, minion] : minions_) {
+        if (minion->isPresent && minion->state == MinionState::Serving)
+            capacity_ += minion->slots / minion->slowness;
+    }
 }
 
 void SlotTable::refreshSteps(MinionPool& pool)
--- a/Source/Dispatch/Broker/SlotTable.h
+++ b/Source/Dispatch/Broker/SlotTable.h
@@ -57,6 +57,9 @@
     /// @return the slots of all present minions.
     uint32_t totalSlots() const { return totalSlots_; }
 
+    /// @return seconds of work at a minion of average speed that all slots do in a second, as of the last refresh.
+    double capacity() const { return capacity_; }
+
     /// @return the free slots of all minions.
     uint32_t freeSlots() const { return freeSlots_; }
 
@@ -74,6 +77,7 @@
     std::map<Resources, std::unique_ptr<MinionPool>> pools_;
     uint32_t totalSlots_ = 0;
     uint32_t freeSlots_ = 0;
+    double capacity_ = 0;
     absl::Time stepsRefreshed_ = absl::InfinitePast();
     absl::Time nextExpiry_ = absl::InfiniteFuture();
 };
--- a/Source/Dispatch/Broker/TaskKind.h
+++ b/Source/Dispatch/Broker/TaskKind.h
@@ -15,8 +15,13 @@
     MinionPool* pool = nullptr;
     /// The run time at a minion of average speed: declared at first, then learned.
     absl::Duration runTime;
+    /// The mean run time at a minion of average speed. The one above is the geometric mean, which one long task moves less.
+    absl::Duration meanRunTime;
+    /// Waiting tasks of the jobs that have started.
+    uint32_t startedWaiting = 0;
     /// How many run times have been learned.
     uint64_t samples = 0;
+    absl::Time learnedAt = absl::InfinitePast();
 };
 
 } // namespace trefoilwing::broker
--- a/Tests/Bench/BenchMeasures.cpp
+++ b/Tests/Bench/BenchMeasures.cpp
@@ -97,10 +97,12 @@
             measures.worstBacker = std::min(measures.worstBacker, served[backer] / asked[backer]);
     }
     for (const RunResult::Execution& execution : run.executions) {
+        measures.allWork += execution.speed * overlap(execution.begin, execution.end, begin + fillSeconds, end);
         if (run.jobs[execution.job].isComplete)
             measures.usefulWork += execution.speed * overlap(execution.begin, execution.end, begin + fillSeconds, end);
     }
     measures.usefulWork /= scenario.capacity() * (end - begin - fillSeconds);
+    measures.allWork /= scenario.capacity() * (end - begin - fillSeconds);
     measures.recovery = recoveryTime(run, begin, end);
     return measures;
 }
--- a/Tests/Bench/BenchMeasures.h
+++ b/Tests/Bench/BenchMeasures.h
@@ -29,6 +29,8 @@
     double rejected = 0;
     /// Work of jobs that ended well, as a share of the capacity.
     double usefulWork = 0;
+    /// All work done, as a share of the capacity.
+    double allWork = 0;
     /// The least share in deadline, of all submitted jobs, among the backers but the first.
     double worstBacker = 0;
     /// Until no more tasks wait than before the crest, in seconds.
--- a/Tests/Bench/DispatchBench.cpp
+++ b/Tests/Bench/DispatchBench.cpp
@@ -38,6 +38,8 @@
 {
     static const BrokerPolicy baseline { "fifo", "equal", "random", "all" };
     static const BrokerPolicy fastest { "least-work", "equal", "fastest", "all" };
+    static const BrokerPolicy patient = with(fastest, &BrokerPolicy::minionChoice, "patient");
+    static const BrokerPolicy quota = with(patient, &BrokerPolicy::backerOrder, "quota");
     static const std::vector<NamedPolicy> all {
         { "default", {} },
         { "baseline", baseline },
@@ -46,7 +48,12 @@
         { "fifo-fastest", with(baseline, &BrokerPolicy::minionChoice, "fastest") },
         { "fewest-tasks-fastest", with(fastest, &BrokerPolicy::jobOrder, "fewest-tasks") },
         { "least-work-fastest", fastest },
-        { "least-work-patient", with(fastest, &BrokerPolicy::minionChoice, "patient") },
+        { "least-work-patient", patient },
+        { "quota", quota },
+        { "average-quota", with(patient, &BrokerPolicy::backerOrder, "average-quota") },
+        { "deadline", with(patient, &BrokerPolicy::admission, "deadline") },
+        { "deadline-quota", with(quota, &BrokerPolicy::admission, "deadline") },
+        { "deadline-average-quota", with(with(patient, &BrokerPolicy::admission, "deadline"), &BrokerPolicy::backerOrder, "average-quota") },
         { "baseline-own-slots", baseline, Sharing::OwnSlots },
         { "baseline-unshared", baseline, Sharing::Unshared },
     };
@@ -104,6 +111,7 @@
         sum.inDeadline += measures.inDeadline;
         sum.rejected += measures.rejected;
         sum.usefulWork += measures.usefulWork;
+        sum.allWork += measures.allWork;
         slowest = std::max(slowest, measures.recovery);
         const Trial one(addisCrest(true), seed);
         const CrestMeasures burst = measureCrest(one.scenario, one.jobs, one.run(named));
@@ -111,8 +119,8 @@
         worst = std::min(worst, burst.worstBacker);
     }
     const auto n = static_cast<double>(seeds);
-    std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f |\n", named.name, sum.inDeadline / n, sum.rejected / n,
-        sum.usefulWork / n, sum.worstBacker / n, worst, slowest);
+    std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f |\n", named.name, sum.inDeadline / n, sum.rejected / n,
+        sum.usefulWork / n, sum.allWork / n, sum.worstBacker / n, worst, slowest);
 }
 
 void printShortBehindLong(const NamedPolicy& named, uint64_t seeds)
@@ -145,7 +153,7 @@
 
 constexpr std::array<Table, 3> tables { {
     { "response", "| policy | load | mean | median | p99 | largest p99 | wasted a task |\n|---|---|---|---|---|---|---|", printResponses },
-    { "crest", "| policy | in deadline of admitted | rejected | useful work | worst backer, mean | worst backer, least | recovery s |\n|---|---|---|---|---|---|---|",
+    { "crest", "| policy | in deadline of admitted | rejected | useful work | all work | worst backer, mean | worst backer, least | recovery s |\n|---|---|---|---|---|---|---|---|",
         printCrest },
     { "short", "| policy | credit p50 ms | credit p99 ms | match p50 ms | match p99 ms | review work |\n|---|---|---|---|---|---|",
         printShortBehindLong },
