--- a/Source/Adapters/Msgpack/Codec.h
+++ b/Source/Adapters/Msgpack/Codec.h
@@ -6,6 +6,7 @@
 #include "Adapters/Msgpack/Decoder.h"
 #include "Adapters/Msgpack/Encoder.h"
 #include "Adapters/Msgpack/LogFields.h"
+#include "Adapters/Msgpack/MembershipFields.h"
 #include "Adapters/Msgpack/ModelFields.h"
 
 #include <string>
--- /dev/null
+++ b/Source/Control/Envelope.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "Model/Identifiers.h"
+#include "Model/PeerMessage.h"
+
+namespace trefoilwing {
+
+/// A message and the daemon that it goes to.
+struct Envelope {
+    DaemonId to;
+    PeerMessage message;
+
+    friend bool operator==(const Envelope&, const Envelope&) = default;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/MinionRoster.cpp
@@ -0,0 +1,87 @@
+#include "Control/MinionRoster.h"
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// A roster this small isn't worth renumbering.
+    constexpr size_t smallRoster = 64;
+
+} // namespace
+
+MinionRoster::MinionRoster(RosterId first)
+    : id_(first)
+{
+}
+
+void MinionRoster::hear(AnnouncementKey key)
+{
+    const auto [found, isNew] = numbers_.try_emplace(key, static_cast<uint32_t>(keys_.size()));
+    if (isNew)
+        keys_.push_back(key);
+    heard_.push_back(found->second);
+}
+
+void MinionRoster::forget(AnnouncementKey key)
+{
+    const auto found = numbers_.find(key);
+    if (found == numbers_.end())
+        return;
+    std::erase(heard_, found->second);
+    numbers_.erase(found);
+}
+
+MinionVouch MinionRoster::takeVouch()
+{
+    std::sort(heard_.begin(), heard_.end());
+    MinionVouch vouch { id_, static_cast<uint32_t>(keys_.size()), {} };
+    uint32_t next = 0;
+    for (const uint32_t number : heard_) {
+        // A minion may announce itself twice between two vouches.
+        if (number < next)
+            continue;
+        vouch.gaps.push_back(number - next);
+        next = number + 1;
+    }
+    heard_.clear();
+    return vouch;
+}
+
+RosterPart MinionRoster::takeNewPart()
+{
+    if (isSparse())
+        renumber();
+    RosterPart part = partFor({ id_, published_ });
+    published_ = static_cast<uint32_t>(keys_.size());
+    return part;
+}
+
+RosterPart MinionRoster::partFor(const RosterQuery& query) const
+{
+    const size_t first = query.roster == id_ ? std::min<size_t>(query.first, keys_.size()) : 0;
+    return { id_, static_cast<uint32_t>(first), { keys_.begin() + static_cast<ptrdiff_t>(first), keys_.end() } };
+}
+
+bool MinionRoster::isSparse() const
+{
+    return keys_.size() > 2 * numbers_.size() + smallRoster;
+}
+
+void MinionRoster::renumber()
+{
+    id_ = RosterId(id_.value() + 1);
+    published_ = 0;
+    std::vector<AnnouncementKey> heardKeys;
+    for (const uint32_t number : heard_)
+        heardKeys.push_back(keys_[number]);
+    std::erase_if(keys_, [this](AnnouncementKey key) { return !numbers_.contains(key); });
+    for (size_t i = 0; i < keys_.size(); ++i)
+        numbers_[keys_[i]] = static_cast<uint32_t>(i);
+    heard_.clear();
+    for (const AnnouncementKey key : heardKeys)
+        heard_.push_back(numbers_[key]);
+}
+
+} // namespace trefoilwing
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Control/Envelope.h"
 #include "Control/LogStore.h"
 #include "Control/MemberProgress.h"
 #include "Model/LogMessages.h"
@@ -38,14 +39,6 @@
     absl::Duration claimGuard;
 };
 
-/// A message and the daemon that it goes to.
-struct Envelope {
-    DaemonId to;
-    PeerMessage message;
-
-    friend bool operator==(const Envelope&, const Envelope&) = default;
-};
-
 /// What a ReplicatedLog wants done, in the order of the fields' elements.
 struct LogOutbox {
     std::vector<Envelope> messages;
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -50,6 +50,8 @@
         void operator()(T& message) const { control.receive(from, LogMessage(message), message.group); }
         void operator()(const ConfigurationQuery& query) const { control.receive(from, query); }
         void operator()(const ConfigurationDelta& delta) const { control.receive(from, delta); }
+        // MembershipRole takes these once it is made of Membership and MinionRegistry.
+        void operator()(const MembershipMessage&) const { }
         void operator()(const BrokerUpdate& update) const { entry.receive(from, update); }
         void operator()(const BrokerDecisions& decisions) const { entry.receive(from, decisions); }
         void operator()(const ForwardedSubmission& forwarded) const { entry.receive(from, forwarded); }
--- a/Source/Model/PeerMessage.h
+++ b/Source/Model/PeerMessage.h
@@ -3,12 +3,13 @@
 #include "Model/BrokerMessages.h"
 #include "Model/ForwardMessages.h"
 #include "Model/LogMessages.h"
+#include "Model/MembershipMessages.h"
 
 #include <variant>
 
 namespace trefoilwing {
 
-/// Every message between daemons. Its encoding is the Wire adapter's business.
+/// Every message between daemons, new ones last: the place is the number on the wire. Its encoding is the Wire adapter's business.
 using PeerMessage = std::variant<
     BrokerUpdate,
     BrokerDecisions,
@@ -24,6 +25,12 @@
     JoinRequest,
     JoinReply,
     ConfigurationQuery,
-    ConfigurationDelta>;
+    ConfigurationDelta,
+    Heartbeat,
+    RosterPart,
+    RosterQuery,
+    MinionVouch,
+    MinionQuery,
+    MinionDelta>;
 
 } // namespace trefoilwing
