Keep a reserve of slots for short tasks

Cause: serving short work first isn't enough, since a slot has to come free first; with quotas reviews of backers below their share even went before. Long work is bounded to the slots beyond what short work uses on average and three times the root of it. Kinds are classed by learned run times, unknown ones as long, and their waiting jobs move when the class changes.

--- a/Source/Dispatch/Broker/Backer.h
+++ b/Source/Dispatch/Broker/Backer.h
@@ -34,6 +34,7 @@
 /// Jobs that wait for the same minions: urgent ones, those of backers within their share, and the rest.
 struct Lane {
     MinionPool* pool = nullptr;
+    bool isLong = false;
     /// Backers with a job that has to go first to end in time.
     boost::intrusive::set<BackerQueue> urgent;
     boost::intrusive::set<BackerQueue> withinShare;
--- a/Source/Dispatch/Broker/BrokerPolicy.h
+++ b/Source/Dispatch/Broker/BrokerPolicy.h
@@ -9,6 +9,7 @@
     std::string jobOrder = "least-work";
     std::string backerOrder = "quota";
     std::string minionChoice = "patient";
+    std::string reserve = "adaptive";
     std::string admission = "deadline";
 };
 
--- a/Source/Dispatch/Broker/MinionChoice.cpp
+++ b/Source/Dispatch/Broker/MinionChoice.cpp
@@ -57,8 +57,12 @@
             }
             if (best >= now)
                 return { minion };
-            return { nullptr, absl::Seconds(now - best) };
+            return { nullptr, absl::Seconds(std::min(now - best, mostPatience * runTime)) };
         }
+
+    private:
+        /// The longest wait for a better slot, as a share of the task's run time.
+        static constexpr double mostPatience = 0.2;
     };
 
 } // namespace
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -28,6 +28,12 @@
     constexpr absl::Duration useAveragingTime = absl::Seconds(10);
     constexpr absl::Duration averagesRefreshPeriod = absl::Milliseconds(100);
 
+    /// Kinds of tasks that run longer than this are long.
+    constexpr absl::Duration longRunTime = absl::Seconds(1);
+    constexpr double classifyMargin = 1.2;
+    /// A kind counts as long until so many of its run times are known.
+    constexpr uint64_t samplesToClassify = 10;
+
     constexpr double meanRunTimeRate = 0.002;
 
     /// So many demands may wait for a better slot than the free ones at a time.
@@ -61,6 +67,9 @@
     strategies.admission = broker::admissions().create(policy.admission);
     if (!strategies.admission)
         return unknownStrategy("admission", policy.admission);
+    strategies.reserve = broker::slotReserves().create(policy.reserve);
+    if (!strategies.reserve)
+        return unknownStrategy("reserve", policy.reserve);
     return std::unique_ptr<QueueingSlotBroker>(new QueueingSlotBroker(std::move(strategies), random));
 }
 
@@ -206,23 +215,13 @@
     job->deadline = demand.deadline;
     job->excluded = demand.excluded;
     job->hasStarted = job->hasStarted || demand.hasStarted;
+    std::vector<WaitingTasks> waiting;
     for (const auto& [id, count] : demand.waiting) {
-        if (count == 0)
-            continue;
-        TaskKind& kind = kindFor(id);
-        Lane& lane = laneFor(kind);
-        auto queued = std::find_if(job->queued.begin(), job->queued.end(), [&](const auto& q) { return q->lane == &lane; });
-        if (queued == job->queued.end()) {
-            queued = job->queued.insert(queued, std::make_unique<QueuedDemand>());
-            (*queued)->job = job.get();
-            (*queued)->lane = &lane;
-            (*queued)->arrival = ++arrivals_;
-        }
-        (*queued)->kinds.push_back({ &kind, count });
-        job->waiting += count;
+        if (count > 0)
+            waiting.push_back({ &kindFor(id), count });
     }
-    for (const auto& queued : job->queued)
-        queue_.insert(*queued);
+    enqueue(*job, waiting);
+    changeWaiting(*job, 1);
     if (job->hasStarted)
         changeStartedWaiting(*job, 1);
     if (job->waiting > 0)
@@ -230,6 +229,24 @@
     dropIfIdle(entry, *job);
 }
 
+void QueueingSlotBroker::enqueue(Job& job, const std::vector<WaitingTasks>& waiting)
+{
+    for (const WaitingTasks& tasks : waiting) {
+        Lane& lane = laneFor(*tasks.kind);
+        auto queued = std::find_if(job.queued.begin(), job.queued.end(), [&](const auto& q) { return q->lane == &lane; });
+        if (queued == job.queued.end()) {
+            queued = job.queued.insert(queued, std::make_unique<QueuedDemand>());
+            (*queued)->job = &job;
+            (*queued)->lane = &lane;
+            (*queued)->arrival = ++arrivals_;
+        }
+        (*queued)->kinds.push_back(tasks);
+        job.waiting += tasks.count;
+    }
+    for (const auto& queued : job.queued)
+        queue_.insert(*queued);
+}
+
 void QueueingSlotBroker::takeReport(Entry& entry, const SlotReport& report, absl::Time now)
 {
     auto held = entry.held.find(report.minion);
@@ -237,6 +254,7 @@
         return;
     if (--held->second == 0)
         entry.held.erase(held);
+    releaseKind(entry, report.kind);
     settleMinion(slots_.minion(report.minion), report, now);
     auto found = entry.jobs.find(report.job);
     if (found == entry.jobs.end() || found->second->granted == 0)
@@ -260,15 +278,63 @@
 
 void QueueingSlotBroker::learn(Minion& minion, const SlotReport& report)
 {
-    broker::RunTimeLearner::learn(kindFor(report.kind), minion, report.runTime, now_);
+    TaskKind& kind = kindFor(report.kind);
+    broker::RunTimeLearner::learn(kind, minion, report.runTime, now_);
     const absl::Duration atAverage = report.runTime / minion.slowness;
+    classify(kind);
     meanRunTime_ += (atAverage - meanRunTime_) * meanRunTimeRate;
     if (std::abs(minion.slowness - minion.rank) > rankTolerance * minion.rank)
         slots_.refile(minion);
 }
 
+void QueueingSlotBroker::releaseKind(Entry& entry, const TaskKindId& id)
+{
+    TaskKind& kind = kindFor(id);
+    auto held = entry.heldByKind.find(&kind);
+    if (held == entry.heldByKind.end())
+        return;
+    if (--held->second == 0)
+        entry.heldByKind.erase(held);
+    --kind.inUse;
+    longInUse_ -= kind.isLong;
+}
+
+void QueueingSlotBroker::classify(TaskKind& kind)
+{
+    const absl::Duration bound = kind.isLong ? longRunTime / classifyMargin : longRunTime * classifyMargin;
+    const bool isLong = kind.samples < samplesToClassify || kind.runTime > bound;
+    if (isLong == kind.isLong)
+        return;
+    kind.isLong = isLong;
+    longInUse_ += isLong ? kind.inUse : -kind.inUse;
+    relane(kind);
+}
+
+void QueueingSlotBroker::relane(TaskKind& kind)
+{
+    for (auto& [run, entry] : entries_) {
+        for (auto& [number, job] : entry.jobs) {
+            std::vector<WaitingTasks> waiting;
+            for (const auto& queued : job->queued)
+                waiting.insert(waiting.end(), queued->kinds.begin(), queued->kinds.end());
+            if (std::none_of(waiting.begin(), waiting.end(), [&](const WaitingTasks& tasks) { return tasks.kind == &kind; }))
+                continue;
+            for (const auto& queued : job->queued)
+                queue_.remove(*queued);
+            job->queued.clear();
+            job->waiting = 0;
+            enqueue(*job, waiting);
+        }
+    }
+}
+
 void QueueingSlotBroker::voidDemands(Entry& entry)
 {
+    for (const auto& [kind, slots] : entry.heldByKind) {
+        kind->inUse -= slots;
+        longInUse_ -= kind->isLong ? slots : 0;
+    }
+    entry.heldByKind.clear();
     for (auto& [number, job] : entry.jobs) {
         clearDemand(*job);
         changeUse(*job->backer, -static_cast<int32_t>(job->granted));
@@ -281,6 +347,7 @@
 {
     if (job.hasStarted)
         changeStartedWaiting(job, -1);
+    changeWaiting(job, -1);
     for (const auto& queued : job.queued)
         queue_.remove(*queued);
     job.queued.clear();
@@ -362,6 +429,14 @@
     dropIfIdle(entry, job);
 }
 
+void QueueingSlotBroker::changeWaiting(const Job& job, int32_t sign)
+{
+    for (const auto& queued : job.queued) {
+        for (const WaitingTasks& tasks : queued->kinds)
+            tasks.kind->waiting += sign * static_cast<int32_t>(tasks.count);
+    }
+}
+
 void QueueingSlotBroker::changeStartedWaiting(const Job& job, int32_t sign)
 {
     for (const auto& queued : job.queued) {
@@ -394,11 +469,16 @@
         timed_.erase(timed_.iterator_to(job));
 }
 
+bool QueueingSlotBroker::mayUseSlots(const Lane& lane) const
+{
+    return !lane.isLong || longInUse_ < longLimit_;
+}
+
 QueuedDemand* QueueingSlotBroker::firstServable()
 {
     QueuedDemand* best = nullptr;
-    for (auto& [pool, lane] : lanes_) {
-        if (pool->free.empty())
+    for (auto& [key, lane] : lanes_) {
+        if (lane.pool->free.empty() || !mayUseSlots(lane))
             continue;
         QueuedDemand* first = broker::DemandQueue::first(lane);
         if (first && (!best || broker::DemandQueue::goesBefore(*first, *best)))
@@ -463,6 +543,10 @@
         time(job, strategies_.admission->urgentAt(job, loadView()));
     }
     --tasks.kind->startedWaiting;
+    --tasks.kind->waiting;
+    ++tasks.kind->inUse;
+    ++entry.heldByKind[tasks.kind];
+    longInUse_ += tasks.kind->isLong;
     ++job.granted;
     --job.waiting;
     if (--tasks.count == 0)
@@ -492,9 +576,14 @@
 
 void QueueingSlotBroker::refreshAverages()
 {
+    longLimit_ = strategies_.reserve->longLimit(slots_.totalSlots());
     if (now_ < averagesRefreshed_ + averagesRefreshPeriod)
         return;
     averagesRefreshed_ = now_;
+    uint32_t shortSlots = 0;
+    for (const auto& [id, kind] : kinds_)
+        shortSlots += kind->isLong ? 0 : kind->inUse + kind->waiting;
+    strategies_.reserve->observe(shortSlots, now_);
     for (auto& [id, backer] : backers_) {
         averageUse(*backer);
         queue_.backerChanged(*backer);
@@ -537,8 +626,9 @@
 
 Lane& QueueingSlotBroker::laneFor(const TaskKind& kind)
 {
-    Lane& lane = lanes_[kind.pool];
+    Lane& lane = lanes_[{ kind.pool, kind.isLong }];
     lane.pool = kind.pool;
+    lane.isLong = kind.isLong;
     return lane;
 }
 
--- a/Source/Dispatch/Broker/QueueingSlotBroker.h
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -5,6 +5,7 @@
 #include "Dispatch/Broker/BrokerPolicy.h"
 #include "Dispatch/Broker/DemandQueue.h"
 #include "Dispatch/Broker/MinionChoice.h"
+#include "Dispatch/Broker/SlotReserve.h"
 #include "Dispatch/Broker/SlotTable.h"
 #include "Dispatch/SlotBroker.h"
 
@@ -41,6 +42,7 @@
         std::unique_ptr<broker::BackerOrder> backerOrder;
         std::unique_ptr<broker::MinionChoice> minionChoice;
         std::unique_ptr<broker::Admission> admission;
+        std::unique_ptr<broker::SlotReserve> reserve;
     };
 
     /// What the broker knows of one run of one entry.
@@ -52,6 +54,7 @@
         /// The sequence of the last decisions of the stream.
         uint64_t decided = 0;
         absl::flat_hash_map<MinionId, uint32_t> held;
+        absl::flat_hash_map<broker::TaskKind*, uint32_t> heldByKind;
         absl::flat_hash_map<JobNumber, broker::JobPtr> jobs;
         EntryDecisions pending;
         bool hasPending = false;
@@ -72,6 +75,12 @@
     void actOnDueJobs(absl::Time now);
     void act(broker::Job&, absl::Time now);
     void reject(broker::Job&, absl::Time now);
+    void enqueue(broker::Job&, const std::vector<broker::WaitingTasks>&);
+    void classify(broker::TaskKind&);
+    void relane(broker::TaskKind&);
+    void releaseKind(Entry&, const TaskKindId&);
+    bool mayUseSlots(const broker::Lane&) const;
+    void changeWaiting(const broker::Job&, int32_t sign);
     void changeStartedWaiting(const broker::Job&, int32_t sign);
     broker::LoadView loadView() const;
     void time(broker::Job&, absl::Time due);
@@ -94,7 +103,8 @@
     Random& random_;
     broker::SlotTable slots_;
     broker::DemandQueue queue_;
-    std::map<broker::MinionPool*, broker::Lane> lanes_;
+    /// The lanes of short and of long tasks, by pool.
+    std::map<std::pair<broker::MinionPool*, bool>, broker::Lane> lanes_;
     absl::flat_hash_map<TaskKindId, std::unique_ptr<broker::TaskKind>> kinds_;
     absl::flat_hash_map<BackerId, std::unique_ptr<broker::Backer>> backers_;
     std::map<DaemonRun, Entry> entries_;
@@ -109,6 +119,9 @@
     /// The mean run time of all tasks at a minion of average speed.
     absl::Duration meanRunTime_ = absl::ZeroDuration();
     uint64_t arrivals_ = 0;
+    /// Slots that long tasks use, and how many they may use.
+    uint32_t longInUse_ = 0;
+    uint32_t longLimit_ = 0;
     /// The time of the latest event.
     absl::Time now_ = absl::InfinitePast();
     absl::Time averagesRefreshed_ = absl::InfinitePast();
--- /dev/null
+++ b/Source/Dispatch/Broker/SlotReserve.cpp
@@ -0,0 +1,59 @@
+#include "Dispatch/Broker/SlotReserve.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoilwing::broker {
+
+namespace {
+
+    /// Long tasks may use all slots.
+    class NoReserve : public SlotReserve {
+    public:
+        void observe(uint32_t, absl::Time) override { }
+        uint32_t longLimit(uint32_t totalSlots) const override { return totalSlots; }
+    };
+
+    /// Keeps the slots that short tasks use on average free of long ones, and a margin for their variation.
+    ///
+    /// The number of slots that short tasks of random arrival would use has the variance of its mean, as
+    /// in Erlang's formula. The average rises fast and falls slowly, so slots are lent for long only.
+    class AdaptiveReserve : public SlotReserve {
+    public:
+        void observe(uint32_t shortSlots, absl::Time now) override
+        {
+            const absl::Duration passed = std::min(now - observedAt_, fallTime);
+            observedAt_ = now;
+            const absl::Duration time = shortSlots > average_ ? riseTime : fallTime;
+            average_ += (shortSlots - average_) * (1 - std::exp(-absl::FDivDuration(passed, time)));
+        }
+
+        uint32_t longLimit(uint32_t totalSlots) const override
+        {
+            const double reserve = average_ < leastAverage ? 0 : average_ + marginFactor * std::sqrt(average_) + leastMargin;
+            return static_cast<uint32_t>(std::max(totalSlots - reserve, totalSlots * leastLongShare));
+        }
+
+    private:
+        static constexpr absl::Duration riseTime = absl::Seconds(2);
+        static constexpr absl::Duration fallTime = absl::Seconds(30);
+        static constexpr double leastAverage = 0.01;
+        static constexpr double marginFactor = 3;
+        static constexpr double leastMargin = 2;
+        static constexpr double leastLongShare = 0.25;
+
+        double average_ = 0;
+        absl::Time observedAt_ = absl::InfinitePast();
+    };
+
+} // namespace
+
+const StrategyRegistry<SlotReserve>& slotReserves()
+{
+    static const StrategyRegistry<SlotReserve> registry = StrategyRegistry<SlotReserve>()
+                                                              .add<AdaptiveReserve>("adaptive")
+                                                              .add<NoReserve>("none");
+    return registry;
+}
+
+} // namespace trefoilwing::broker
--- a/Source/Dispatch/Broker/TaskKind.h
+++ b/Source/Dispatch/Broker/TaskKind.h
@@ -17,6 +17,12 @@
     absl::Duration runTime;
     /// The mean run time at a minion of average speed. The one above is the geometric mean, which one long task moves less.
     absl::Duration meanRunTime;
+    /// Whether its tasks are long, or not known to be short.
+    bool isLong = true;
+    /// Slots granted to its tasks and not yet reported as ended.
+    uint32_t inUse = 0;
+    /// Waiting tasks.
+    uint32_t waiting = 0;
     /// Waiting tasks of the jobs that have started.
     uint32_t startedWaiting = 0;
     /// How many run times have been learned.
--- a/Tests/Bench/DispatchBench.cpp
+++ b/Tests/Bench/DispatchBench.cpp
@@ -36,10 +36,11 @@
 
 const std::vector<NamedPolicy>& policies()
 {
-    static const BrokerPolicy baseline { "fifo", "equal", "random", "all" };
-    static const BrokerPolicy fastest { "least-work", "equal", "fastest", "all" };
+    static const BrokerPolicy baseline { "fifo", "equal", "random", "none", "all" };
+    static const BrokerPolicy fastest { "least-work", "equal", "fastest", "none", "all" };
     static const BrokerPolicy patient = with(fastest, &BrokerPolicy::minionChoice, "patient");
     static const BrokerPolicy quota = with(patient, &BrokerPolicy::backerOrder, "quota");
+    static const BrokerPolicy deadline = with(quota, &BrokerPolicy::admission, "deadline");
     static const std::vector<NamedPolicy> all {
         { "default", {} },
         { "baseline", baseline },
@@ -52,8 +53,9 @@
         { "quota", quota },
         { "average-quota", with(patient, &BrokerPolicy::backerOrder, "average-quota") },
         { "deadline", with(patient, &BrokerPolicy::admission, "deadline") },
-        { "deadline-quota", with(quota, &BrokerPolicy::admission, "deadline") },
+        { "deadline-quota", deadline },
         { "deadline-average-quota", with(with(patient, &BrokerPolicy::admission, "deadline"), &BrokerPolicy::backerOrder, "average-quota") },
+        { "reserve", with(deadline, &BrokerPolicy::reserve, "adaptive") },
         { "baseline-own-slots", baseline, Sharing::OwnSlots },
         { "baseline-unshared", baseline, Sharing::Unshared },
     };
