Add trefoilctl with check, publish, status, drain and members, and the example deployments

Commands stand in one table and speak to daemons through OperatorLink, so that the tests put fakes in its place. A publish sends the same change to one daemon after the other until one decides; the digest makes that safe. The examples hold the settings and declarations of both deployments, and a test checks them.

--- a/Source/Adapters/Yaml/DeclarationLoader.cpp
+++ b/Source/Adapters/Yaml/DeclarationLoader.cpp
@@ -6,7 +6,6 @@
 #include <absl/strings/str_join.h>
 
 #include <algorithm>
-#include <filesystem>
 #include <map>
 
 namespace trefoilwing {
@@ -68,25 +67,6 @@
             faults.add(document["objective"], "objective.within", "the objective allows more time than the default deadline", "make it no longer than default_deadline");
     }
 
-    std::vector<std::string> yamlFilesIn(const std::string& folder, YamlFaults& faults)
-    {
-        std::error_code failure;
-        std::vector<std::string> files;
-        std::filesystem::directory_iterator entries(folder, failure);
-        if (failure) {
-            faults.add(1, "", absl::StrCat("the folder can't be read (", failure.message(), ")"), "check its name and its permissions");
-            return files;
-        }
-        for (const std::filesystem::directory_entry& entry : entries) {
-            if (entry.path().extension() == ".yaml")
-                files.push_back(entry.path().string());
-        }
-        if (files.empty())
-            faults.add(1, "", "the folder holds no *.yaml file", "name the folder of the declarations");
-        std::sort(files.begin(), files.end());
-        return files;
-    }
-
 } // namespace
 
 Result<ServiceDeclaration> loadDeclaration(const std::string& path)
@@ -112,13 +92,8 @@
     return declaration;
 }
 
-Result<std::vector<ServiceDeclaration>> loadDeclarations(const std::string& folder)
+Result<std::vector<ServiceDeclaration>> loadDeclarationFiles(const std::vector<std::string>& files)
 {
-    YamlFaults folderFaults(folder);
-    const std::vector<std::string> files = yamlFilesIn(folder, folderFaults);
-    if (!folderFaults.empty())
-        return folderFaults.error();
-
     std::vector<ServiceDeclaration> declarations;
     std::vector<std::string> messages;
     std::map<ServiceId, std::string> filesOfServices;
@@ -139,4 +114,34 @@
     return declarations;
 }
 
+Result<std::vector<ServiceDeclaration>> loadDeclarations(const std::string& folder)
+{
+    const Result<std::vector<std::string>> files = yamlFilesIn(folder, false);
+    if (const Error* error = errorOf(files))
+        return *error;
+    return loadDeclarationFiles(*valueOf(files));
+}
+
+Result<Done> checkHomes(const std::string& path, const std::set<DataCentreId>& dataCentres)
+{
+    YamlFaults faults(path);
+    const std::optional<std::string> text = readYamlFile(path, faults);
+    const std::optional<YAML::Node> document = text ? parseYaml(*text, faults) : std::nullopt;
+    if (!document)
+        return faults.error();
+    std::vector<std::string> names;
+    names.reserve(dataCentres.size());
+    for (const DataCentreId& dataCentre : dataCentres)
+        names.push_back(dataCentre.value());
+    const YAML::Node backers = (*document)["backers"];
+    for (size_t i = 0; i < backers.size(); ++i) {
+        const YAML::Node home = backers[i]["home"];
+        if (dataCentres.count(DataCentreId(home.Scalar())) == 0)
+            faults.add(home, absl::StrCat("backers[", i, "].home"), absl::StrCat("'", home.Scalar(), "' is no data centre of the settings"), suggestName(home.Scalar(), names));
+    }
+    if (!faults.empty())
+        return faults.error();
+    return Done {};
+}
+
 } // namespace trefoilwing
--- a/Source/Adapters/Yaml/DeclarationLoader.h
+++ b/Source/Adapters/Yaml/DeclarationLoader.h
@@ -3,6 +3,7 @@
 #include "Base/Error.h"
 #include "Model/Declaration.h"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,4 +21,11 @@
 /// @return the declarations, or an error that holds the faults of all files; a service that two files declare is one.
 Result<std::vector<ServiceDeclaration>> loadDeclarations(const std::string& folder);
 
+/// Does the same for the files given.
+Result<std::vector<ServiceDeclaration>> loadDeclarationFiles(const std::vector<std::string>& files);
+
+/// Checks the homes in a file that loadDeclaration() accepts.
+/// @param dataCentres those that the daemons' settings name.
+Result<Done> checkHomes(const std::string& path, const std::set<DataCentreId>& dataCentres);
+
 } // namespace trefoilwing
--- a/Source/Adapters/Yaml/YamlDocument.cpp
+++ b/Source/Adapters/Yaml/YamlDocument.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <filesystem>
@@ -59,4 +60,41 @@
     return std::nullopt;
 }
 
+Result<std::vector<std::string>> yamlFilesIn(const std::string& folder, bool isRecursive)
+{
+    YamlFaults faults(folder);
+    std::vector<std::string> files;
+    const auto collect = [&files](auto entries, std::error_code& failure) {
+        for (; !failure && entries != decltype(entries)(); entries.increment(failure)) {
+            if (entries->path().extension() == ".yaml")
+                files.push_back(entries->path().string());
+        }
+    };
+    std::error_code failure;
+    if (isRecursive)
+        collect(std::filesystem::recursive_directory_iterator(folder, failure), failure);
+    else
+        collect(std::filesystem::directory_iterator(folder, failure), failure);
+    if (failure)
+        faults.add(1, "", absl::StrCat("the folder can't be read (", failure.message(), ")"), "check its name and its permissions");
+    else if (files.empty())
+        faults.add(1, "", "the folder holds no *.yaml file", "name another folder");
+    if (!faults.empty())
+        return faults.error();
+    std::sort(files.begin(), files.end());
+    return files;
+}
+
+YamlFileKind kindOfYamlFile(const std::string& path)
+{
+    YamlFaults faults(path);
+    const std::optional<std::string> text = readYamlFile(path, faults);
+    const std::optional<YAML::Node> document = text ? parseYaml(*text, faults) : std::nullopt;
+    if (!document || !document->IsMap())
+        return YamlFileKind::Unknown;
+    if ((*document)["service"])
+        return YamlFileKind::Declaration;
+    return (*document)["daemon"] || (*document)["peers"] ? YamlFileKind::Settings : YamlFileKind::Unknown;
+}
+
 } // namespace trefoilwing
--- /dev/null
+++ b/Source/Ctl/CheckCommand.cpp
@@ -0,0 +1,117 @@
+#include "Ctl/CheckCommand.h"
+
+#include "Adapters/Yaml/DeclarationLoader.h"
+#include "Adapters/Yaml/SettingsLoader.h"
+#include "Adapters/Yaml/YamlDocument.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <map>
+#include <set>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// The files of one deployment and what is wrong with them.
+    class Deployment {
+    public:
+        void addFile(const std::string& path)
+        {
+            if (kindOfYamlFile(path) == YamlFileKind::Settings)
+                addSettings(path);
+            else
+                declarationFiles_.push_back(path);
+        }
+
+        void fail(const std::string& message) { messages_.push_back(message); }
+
+        /// @return every fault, a message for each file.
+        const std::vector<std::string>& check()
+        {
+            const Result<std::vector<ServiceDeclaration>> declarations = loadDeclarationFiles(declarationFiles_);
+            if (const Error* error = errorOf(declarations))
+                fail(error->message);
+            else
+                checkAllHomes();
+            return messages_;
+        }
+
+        size_t settingsCount() const { return settings_.size(); }
+        size_t declarationCount() const { return declarationFiles_.size(); }
+
+    private:
+        void addSettings(const std::string& path)
+        {
+            Result<DaemonSettings> loaded = loadSettings(path);
+            if (const Error* error = errorOf(loaded)) {
+                fail(error->message);
+                return;
+            }
+            const DaemonSettings& settings = *valueOf(loaded);
+            const auto same = std::find_if(settings_.begin(), settings_.end(), [&](const auto& other) { return other.second.daemon == settings.daemon; });
+            if (same != settings_.end())
+                fail(absl::StrCat(path, ":1: daemon: '", settings.daemon.value(), "' has settings already in ", same->first, "; keep one of the two or rename one"));
+            if (!settings_.empty() && settings_.begin()->second.peers != settings.peers)
+                fail(absl::StrCat(path, ":1: peers: they differ from those in ", settings_.begin()->first, "; list the same daemons in every file"));
+            settings_.emplace(path, settings);
+        }
+
+        void checkAllHomes()
+        {
+            std::set<DataCentreId> dataCentres;
+            for (const auto& [path, settings] : settings_) {
+                for (const PeerSettings& peer : settings.peers)
+                    dataCentres.insert(peer.dataCentre);
+            }
+            if (dataCentres.empty())
+                return;
+            for (const std::string& path : declarationFiles_) {
+                const Result<Done> checked = checkHomes(path, dataCentres);
+                if (const Error* error = errorOf(checked))
+                    fail(error->message);
+            }
+        }
+
+        std::map<std::string, DaemonSettings> settings_;
+        std::vector<std::string> declarationFiles_;
+        std::vector<std::string> messages_;
+    };
+
+    void addPath(Deployment& deployment, const std::string& path)
+    {
+        std::error_code ignored;
+        if (!std::filesystem::is_directory(path, ignored)) {
+            deployment.addFile(path);
+            return;
+        }
+        const Result<std::vector<std::string>> files = yamlFilesIn(path, true);
+        if (const Error* error = errorOf(files)) {
+            deployment.fail(error->message);
+            return;
+        }
+        for (const std::string& file : *valueOf(files))
+            deployment.addFile(file);
+    }
+
+} // namespace
+
+ExitCode CheckCommand::run(const CommandLine& line, Console& console)
+{
+    if (line.arguments().empty())
+        return reportUsage(console, "no file or folder is named");
+    Deployment deployment;
+    for (const std::string& path : line.arguments())
+        addPath(deployment, path);
+    const std::vector<std::string>& messages = deployment.check();
+    for (const std::string& message : messages)
+        console.err << message << "\n";
+    if (!messages.empty())
+        return ExitCode::Failed;
+    console.out << "no faults in " << deployment.settingsCount() << " settings and " << deployment.declarationCount() << " declarations\n";
+    return ExitCode::Ok;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Ctl/StatusCommand.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "Ctl/CtlCommand.h"
+#include "Ctl/OperatorLink.h"
+
+namespace trefoilwing {
+
+/// Shows the daemons, versions in force, groups, minions and queues at a glance.
+class StatusCommand : public CtlCommand {
+public:
+    explicit StatusCommand(OperatorLinkFactory);
+
+    std::string name() const override { return "status"; }
+    std::string arguments() const override { return ""; }
+    std::string summary() const override { return "Shows daemons, versions in force, keepers, minions and queues."; }
+    std::vector<Option> options() const override;
+    ExitCode run(const CommandLine&, Console&) override;
+
+private:
+    OperatorLinkFactory factory_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Ctl/TextTable.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Rows of text in aligned columns.
+class TextTable {
+public:
+    explicit TextTable(std::vector<std::string> headings);
+
+    void add(std::vector<std::string> cells);
+
+    friend std::ostream& operator<<(std::ostream&, const TextTable&);
+
+private:
+    std::vector<std::vector<std::string>> rows_;
+};
+
+} // namespace trefoilwing
