--- /dev/null
+++ b/Tests/Bench/BrokerBenchmark.cpp
@@ -0,0 +1,148 @@
+// Measures what a task start and a cancellation cost the broker as its queue and its minions grow.
+
+#include "Dispatch/Broker/QueueingSlotBroker.h"
+#include "Support/SeededRandom.h"
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+#include <string>
+
+namespace {
+
+using namespace trefoilwing;
+
+constexpr uint32_t backers = 480;
+constexpr uint32_t slotsOfMinion = 8;
+constexpr uint32_t tasksOfJob = 20;
+constexpr uint32_t entries = 3;
+
+/// A broker whose slots are all taken and whose queue holds a number of tasks.
+class LoadedBroker {
+public:
+    LoadedBroker(uint32_t queuedTasks, uint32_t minions)
+        : random_(1)
+        , broker_(std::move(std::get<0>(QueueingSlotBroker::create({}, random_))))
+        , sequences_(entries)
+    {
+        declare();
+        for (uint32_t minion = 0; minion < minions; ++minion)
+            announce(minion);
+        const uint32_t jobs = (queuedTasks + minions * slotsOfMinion) / tasksOfJob;
+        for (uint32_t job = 0; job < jobs; ++job)
+            submit();
+        takeGrants();
+    }
+
+    void submit()
+    {
+        const uint64_t job = ++jobs_;
+        Demand demand { JobNumber(job), BackerId("backer" + std::to_string(random_.below(backers))), now_, now_ + absl::Hours(1),
+            { { TaskKindId("kind" + std::to_string(job % 4)), tasksOfJob } }, {} };
+        update(job % entries, { std::move(demand) }, {});
+        live_.push_back(job);
+    }
+
+    void cancelOldest()
+    {
+        const uint64_t job = live_.front();
+        live_.pop_front();
+        update(job % entries, { { JobNumber(job), BackerId(), now_, now_, {}, {} } }, {});
+    }
+
+    /// Ends one task, so that another one starts.
+    void endTask()
+    {
+        now_ += absl::Microseconds(50);
+        const Running ended = running_.front();
+        running_.pop_front();
+        update(ended.entry, {}, { { ended.grant.job, ended.grant.minion, ended.grant.kind, SlotEnding::Succeeded, absl::Milliseconds(100 + random_.below(400)) } });
+        starts_ += takeGrants();
+        if (starts_ >= tasksOfJob) {
+            starts_ -= tasksOfJob;
+            submit();
+        }
+    }
+
+private:
+    struct Running {
+        uint32_t entry;
+        Grant grant;
+    };
+
+    void declare()
+    {
+        ServiceDeclaration declaration;
+        for (uint32_t i = 0; i < backers; ++i)
+            declaration.backers.push_back({ BackerId("backer" + std::to_string(i)), 1, {} });
+        broker_->declare(declaration);
+    }
+
+    void announce(uint32_t minion)
+    {
+        MinionAnnouncement announcement;
+        announcement.minion = MinionId("minion" + std::to_string(minion));
+        announcement.slots = SlotCount(slotsOfMinion);
+        broker_->minionAnnounced(announcement, now_);
+    }
+
+    void update(uint32_t entry, std::vector<Demand> demands, std::vector<SlotReport> reports)
+    {
+        BrokerUpdate update;
+        update.entry = { DaemonId("entry" + std::to_string(entry)), Incarnation(1) };
+        update.stream = 1;
+        update.sequence = ++sequences_[entry];
+        update.demands = std::move(demands);
+        update.reports = std::move(reports);
+        broker_->entryUpdated(update, now_);
+    }
+
+    uint32_t takeGrants()
+    {
+        uint32_t starts = 0;
+        for (const EntryDecisions& decisions : broker_->decide(now_)) {
+            for (const Grant& grant : decisions.grants) {
+                for (uint32_t slot = 0; slot < grant.slots.value(); ++slot)
+                    running_.push_back({ static_cast<uint32_t>(grant.job.value() % entries), grant });
+                starts += grant.slots.value();
+            }
+        }
+        return starts;
+    }
+
+    SeededRandom random_;
+    std::unique_ptr<QueueingSlotBroker> broker_;
+    absl::Time now_ = absl::FromUnixSeconds(1000000000);
+    std::vector<uint64_t> sequences_;
+    std::deque<Running> running_;
+    std::deque<uint64_t> live_;
+    uint64_t jobs_ = 0;
+    uint32_t starts_ = 0;
+};
+
+void taskStart(benchmark::State& state)
+{
+    LoadedBroker loaded(static_cast<uint32_t>(state.range(0)), static_cast<uint32_t>(state.range(1)));
+    for (auto _ : state)
+        loaded.endTask();
+    state.SetItemsProcessed(state.iterations());
+}
+
+void cancellation(benchmark::State& state)
+{
+    LoadedBroker loaded(static_cast<uint32_t>(state.range(0)), 17);
+    for (auto _ : state) {
+        state.PauseTiming();
+        loaded.submit();
+        state.ResumeTiming();
+        loaded.cancelOldest();
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+
+BENCHMARK(taskStart)->ArgNames({ "queued", "minions" })->Args({ 1000, 17 })->Args({ 10000, 17 })->Args({ 100000, 17 })->Args({ 100000, 170 })->Args({ 100000, 660 });
+BENCHMARK(cancellation)->ArgName("queued")->Arg(1000)->Arg(10000)->Arg(100000)->Iterations(20000);
+
+} // namespace
+
+BENCHMARK_MAIN();
