Eject minions that fail far more than the others, and reject impossible work

Cause: a minion that fails everything at once is always free, so it attracts work. Faults are failed, unable and unreachable; refusals for load or leaving are none, and failures of one job in a row count once. A minion is judged against the others, at most a quarter is ejected, and one task at a time probes it. Jobs whose needs no known minion offers are rejected with that reason.

--- a/Source/Dispatch/Broker/BrokerPolicy.h
+++ b/Source/Dispatch/Broker/BrokerPolicy.h
@@ -11,6 +11,7 @@
     std::string minionChoice = "patient";
     std::string reserve = "adaptive";
     std::string admission = "deadline";
+    std::string ejection = "faults";
 };
 
 } // namespace trefoilwing
--- a/Source/Dispatch/Broker/Minion.h
+++ b/Source/Dispatch/Broker/Minion.h
@@ -12,6 +12,27 @@
 
 struct MinionPool;
 
+/// Whether a minion gets work, as far as its faults go.
+enum class HealthState {
+    Serving,
+    /// Gets nothing until it is probed.
+    Ejected,
+    /// Gets one task at a time.
+    Probing,
+};
+
+/// What is known of a minion's faults.
+struct MinionHealth {
+    HealthState state = HealthState::Serving;
+    /// The moving average of faults among the ends of its slots.
+    double faultShare = 0;
+    uint32_t samples = 0;
+    JobNumber lastFailedJob;
+    uint32_t goodProbes = 0;
+    absl::Duration backoff;
+    absl::Time probedAt = absl::InfiniteFuture();
+};
+
 /// One minion's slots as the broker counts them.
 struct Minion {
     MinionId id;
@@ -36,16 +57,20 @@
     double slowness = 1;
     /// How many run times its slowness has been learned from.
     uint64_t samples = 0;
-    /// Where it stands among the free minions of its pools: the slowness of its last filing.
+    /// Where it stands among the free minions of its pools, and the slowness that gave it this place.
     double rank = 1;
+    double rankedSlowness = 1;
     bool isFiledAsFree = false;
+    MinionHealth health;
 
     /// @return how many slots may be granted now.
     uint32_t freeSlots() const
     {
-        if (!isPresent || state != MinionState::Serving)
+        if (!isPresent || state != MinionState::Serving || health.state == HealthState::Ejected)
             return 0;
         const uint32_t used = granted + unaccounted;
+        if (health.state == HealthState::Probing)
+            return used == 0 && slots > 0 ? 1 : 0;
         return used >= slots ? 0 : slots - used;
     }
 };
@@ -63,6 +88,8 @@
     Resources needs;
     /// All present minions that meet the needs.
     std::vector<Minion*> members;
+    /// Since when it has had no member.
+    absl::Time emptySince = absl::InfinitePast();
     /// Those with free slots, the fastest first.
     std::vector<Minion*> free;
     /// What the minions up to a slowness can do, the fastest first.
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -42,6 +42,9 @@
     /// A minion keeps its place among the free ones while its slowness changes by less than this share.
     constexpr double rankTolerance = 0.02;
 
+    /// So long a kind's needs must have been offered by no minion before its jobs are rejected as impossible.
+    constexpr absl::Duration impossibleGrace = absl::Seconds(5);
+
     /// The run time taken for a kind that isn't declared.
     constexpr absl::Duration undeclaredRunTime = absl::Milliseconds(500);
 
@@ -67,6 +70,9 @@
     strategies.admission = broker::admissions().create(policy.admission);
     if (!strategies.admission)
         return unknownStrategy("admission", policy.admission);
+    strategies.ejection = broker::ejections().create(policy.ejection);
+    if (!strategies.ejection)
+        return unknownStrategy("ejection", policy.ejection);
     strategies.reserve = broker::slotReserves().create(policy.reserve);
     if (!strategies.reserve)
         return unknownStrategy("reserve", policy.reserve);
@@ -96,7 +102,7 @@
         TaskKind& kind = kindFor(declared.kind);
         if (kind.samples == 0)
             kind.runTime = kind.meanRunTime = declared.expectedRunTime;
-        kind.pool = &slots_.poolFor(declared.needs);
+        kind.pool = &slots_.poolFor(declared.needs, now_);
     }
     updateShares();
     isDue_ = true;
@@ -104,14 +110,16 @@
 
 void QueueingSlotBroker::minionAnnounced(const MinionAnnouncement& announcement, absl::Time now)
 {
+    now_ = now;
     slots_.announce(announcement, now);
     updateShares();
     isDue_ = true;
 }
 
-void QueueingSlotBroker::minionGone(const MinionId& id, absl::Time)
+void QueueingSlotBroker::minionGone(const MinionId& id, absl::Time now)
 {
-    slots_.expire(id);
+    now_ = now;
+    slots_.remove(id, now);
     updateShares();
 }
 
@@ -255,7 +263,9 @@
     if (--held->second == 0)
         entry.held.erase(held);
     releaseKind(entry, report.kind);
-    settleMinion(slots_.minion(report.minion), report, now);
+    Minion& minion = slots_.minion(report.minion);
+    (this->*endingHandlers[static_cast<size_t>(report.ending)])(minion, report);
+    strategies_.ejection->record(slots_, minion, report, now);
     auto found = entry.jobs.find(report.job);
     if (found == entry.jobs.end() || found->second->granted == 0)
         return;
@@ -266,14 +276,36 @@
     dropIfIdle(entry, *job);
 }
 
-void QueueingSlotBroker::settleMinion(Minion& minion, const SlotReport& report, absl::Time now)
+const QueueingSlotBroker::EndingHandler QueueingSlotBroker::endingHandlers[] = {
+    &QueueingSlotBroker::onSucceeded,
+    &QueueingSlotBroker::onSlotFree,
+    &QueueingSlotBroker::onRefusedBusy,
+    &QueueingSlotBroker::onRefusedLeaving,
+    &QueueingSlotBroker::onSlotFree,
+    &QueueingSlotBroker::onSlotFree,
+    &QueueingSlotBroker::onSlotFree,
+};
+
+void QueueingSlotBroker::onSucceeded(Minion& minion, const SlotReport& report)
+{
+    slots_.release(minion, 1);
+    learn(minion, report);
+}
+
+void QueueingSlotBroker::onRefusedBusy(Minion& minion, const SlotReport&)
 {
-    if (report.ending == SlotEnding::RefusedBusy)
-        slots_.markBusy(minion, now + busyTime);
-    else
-        slots_.release(minion, 1);
-    if (report.ending == SlotEnding::Succeeded)
-        learn(minion, report);
+    slots_.markBusy(minion, now_ + busyTime);
+}
+
+void QueueingSlotBroker::onRefusedLeaving(Minion& minion, const SlotReport&)
+{
+    slots_.release(minion, 1);
+    slots_.markLeaving(minion);
+}
+
+void QueueingSlotBroker::onSlotFree(Minion& minion, const SlotReport&)
+{
+    slots_.release(minion, 1);
 }
 
 void QueueingSlotBroker::learn(Minion& minion, const SlotReport& report)
@@ -283,7 +315,7 @@
     const absl::Duration atAverage = report.runTime / minion.slowness;
     classify(kind);
     meanRunTime_ += (atAverage - meanRunTime_) * meanRunTimeRate;
-    if (std::abs(minion.slowness - minion.rank) > rankTolerance * minion.rank)
+    if (std::abs(minion.slowness - minion.rankedSlowness) > rankTolerance * minion.rankedSlowness)
         slots_.refile(minion);
 }
 
@@ -367,9 +399,10 @@
     isDue_ = false;
     now_ = now;
     refreshAverages();
-    slots_.expireUnaccounted(now);
+    slots_.expire(now);
     slots_.refreshSteps(now);
     actOnDueJobs(now);
+    rejectImpossible(now);
     patienceEnds_ = absl::InfiniteFuture();
     while (QueuedDemand* demand = firstServable())
         grantFirst(*demand, now);
@@ -394,7 +427,7 @@
     if (isDue_)
         return absl::InfinitePast();
     const absl::Time giveUp = timed_.empty() ? absl::InfiniteFuture() : timed_.begin()->dueAt;
-    return std::min({ giveUp, slots_.nextExpiry(), patienceEnds_ });
+    return std::min({ giveUp, slots_.nextExpiry(), patienceEnds_, impossibleAt_ });
 }
 
 void QueueingSlotBroker::actOnDueJobs(absl::Time now)
@@ -413,7 +446,7 @@
         return;
     }
     if (!job.hasStarted) {
-        reject(job, now);
+        reject(job, strategies_.admission->rejection(job, now));
         return;
     }
     untime(job);
@@ -421,14 +454,47 @@
     queue_.reorder(job);
 }
 
-void QueueingSlotBroker::reject(Job& job, absl::Time now)
+void QueueingSlotBroker::reject(Job& job, Error error)
 {
     Entry& entry = entries_.at(job.ref.entry);
-    pendingOf(entry).rejections.push_back({ job.ref.job, strategies_.admission->rejection(job, now) });
+    pendingOf(entry).rejections.push_back({ job.ref.job, std::move(error) });
     clearDemand(job);
     dropIfIdle(entry, job);
 }
 
+void QueueingSlotBroker::rejectImpossible(absl::Time now)
+{
+    impossibleAt_ = absl::InfiniteFuture();
+    for (auto& [key, lane] : lanes_) {
+        if (!lane.pool->members.empty() || slots_.totalSlots() == 0)
+            continue;
+        if (lane.pool->emptySince == absl::InfinitePast())
+            lane.pool->emptySince = now;
+        const absl::Time due = lane.pool->emptySince + impossibleGrace;
+        if (now < due) {
+            impossibleAt_ = broker::DemandQueue::first(lane) ? std::min(impossibleAt_, due) : impossibleAt_;
+            continue;
+        }
+        // Jobs that have started can't be rejected; they stay for their entry to end.
+        std::vector<Job*> impossible;
+        for (auto* group : { &lane.urgent, &lane.withinShare, &lane.beyondShare }) {
+            for (const broker::BackerQueue& queue : *group) {
+                for (const QueuedDemand& demand : queue.demands) {
+                    if (!demand.job->hasStarted)
+                        impossible.push_back(demand.job);
+                }
+            }
+        }
+        for (Job* job : impossible)
+            reject(*job, { ErrorCode::Impossible, "no known minion offers what a task of the job needs", Verdict::NotRun });
+    }
+}
+
+bool QueueingSlotBroker::isComplete(const Job& job)
+{
+    return std::none_of(job.queued.begin(), job.queued.end(), [](const auto& demand) { return demand->lane->pool->members.empty(); });
+}
+
 void QueueingSlotBroker::changeWaiting(const Job& job, int32_t sign)
 {
     for (const auto& queued : job.queued) {
@@ -490,10 +556,14 @@
 void QueueingSlotBroker::grantFirst(QueuedDemand& demand, absl::Time now)
 {
     Job& job = *demand.job;
-    if (!job.hasStarted && !strategies_.admission->mayStart(job, loadView())) {
+    if (!job.hasStarted && !isComplete(job)) {
         passOver(demand);
         return;
     }
+    if (!job.hasStarted && !strategies_.admission->mayStart(job, loadView())) {
+        reject(job, strategies_.admission->rejection(job, now));
+        return;
+    }
     const broker::Choice choice = chooseFor(demand, now);
     if (!choice.minion) {
         passOver(demand);
@@ -608,7 +678,7 @@
         kind = std::make_unique<TaskKind>();
         kind->id = id;
         kind->runTime = kind->meanRunTime = undeclaredRunTime;
-        kind->pool = &slots_.poolFor({});
+        kind->pool = &slots_.poolFor({}, now_);
     }
     return *kind;
 }
--- a/Source/Dispatch/Broker/QueueingSlotBroker.h
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -4,6 +4,7 @@
 #include "Dispatch/Broker/Admission.h"
 #include "Dispatch/Broker/BrokerPolicy.h"
 #include "Dispatch/Broker/DemandQueue.h"
+#include "Dispatch/Broker/Ejection.h"
 #include "Dispatch/Broker/MinionChoice.h"
 #include "Dispatch/Broker/SlotReserve.h"
 #include "Dispatch/Broker/SlotTable.h"
@@ -43,6 +44,7 @@
         std::unique_ptr<broker::MinionChoice> minionChoice;
         std::unique_ptr<broker::Admission> admission;
         std::unique_ptr<broker::SlotReserve> reserve;
+        std::unique_ptr<broker::Ejection> ejection;
     };
 
     /// What the broker knows of one run of one entry.
@@ -67,14 +69,23 @@
     void takeWholeState(Entry&, const BrokerUpdate&);
     void takeDemand(Entry&, const Demand&);
     void takeReport(Entry&, const SlotReport&, absl::Time now);
-    void settleMinion(broker::Minion&, const SlotReport&, absl::Time now);
+    using EndingHandler = void (QueueingSlotBroker::*)(broker::Minion&, const SlotReport&);
+    /// Indexed by SlotEnding.
+    static const EndingHandler endingHandlers[];
+
+    void onSucceeded(broker::Minion&, const SlotReport&);
+    void onRefusedBusy(broker::Minion&, const SlotReport&);
+    void onRefusedLeaving(broker::Minion&, const SlotReport&);
+    void onSlotFree(broker::Minion&, const SlotReport&);
     void learn(broker::Minion&, const SlotReport&);
     void voidDemands(Entry&);
     void clearDemand(broker::Job&);
     void dropIfIdle(Entry&, broker::Job&);
     void actOnDueJobs(absl::Time now);
     void act(broker::Job&, absl::Time now);
-    void reject(broker::Job&, absl::Time now);
+    void reject(broker::Job&, Error);
+    void rejectImpossible(absl::Time now);
+    static bool isComplete(const broker::Job&);
     void enqueue(broker::Job&, const std::vector<broker::WaitingTasks>&);
     void classify(broker::TaskKind&);
     void relane(broker::TaskKind&);
@@ -125,6 +136,8 @@
     /// The time of the latest event.
     absl::Time now_ = absl::InfinitePast();
     absl::Time averagesRefreshed_ = absl::InfinitePast();
+    /// When jobs that no minion can serve are next rejected.
+    absl::Time impossibleAt_ = absl::InfiniteFuture();
     bool isDue_ = false;
 };
 
--- a/Source/Dispatch/Broker/SlotTable.cpp
+++ b/Source/Dispatch/Broker/SlotTable.cpp
@@ -9,6 +9,10 @@
 
     constexpr absl::Duration stepsRefreshPeriod = absl::Milliseconds(100);
 
+    /// A minion with a larger share of faults ranks as if it were slower by so many times, since not all such are ejected.
+    constexpr double leastFaultyShare = 0.5;
+    constexpr double faultPenalty = 20;
+
     /// So many speed steps describe a pool well enough.
     constexpr size_t mostSteps = 16;
 
@@ -19,12 +23,13 @@
 
 } // namespace
 
-MinionPool& SlotTable::poolFor(const Resources& needs)
+MinionPool& SlotTable::poolFor(const Resources& needs, absl::Time now)
 {
     std::unique_ptr<MinionPool>& pool = pools_[needs];
     if (!pool) {
         pool = std::make_unique<MinionPool>();
         pool->needs = needs;
+        pool->emptySince = now;
         for (auto& [id, minion] : minions_) {
             if (!minion->isPresent || !meets(minion->resources, needs))
                 continue;
@@ -47,11 +52,13 @@
     unfile(known);
     const bool isFirst = !known.isPresent;
     if (isFirst || known.resources != announcement.resources) {
-        leavePools(known);
+        leavePools(known, now);
         known.resources = announcement.resources;
         known.isPresent = true;
         joinPools(known);
     }
+    if (isNewIncarnation)
+        known.health = {};
     known.incarnation = announcement.incarnation;
     known.announcementSequence = announcement.sequence;
     known.state = announcement.state;
@@ -75,13 +82,13 @@
     minion.unaccounted = std::min(minion.unaccounted, others);
 }
 
-void SlotTable::expire(const MinionId& id)
+void SlotTable::remove(const MinionId& id, absl::Time now)
 {
     Minion* known = find(id);
     if (!known || !known->isPresent)
         return;
     unfile(*known);
-    leavePools(*known);
+    leavePools(*known, now);
     known->isPresent = false;
     known->unaccounted = 0;
     totalSlots_ -= known->slots;
@@ -152,21 +159,51 @@
     disown(minion, 1, until);
 }
 
-void SlotTable::expireUnaccounted(absl::Time now)
+void SlotTable::markLeaving(Minion& minion)
+{
+    unfile(minion);
+    minion.state = MinionState::Leaving;
+    file(minion);
+}
+
+void SlotTable::changeHealth(Minion& minion, HealthState state, absl::Time probedAt)
+{
+    unfile(minion);
+    minion.health.state = state;
+    minion.health.probedAt = probedAt;
+    nextExpiry_ = std::min(nextExpiry_, probedAt);
+    file(minion);
+}
+
+SlotTable::HealthSummary SlotTable::summarizeHealth() const
+{
+    HealthSummary summary;
+    for (const auto& [id, minion] : minions_) {
+        if (!minion->isPresent)
+            continue;
+        ++summary.minions;
+        summary.ejected += minion->health.state != HealthState::Serving;
+        summary.faultShares += minion->health.faultShare;
+    }
+    return summary;
+}
+
+void SlotTable::expire(absl::Time now)
 {
     if (now < nextExpiry_)
         return;
     nextExpiry_ = absl::InfiniteFuture();
     for (auto& [id, minion] : minions_) {
-        if (minion->unaccounted == 0)
-            continue;
-        if (minion->unaccountedUntil <= now) {
+        if (minion->unaccounted > 0 && minion->unaccountedUntil <= now) {
             unfile(*minion);
             minion->unaccounted = 0;
             file(*minion);
-        } else {
-            nextExpiry_ = std::min(nextExpiry_, minion->unaccountedUntil);
         }
+        if (minion->health.probedAt <= now)
+            changeHealth(*minion, HealthState::Probing, absl::InfiniteFuture());
+        if (minion->unaccounted > 0)
+            nextExpiry_ = std::min(nextExpiry_, minion->unaccountedUntil);
+        nextExpiry_ = std::min(nextExpiry_, minion->health.probedAt);
     }
 }
 
@@ -179,7 +216,7 @@
         refreshSteps(*pool);
     capacity_ = 0;
     for (const auto& [id, minion] : minions_) {
-        if (minion->isPresent && minion->state == MinionState::Serving)
+        if (minion->isPresent && minion->state == MinionState::Serving && minion->health.state == HealthState::Serving)
             capacity_ += minion->slots / minion->slowness;
     }
 }
@@ -188,7 +225,7 @@
 {
     std::vector<const Minion*> serving;
     for (const Minion* minion : pool.members) {
-        if (minion->state == MinionState::Serving)
+        if (minion->state == MinionState::Serving && minion->health.state == HealthState::Serving)
             serving.push_back(minion);
     }
     std::sort(serving.begin(), serving.end(), [](const Minion* a, const Minion* b) { return a->slowness < b->slowness; });
@@ -214,7 +251,10 @@
     if (free == 0)
         return;
     freeSlots_ += free;
-    minion.rank = minion.slowness;
+    // Probes keep their place, or they would never be tried while other minions are free.
+    const bool isFaulty = minion.health.state == HealthState::Serving && minion.health.faultShare > leastFaultyShare;
+    minion.rank = isFaulty ? minion.slowness * faultPenalty : minion.slowness;
+    minion.rankedSlowness = minion.slowness;
     minion.isFiledAsFree = true;
     for (MinionPool* pool : minion.pools)
         pool->free.insert(std::lower_bound(pool->free.begin(), pool->free.end(), &minion, ranksBefore), &minion);
@@ -240,10 +280,13 @@
     }
 }
 
-void SlotTable::leavePools(Minion& minion)
+void SlotTable::leavePools(Minion& minion, absl::Time now)
 {
-    for (MinionPool* pool : minion.pools)
+    for (MinionPool* pool : minion.pools) {
         std::erase(pool->members, &minion);
+        if (pool->members.empty())
+            pool->emptySince = now;
+    }
     minion.pools.clear();
 }
 
--- a/Source/Dispatch/Broker/SlotTable.h
+++ b/Source/Dispatch/Broker/SlotTable.h
@@ -13,13 +13,13 @@
 class SlotTable {
 public:
     /// @return the pool of the minions that meet the needs; it lives as long as the table.
-    MinionPool& poolFor(const Resources& needs);
+    MinionPool& poolFor(const Resources& needs, absl::Time now);
 
     /// Takes an announcement; one that is older than what is known changes nothing.
     void announce(const MinionAnnouncement&, absl::Time now);
 
     /// Takes the end of a minion's lease.
-    void expire(const MinionId&);
+    void remove(const MinionId&, absl::Time now);
 
     /// @return the minion, made known without slots if it hasn't announced itself.
     Minion& minion(const MinionId&);
@@ -42,10 +42,26 @@
     /// Counts a slot as in use that was thought to be free.
     void markBusy(Minion&, absl::Time until);
 
-    /// Frees the slots whose time to be accounted for has passed.
-    void expireUnaccounted(absl::Time now);
+    /// Takes that a minion takes nothing new, until it announces otherwise.
+    void markLeaving(Minion&);
 
-    /// @return the earliest time at which expireUnaccounted() frees a slot.
+    /// Changes whether a minion gets work.
+    /// @param probedAt when an ejected one is probed.
+    void changeHealth(Minion&, HealthState, absl::Time probedAt);
+
+    /// What all present minions' health comes to.
+    struct HealthSummary {
+        uint32_t minions = 0;
+        uint32_t ejected = 0;
+        double faultShares = 0;
+    };
+
+    HealthSummary summarizeHealth() const;
+
+    /// Frees the slots whose time to be accounted for has passed, and probes the ejected minions that are due.
+    void expire(absl::Time now);
+
+    /// @return the earliest time at which expire() changes something.
     absl::Time nextExpiry() const { return nextExpiry_; }
 
     /// Files a minion anew after a change of what decides on its place among the free ones.
@@ -68,7 +84,7 @@
     void unfile(Minion&);
     static void refreshSteps(MinionPool&);
     void joinPools(Minion&);
-    void leavePools(Minion&);
+    static void leavePools(Minion&, absl::Time now);
     static bool meets(const Resources& offered, const Resources& needs);
     void addUnaccounted(Minion&, uint32_t slots, absl::Time until);
     static void reconcile(Minion&, uint32_t busySlots);
--- a/Tests/Bench/BenchWorkload.h
+++ b/Tests/Bench/BenchWorkload.h
@@ -51,6 +51,8 @@
     uint32_t entries = 3;
     std::vector<KindMix> kinds;
     std::vector<LoadSpan> spans;
+    /// Whether the fastest minion fails every task at once.
+    bool isFastestFailing = false;
 
     double capacity() const;
 };
--- a/Tests/Bench/DataCentreRun.cpp
+++ b/Tests/Bench/DataCentreRun.cpp
@@ -8,6 +8,7 @@
 
     constexpr absl::Duration messageDelay = absl::Microseconds(250);
     constexpr absl::Duration announcementPeriod = absl::Seconds(1);
+    constexpr double failureSeconds = 0.001;
     constexpr absl::Duration samplePeriod = absl::Milliseconds(50);
 
 } // namespace
@@ -132,12 +133,15 @@
         ++result_.starts;
         --waitingTasks_;
         const size_t job = jobIndex(start.task.submission);
-        const double runTime = jobs_[job].sizes[start.task.index.value()] / minion.speed;
+        const bool isFailing = scenario_.isFastestFailing && minion.index + 1 == minions_.size();
+        const double runTime = isFailing ? failureSeconds : jobs_[job].sizes[start.task.index.value()] / minion.speed;
+        const TaskStatus status = isFailing ? TaskStatus::Failed : TaskStatus::Succeeded;
+        result_.failedTasks += isFailing;
         const double begin = absl::ToDoubleSeconds(now_ - epoch_);
         if (result_.jobs[job].wait < 0)
             result_.jobs[job].wait = begin - jobs_[job].arrival;
         result_.executions.push_back({ static_cast<uint32_t>(job), begin, begin + runTime, minion.speed });
-        after(absl::Seconds(runTime), [this, entry, &minion, start, runTime] { finish(entry, minion, start, absl::Seconds(runTime)); });
+        after(absl::Seconds(runTime), [this, entry, &minion, start, runTime, status] { finish(entry, minion, start, absl::Seconds(runTime), status); });
     }
     after(messageDelay, [this, entry, id = minion.id, answers = std::move(answers)] {
         entries_[entry].dispatcher->startsAnswered(id, answers, now_);
@@ -145,11 +149,11 @@
     });
 }
 
-void DataCentreRun::finish(size_t entry, FakeMinion& minion, const TaskStart& start, absl::Duration runTime)
+void DataCentreRun::finish(size_t entry, FakeMinion& minion, const TaskStart& start, absl::Duration runTime, TaskStatus status)
 {
     --minion.busy;
-    after(messageDelay, [this, entry, id = minion.id, start, runTime] {
-        entries_[entry].dispatcher->resultsPosted(id, { { start.attempt, start.task, TaskStatus::Succeeded, {}, runTime } }, now_);
+    after(messageDelay, [this, entry, id = minion.id, start, runTime, status] {
+        entries_[entry].dispatcher->resultsPosted(id, { { start.attempt, start.task, status, {}, runTime } }, now_);
         flush(entry);
     });
 }
--- a/Tests/Bench/DataCentreRun.h
+++ b/Tests/Bench/DataCentreRun.h
@@ -36,6 +36,7 @@
     std::vector<JobEnd> jobs;
     uint64_t starts = 0;
     uint64_t wasted = 0;
+    uint64_t failedTasks = 0;
     /// Tasks waiting for a slot, each 50 ms.
     std::vector<uint32_t> waiting;
     /// Each task that ran: its job, when it began and ended, and the work done.
@@ -93,7 +94,7 @@
     void flush(size_t entry);
     void send(size_t entry, const MinionId&, const std::vector<TaskStart>&);
     void startAt(size_t entry, FakeMinion&, const std::vector<TaskStart>&);
-    void finish(size_t entry, FakeMinion&, const TaskStart&, absl::Duration runTime);
+    void finish(size_t entry, FakeMinion&, const TaskStart&, absl::Duration runTime, TaskStatus);
     void decided(const DecidedJob&);
     void brokerActs(size_t broker);
     void announce(FakeMinion&);
--- a/Tests/Bench/DispatchBench.cpp
+++ b/Tests/Bench/DispatchBench.cpp
@@ -36,8 +36,8 @@
 
 const std::vector<NamedPolicy>& policies()
 {
-    static const BrokerPolicy baseline { "fifo", "equal", "random", "none", "all" };
-    static const BrokerPolicy fastest { "least-work", "equal", "fastest", "none", "all" };
+    static const BrokerPolicy baseline { "fifo", "equal", "random", "none", "all", "none" };
+    static const BrokerPolicy fastest { "least-work", "equal", "fastest", "none", "all", "none" };
     static const BrokerPolicy patient = with(fastest, &BrokerPolicy::minionChoice, "patient");
     static const BrokerPolicy quota = with(patient, &BrokerPolicy::backerOrder, "quota");
     static const BrokerPolicy deadline = with(quota, &BrokerPolicy::admission, "deadline");
@@ -56,6 +56,7 @@
         { "deadline-quota", deadline },
         { "deadline-average-quota", with(with(patient, &BrokerPolicy::admission, "deadline"), &BrokerPolicy::backerOrder, "average-quota") },
         { "reserve", with(deadline, &BrokerPolicy::reserve, "adaptive") },
+        { "no-ejection", with({}, &BrokerPolicy::ejection, "none") },
         { "baseline-own-slots", baseline, Sharing::OwnSlots },
         { "baseline-unshared", baseline, Sharing::Unshared },
     };
@@ -147,18 +148,36 @@
         quantile(match, 0.5), quantile(match, 0.99), reviewWork / static_cast<double>(seeds));
 }
 
+void printFaults(const NamedPolicy& named, uint64_t seeds)
+{
+    double failedTasks = 0;
+    double failedJobs = 0;
+    for (uint64_t seed = 1; seed <= seeds; ++seed) {
+        Scenario scenario = addis(0.7, loadSeconds);
+        scenario.isFastestFailing = true;
+        const Trial trial(scenario, seed);
+        const RunResult run = trial.run(named);
+        failedTasks += static_cast<double>(run.failedTasks) / static_cast<double>(run.starts);
+        const auto failed = std::count_if(run.jobs.begin(), run.jobs.end(), [](const JobEnd& job) { return !job.isComplete; });
+        failedJobs += static_cast<double>(failed) / static_cast<double>(run.jobs.size());
+    }
+    const auto n = static_cast<double>(seeds);
+    std::printf("| %s | %.4f | %.4f |\n", named.name, failedTasks / n, failedJobs / n);
+}
+
 struct Table {
     const char* name;
     const char* header;
     void (*print)(const NamedPolicy&, uint64_t);
 };
 
-constexpr std::array<Table, 3> tables { {
+constexpr std::array<Table, 4> tables { {
     { "response", "| policy | load | mean | median | p99 | largest p99 | wasted a task |\n|---|---|---|---|---|---|---|", printResponses },
     { "crest", "| policy | in deadline of admitted | rejected | useful work | all work | worst backer, mean | worst backer, least | recovery s |\n|---|---|---|---|---|---|---|---|",
         printCrest },
     { "short", "| policy | credit p50 ms | credit p99 ms | match p50 ms | match p99 ms | review work |\n|---|---|---|---|---|---|",
         printShortBehindLong },
+    { "faults", "| policy | tasks failed | jobs failed |\n|---|---|---|", printFaults },
 } };
 
 } // namespace
