--- a/Tests/Dispatch/Broker/EjectionTest.cpp
+++ b/Tests/Dispatch/Broker/EjectionTest.cpp
@@ -25,7 +25,7 @@
         f.grants();
         if (f.byMinion.empty())
             return {};
-        const std::string minion = f.byMinion.begin()->first;
+        std::string minion = f.byMinion.begin()->first;
         f.update(a, {}, { BrokerFixture::report(jobs, minion, minion == "bad" ? endingOfBad : endingOfOthers) });
         return minion;
     }
