Count grants on their way when an entry's demand replaces the earlier one

Cause: a demand that crosses a grant counts its tasks as waiting, so they were granted twice and one grant came back. The update's confirmed sequence says which grants the entry had seen. Ruled out: demands as totals since the job's begin, which an entry would have to keep through a broker's rebuild.

--- a/Source/Dispatch/Broker/Job.h
+++ b/Source/Dispatch/Broker/Job.h
@@ -43,6 +43,13 @@
     }
 };
 
+/// Slots granted by one message of decisions to an entry.
+struct SentGrant {
+    uint64_t sequence = 0;
+    TaskKind* kind = nullptr;
+    uint32_t slots = 0;
+};
+
 /// One job's demand and the slots granted to it.
 ///
 /// It lives while it waits or holds slots; its entry's list and the count of references keep it.
@@ -53,6 +60,8 @@
     absl::Time deadline;
     std::vector<MinionId> excluded;
     std::vector<std::unique_ptr<QueuedDemand>> queued;
+    /// Grants that the entry may not have received yet, the earliest first.
+    std::vector<SentGrant> sent;
     /// Tasks that wait for a slot.
     uint32_t waiting = 0;
     /// Slots granted and not yet reported as ended.
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -132,6 +132,7 @@
     if (update.sequence == 1)
         takeWholeState(*entry, update);
     entry->sequence = update.sequence;
+    entry->received = update.received;
     for (const SlotReport& report : update.reports)
         takeReport(*entry, report, now);
     for (const Demand& demand : update.demands)
@@ -225,8 +226,9 @@
     job->hasStarted = job->hasStarted || demand.hasStarted;
     std::vector<WaitingTasks> waiting;
     for (const auto& [id, count] : demand.waiting) {
-        if (count > 0)
-            waiting.push_back({ &kindFor(id), count });
+        TaskKind& kind = kindFor(id);
+        if (const uint32_t tasks = waitingTasks(entry, *job, kind, count))
+            waiting.push_back({ &kind, tasks });
     }
     enqueue(*job, waiting);
     changeWaiting(*job, 1);
@@ -237,6 +239,27 @@
     dropIfIdle(entry, *job);
 }
 
+uint32_t QueueingSlotBroker::waitingTasks(const Entry& entry, const Job& job, const TaskKind& kind, uint32_t asked)
+{
+    // The entry counts tasks as waiting whose grants were on their way when it sent its demand.
+    for (const broker::SentGrant& grant : job.sent) {
+        if (grant.sequence > entry.received && grant.kind == &kind)
+            asked -= std::min(asked, grant.slots);
+    }
+    return asked;
+}
+
+void QueueingSlotBroker::noteSent(const Entry& entry, Job& job, TaskKind& kind)
+{
+    const uint64_t sequence = entry.decided + 1;
+    if (!job.sent.empty() && job.sent.back().sequence == sequence && job.sent.back().kind == &kind) {
+        ++job.sent.back().slots;
+        return;
+    }
+    std::erase_if(job.sent, [&](const broker::SentGrant& grant) { return grant.sequence <= entry.received; });
+    job.sent.push_back({ sequence, &kind, 1 });
+}
+
 void QueueingSlotBroker::enqueue(Job& job, const std::vector<WaitingTasks>& waiting)
 {
     for (const WaitingTasks& tasks : waiting) {
@@ -616,6 +639,7 @@
     --tasks.kind->waiting;
     ++tasks.kind->inUse;
     ++entry.heldByKind[tasks.kind];
+    noteSent(entry, job, *tasks.kind);
     longInUse_ += tasks.kind->isLong;
     ++job.granted;
     --job.waiting;
--- a/Source/Dispatch/Broker/QueueingSlotBroker.h
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.h
@@ -55,6 +55,8 @@
         uint64_t sequence = 0;
         /// The sequence of the last decisions of the stream.
         uint64_t decided = 0;
+        /// The sequence of the last decisions that the entry had received.
+        uint64_t received = 0;
         absl::flat_hash_map<MinionId, uint32_t> held;
         absl::flat_hash_map<broker::TaskKind*, uint32_t> heldByKind;
         absl::flat_hash_map<JobNumber, broker::JobPtr> jobs;
@@ -86,6 +88,8 @@
     void reject(broker::Job&, Error);
     void rejectImpossible(absl::Time now);
     static bool isComplete(const broker::Job&);
+    static uint32_t waitingTasks(const Entry&, const broker::Job&, const broker::TaskKind&, uint32_t asked);
+    static void noteSent(const Entry&, broker::Job&, broker::TaskKind&);
     void enqueue(broker::Job&, const std::vector<broker::WaitingTasks>&);
     void classify(broker::TaskKind&);
     void relane(broker::TaskKind&);
--- a/Tests/Bench/BrokerBenchmark.cpp
+++ b/Tests/Bench/BrokerBenchmark.cpp
@@ -24,6 +24,7 @@
         : random_(1)
         , broker_(std::move(std::get<0>(QueueingSlotBroker::create({}, random_))))
         , sequences_(entries)
+        , received_(entries)
     {
         declare();
         for (uint32_t minion = 0; minion < minions; ++minion)
@@ -92,6 +93,7 @@
         update.entry = { DaemonId("entry" + std::to_string(entry)), Incarnation(1) };
         update.stream = 1;
         update.sequence = ++sequences_[entry];
+        update.received = received_[entry];
         update.demands = std::move(demands);
         update.reports = std::move(reports);
         broker_->entryUpdated(update, now_);
@@ -101,6 +103,7 @@
     {
         uint32_t starts = 0;
         for (const EntryDecisions& decisions : broker_->decide(now_)) {
+            received_[std::stoul(decisions.entry.daemon.value().substr(5))] = decisions.sequence;
             for (const Grant& grant : decisions.grants) {
                 for (uint32_t slot = 0; slot < grant.slots.value(); ++slot)
                     running_.push_back({ static_cast<uint32_t>(grant.job.value() % entries), grant });
@@ -114,6 +117,7 @@
     std::unique_ptr<QueueingSlotBroker> broker_;
     absl::Time now_ = absl::FromUnixSeconds(1000000000);
     std::vector<uint64_t> sequences_;
+    std::vector<uint64_t> received_;
     std::deque<Running> running_;
     std::deque<uint64_t> live_;
     uint64_t jobs_ = 0;
--- a/Tests/Bench/DataCentreRun.cpp
+++ b/Tests/Bench/DataCentreRun.cpp
@@ -98,6 +98,7 @@
         update.entry = entry.run;
         update.stream = 1;
         update.sequence = ++entry.sequence;
+        update.received = entry.received;
         update.demands = std::move(effects.demands);
         update.reports = std::move(effects.reports);
         after(hopToBroker(index), [this, broker = entry.broker, update = std::move(update)] {
@@ -179,6 +180,7 @@
             if (entries_[i].run != decisions.entry)
                 continue;
             after(hopToBroker(i), [this, i, decisions] {
+                entries_[i].received = decisions.sequence;
                 for (const Grant& grant : decisions.grants)
                     entries_[i].dispatcher->applyGrant(grant, now_);
                 for (const Rejection& rejection : decisions.rejections)
--- a/Tests/Bench/DataCentreRun.h
+++ b/Tests/Bench/DataCentreRun.h
@@ -78,6 +78,7 @@
         DaemonRun run;
         std::unique_ptr<ServiceDispatcher> dispatcher;
         uint64_t sequence = 0;
+        uint64_t received = 0;
         absl::Time wakeup = absl::InfiniteFuture();
         size_t broker = 0;
     };
--- a/Tests/Dispatch/Broker/BrokerFixture.h
+++ b/Tests/Dispatch/Broker/BrokerFixture.h
@@ -50,6 +50,7 @@
         update.entry = entry;
         update.stream = streams;
         update.sequence = ++sequences[entry];
+        update.received = received[entry];
         update.demands = std::move(demands);
         update.reports = std::move(reports);
         broker->entryUpdated(update, now);
@@ -59,6 +60,7 @@
     void wholeState(const DaemonRun& entry, uint64_t stream, std::vector<Demand> demands, std::map<MinionId, uint32_t> held)
     {
         sequences[entry] = 1;
+        received[entry] = 0;
         streams = stream;
         broker->entryUpdated({ ServiceId("s"), entry, stream, 1, std::move(demands), {}, std::move(held) }, now);
     }
@@ -85,6 +87,7 @@
         std::map<uint64_t, uint32_t> slots;
         last = broker->decide(now);
         for (const EntryDecisions& decisions : last) {
+            received[decisions.entry] = decisions.sequence;
             for (const Grant& grant : decisions.grants) {
                 slots[grant.job.value()] += grant.slots.value();
                 byMinion[grant.minion.value()] += grant.slots.value();
@@ -97,6 +100,7 @@
     uint64_t announcements = 0;
     uint64_t streams = 1;
     std::map<DaemonRun, uint64_t> sequences;
+    std::map<DaemonRun, uint64_t> received;
     std::map<std::string, uint32_t> byMinion;
     std::vector<EntryDecisions> last;
     SeededRandom random;
--- a/Tests/Dispatch/Broker/DemandTest.cpp
+++ b/Tests/Dispatch/Broker/DemandTest.cpp
@@ -18,6 +18,16 @@
     LONGS_EQUAL(2, f.grants()[1]);
 }
 
+TEST(Demand, GrantsOnTheirWayAreNotGrantedAgain)
+{
+    f.announce("m", 8);
+    f.update(a, { f.demand(1, 3) });
+    LONGS_EQUAL(3, f.grants()[1]);
+    f.received[a] = 0;
+    f.update(a, { f.demand(1, 4) });
+    LONGS_EQUAL(1, f.grants()[1]);
+}
+
 TEST(Demand, ExcludedMinionsAreNotGranted)
 {
     f.announce("m", 8);
