Report the burn of service levels, and drive load at entries

trefoilctl report merges what all daemons have measured and shows, per service and backer, the error budget burnt, burn rates over 5 min, 1 h and 6 h with two-window alerts, response over ideal, wasted messages, the crest and short tasks' wait, as text and as one page with SVG plots.

--- a/Source/Ctl/Commands.cpp
+++ b/Source/Ctl/Commands.cpp
@@ -3,8 +3,10 @@
 #include "Adapters/Yaml/YamlSuggestion.h"
 #include "Ctl/CheckCommand.h"
 #include "Ctl/DrainCommand.h"
+#include "Ctl/LoadCommand.h"
 #include "Ctl/MembersCommand.h"
 #include "Ctl/PublishCommand.h"
+#include "Ctl/ReportCommand.h"
 #include "Ctl/StatusCommand.h"
 #include "Ctl/TextTable.h"
 
@@ -12,13 +14,15 @@
 
 namespace trefoilwing {
 
-Commands::Commands(const OperatorLinkFactory& factory)
+Commands::Commands(const OperatorLinkFactory& factory, const CallerLinkFactory& callerFactory)
 {
     commands_.push_back(std::make_unique<CheckCommand>());
     commands_.push_back(std::make_unique<PublishCommand>(factory));
     commands_.push_back(std::make_unique<StatusCommand>(factory));
     commands_.push_back(std::make_unique<DrainCommand>(factory));
     commands_.push_back(std::make_unique<MembersCommand>(factory));
+    commands_.push_back(std::make_unique<ReportCommand>(factory));
+    commands_.push_back(std::make_unique<LoadCommand>(factory, callerFactory));
 }
 
 CtlCommand* Commands::find(const std::string& name) const
--- a/Source/Ctl/Commands.h
+++ b/Source/Ctl/Commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Ctl/CallerLink.h"
 #include "Ctl/CtlCommand.h"
 #include "Ctl/OperatorLink.h"
 
@@ -12,8 +13,8 @@
 /// All commands of trefoilctl, by name.
 class Commands {
 public:
-    /// @param factory makes the links that the commands speak through.
-    explicit Commands(const OperatorLinkFactory& factory);
+    /// The factories make the links that the commands speak through.
+    Commands(const OperatorLinkFactory&, const CallerLinkFactory&);
 
     /// Runs the command that the first word names, or shows the help.
     ExitCode run(const std::vector<std::string>& words, Console&) const;
--- /dev/null
+++ b/Source/Ctl/HttpCallerLink.cpp
@@ -0,0 +1,98 @@
+#include "Ctl/HttpCallerLink.h"
+
+#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Http/OperatorCodec.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    using nlohmann::json;
+
+    /// Longer than an entry holds a long poll back.
+    constexpr HttpTimeouts timeouts { absl::Seconds(1), absl::Seconds(150) };
+    constexpr int pollMs = 20000;
+
+    constexpr int okStatus = 200;
+    constexpr int acceptedStatus = 202;
+
+    Result<HttpAnswer> answerOf(const PostOutcome& outcome)
+    {
+        if (std::holds_alternative<NotConnected>(outcome))
+            return Error { ErrorCode::Unavailable, "no connection", Verdict::NotRun };
+        const auto* answer = std::get_if<HttpAnswer>(&outcome);
+        if (!answer)
+            return Error { ErrorCode::Lost, "no answer", Verdict::MayHaveRun };
+        if (answer->status != okStatus && answer->status != acceptedStatus)
+            return decodeError(answer->status, answer->body);
+        return *answer;
+    }
+
+    /// What the body of a submission's state says; nothing while it runs.
+    std::optional<Result<size_t>> outcomeOf(const std::string& body)
+    {
+        const Result<json> document = parseJson(body);
+        if (const Error* error = errorOf(document))
+            return Result<size_t>(*error);
+        const std::string status = valueOf(document)->value("status", "");
+        if (status == "running")
+            return std::nullopt;
+        if (status == "complete")
+            return Result<size_t>(valueOf(document)->value("outputs", json::array()).size());
+        return Result<size_t>(decodeError(okStatus, body));
+    }
+
+} // namespace
+
+HttpCallerLink::HttpCallerLink(const Endpoint& endpoint)
+    : connection_(endpoint, timeouts)
+{
+}
+
+Result<size_t> HttpCallerLink::send(const LoadItem& item)
+{
+    return item.isJob ? sendJob(item) : sendRequest(item);
+}
+
+Result<size_t> HttpCallerLink::sendRequest(const LoadItem& item)
+{
+    const json body = {
+        { "service", item.service },
+        { "backer", item.backer },
+        { "kind", item.kind },
+        { "payload", item.payloads.front() },
+        { "idempotent", item.isIdempotent },
+        { "timeout_ms", absl::ToInt64Milliseconds(item.deadline) },
+    };
+    const Result<HttpAnswer> answer = answerOf(connection_.post("/v1/requests", jsonText(body)));
+    if (const Error* error = errorOf(answer))
+        return *error;
+    return size_t { 1 };
+}
+
+Result<size_t> HttpCallerLink::sendJob(const LoadItem& item)
+{
+    json tasks = json::array();
+    for (const std::string& payload : item.payloads)
+        tasks.push_back({ { "kind", item.kind }, { "payload", payload } });
+    const json body = {
+        { "service", item.service },
+        { "backer", item.backer },
+        { "id", item.key },
+        { "timeout_ms", absl::ToInt64Milliseconds(item.deadline) },
+        { "tasks", std::move(tasks) },
+    };
+    const std::string poll = absl::StrCat("/v1/submissions/", item.service.value(), "/", item.backer.value(), "/", item.key.value(), "?wait_ms=", pollMs);
+    Result<HttpAnswer> answer = answerOf(connection_.post("/v1/submissions", jsonText(body)));
+    while (true) {
+        if (const Error* error = errorOf(answer))
+            return *error;
+        if (const std::optional<Result<size_t>> outcome = outcomeOf(valueOf(answer)->body))
+            return *outcome;
+        answer = answerOf(connection_.get(poll));
+    }
+}
+
+} // namespace trefoilwing
--- a/Tests/Ctl/CommandsTest.cpp
+++ b/Tests/Ctl/CommandsTest.cpp
@@ -30,7 +30,7 @@
     void runExpecting(ExitCode expected, const std::vector<std::string>& words)
     {
         Console console { out, err };
-        const ExitCode code = Commands(linksTo(daemons)).run(words, console);
+        const ExitCode code = Commands(linksTo(daemons), nullptr).run(words, console);
         if (code != expected)
             FAIL((std::to_string(static_cast<int>(code)) + ": " + out.str() + err.str()).c_str());
     }
@@ -61,7 +61,7 @@
 
 TEST(Commands, ShowsHelpOfEachCommand)
 {
-    for (const char* name : { "check", "publish", "status", "drain", "members" }) {
+    for (const char* name : { "check", "publish", "status", "drain", "members", "report", "load" }) {
         runExpecting(ExitCode::Ok, { name, "--help" });
         checkHolds(out, std::string("usage: trefoilctl ") + name);
     }
