--- /dev/null
+++ b/Tests/Control/LogRulesTest.cpp
@@ -0,0 +1,114 @@
+#include "Control/ReplicatedLog.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+// Rules of the log that only rare orders of events show, each by the messages of one member.
+
+namespace {
+
+class FixedRandom final : public Random {
+public:
+    uint64_t below(uint64_t) override { return 0; }
+    double unit() override { return 0; }
+};
+
+const GroupId group("ledger/dc");
+const Epoch epoch(7);
+
+Member voter(const char* daemon)
+{
+    return { { DaemonId(daemon), Incarnation(1) }, true, true, false };
+}
+
+} // namespace
+
+TEST_GROUP(LogRules)
+{
+    FixedRandom random;
+    absl::Time now = absl::FromUnixSeconds(1000);
+    std::unique_ptr<ReplicatedLog> log;
+
+    /// Makes the leader of term 3 among a, b and c, which holds an entry of term 2.
+    void setup() override
+    {
+        LogSettings settings;
+        settings.group = group;
+        settings.self = voter("a");
+        settings.daemons = { DaemonId("a"), DaemonId("b"), DaemonId("c") };
+        JournalContent content;
+        content.hardState = { epoch, Term(2), std::nullopt };
+        content.entries = { { LogIndex(1), Term(1), FoundingRecord { epoch, now, {}, { voter("a"), voter("b"), voter("c") } } },
+            { LogIndex(2), Term(2), NoOperation {} } };
+        log = std::make_unique<ReplicatedLog>(settings, content, random, now);
+        now = log->nextWakeup() + absl::Seconds(1);
+        log->tick(now);
+        log->receive(VoteReply { headerFrom("b", Term(2)), true, Term(3), true }, now);
+        syncAll();
+        log->receive(VoteReply { headerFrom("b", Term(3)), false, Term(3), true }, now);
+        CHECK(log->role() == LogRole::Leader);
+    }
+
+    LogHeader headerFrom(const char* daemon, Term term)
+    {
+        return { group, epoch, voter(daemon).id, log->self().id, term };
+    }
+
+    LogOutbox syncAll()
+    {
+        LogOutbox outbox = log->takeOutbox();
+        for (const JournalBatch& batch : outbox.batches)
+            log->synced(batch.token, now);
+        return outbox;
+    }
+
+    void acceptedBy(const char* daemon, uint64_t lastIndex)
+    {
+        log->receive(AppendReply { headerFrom(daemon, Term(3)), true, LogIndex(lastIndex), 1, std::nullopt }, now);
+    }
+
+    void askToJoin(const char* daemon)
+    {
+        Member member = voter(daemon);
+        member.isVoter = false;
+        log->receive(JoinRequest { group, member }, now);
+    }
+};
+
+TEST(LogRules, AnEntryOfAnEarlierTermCommitsOnlyUnderOneOfThisTerm)
+{
+    syncAll();
+    acceptedBy("b", 2);
+    CHECK(log->commitIndex() == LogIndex(0));
+    acceptedBy("b", 3);
+    CHECK(log->commitIndex() == LogIndex(3));
+}
+
+TEST(LogRules, MembersChangeOneAtATimeAndNotBeforeTheTermsFirstEntryIsCommitted)
+{
+    syncAll();
+    askToJoin("d");
+    CHECK_EQUAL(3, log->members().size());
+    acceptedBy("b", 3);
+    CHECK_EQUAL(4, log->members().size());
+    askToJoin("e");
+    CHECK_EQUAL(4, log->members().size());
+    syncAll();
+    acceptedBy("b", 4);
+    CHECK_EQUAL(5, log->members().size());
+}
+
+TEST(LogRules, AVoteIsAnsweredOnlyOnceItIsSynced)
+{
+    now += absl::Minutes(1);
+    log->tick(now);
+    syncAll();
+    LogHeader header = headerFrom("c", Term(9));
+    log->receive(VoteRequest { header, false, LogIndex(100), Term(9) }, now);
+    LogOutbox outbox = log->takeOutbox();
+    CHECK_EQUAL(0, outbox.messages.size());
+    CHECK(outbox.batches.back().hardState->votedFor == header.from);
+    log->synced(outbox.batches.back().token, now);
+    CHECK(std::get<VoteReply>(log->takeOutbox().messages.front().message).isGranted);
+}
