Test membership and minions' leases under faults

A fake network with loss, duplicates, reordering, cuts, freezes, kills and restarts, and minions that announce themselves through a balancer, drive the real decision objects.

--- /dev/null
+++ b/Tests/Control/EntryCluster.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "Control/Membership.h"
+#include "Control/MinionRegistry.h"
+#include "Support/SeededRandom.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Entries of several data centres over a fake network, with minions that announce themselves.
+///
+/// Time goes in steps. Each minion announces itself once a second to an entry chosen at random, as
+/// through the platform's balancer.
+class EntryCluster {
+public:
+    struct Options {
+        size_t dataCentres = 1;
+        size_t entriesEach = 3;
+        uint64_t seed = 1;
+        absl::Duration step = absl::Milliseconds(50);
+    };
+
+    /// What the network does to each message.
+    struct Faults {
+        uint32_t lossPercent = 0;
+        uint32_t duplicatePercent = 0;
+        absl::Duration maxDelay;
+    };
+
+    /// A minion as it is, whatever the entries know.
+    struct Minion {
+        MinionAnnouncement announcement;
+        bool isUp = true;
+        absl::Time nextAnnouncement;
+    };
+
+    struct Entry {
+        DaemonSettings settings;
+        Incarnation incarnation;
+        std::unique_ptr<Membership> membership;
+        std::unique_ptr<MinionRegistry> registry;
+        bool isFrozen = false;
+        /// What came while it was frozen.
+        std::vector<std::function<void()>> held;
+        std::vector<MembershipEvent> events;
+        /// What the events told of each minion.
+        std::map<MinionId, MinionAnnouncement> told;
+        /// Runs of minions that this run of the entry has known as leaving.
+        std::set<std::pair<MinionId, Incarnation>> left;
+
+        bool isUp() const { return membership != nullptr; }
+        bool isRunning() const { return isUp() && !isFrozen; }
+    };
+
+    using SendListener = std::function<void(size_t from, size_t to, const PeerMessage&)>;
+
+    explicit EntryCluster(Options);
+
+    void run(absl::Duration);
+    absl::Time now() const { return now_; }
+
+    size_t size() const { return entries_.size(); }
+    Entry& entry(size_t index) { return entries_[index % entries_.size()]; }
+    /// Called for every message that an entry sends.
+    void setSendListener(SendListener listener) { listener_ = std::move(listener); }
+
+    void kill(size_t entry);
+    void restart(size_t entry);
+    void freeze(size_t entry);
+    void resume(size_t entry);
+    void drain(size_t entry);
+    /// Says that it leaves, and ends.
+    void leave(size_t entry);
+
+    /// Cuts an entry off from the others, but not from its minions.
+    void isolate(size_t entry) { isolated_.insert(entry % size()); }
+    void heal();
+    void setFaults(Faults faults) { faults_ = faults; }
+
+    /// Adds a serving minion of a data centre.
+    size_t addMinion(size_t dataCentre = 0);
+    Minion& minion(size_t index) { return minions_[index % minions_.size()]; }
+    size_t minionCount() const { return minions_.size(); }
+    void stopMinion(size_t index) { minion(index).isUp = false; }
+    void restartMinion(size_t index);
+    void leaveMinion(size_t index);
+    /// Changes what a minion offers.
+    void resizeMinion(size_t index, uint32_t slots);
+    /// Delivers a minion's announcement to an entry.
+    void announce(const MinionAnnouncement&, size_t entry);
+
+    /// @return what is wrong with what has been told so far; empty if nothing.
+    const std::string& violation() const { return violation_; }
+
+    /// @return in what an entry differs from the truth, or from the first entry that is up; empty if in nothing.
+    std::string disagreement(size_t dataCentre = 0);
+
+    static const ServiceId& service();
+
+private:
+    struct Flight {
+        size_t from;
+        size_t to;
+        PeerMessage message;
+    };
+
+    void start(size_t entry);
+    void deliver(const Flight&);
+    void flush(size_t entry);
+    void take(Entry&, const MembershipEvent&);
+    void take(Entry&, const MinionEvent&);
+    void send(size_t from, const Envelope&);
+    void launch(const Flight&);
+    void announceDue();
+    std::optional<size_t> balance(const DataCentreId&);
+    bool isCut(size_t a, size_t b) const { return isolated_.contains(a) || isolated_.contains(b); }
+    size_t indexOf(const DaemonId&) const;
+
+    const Options options_;
+    SeededRandom random_;
+    absl::Time now_ = absl::UnixEpoch();
+    std::vector<PeerSettings> peers_;
+    std::vector<Entry> entries_;
+    std::vector<Minion> minions_;
+    std::multimap<absl::Time, Flight> flights_;
+    std::set<size_t> isolated_;
+    Faults faults_;
+    SendListener listener_;
+    std::string violation_;
+};
+
+} // namespace trefoilwing
