--- a/Tests/Control/EntryCluster.cpp
+++ b/Tests/Control/EntryCluster.cpp
@@ -214,6 +214,7 @@
         started.settings.dataCentre, DaemonRun { started.settings.daemon, started.incarnation }, now_);
     started.told.clear();
     started.left.clear();
+    started.latest.clear();
     started.events.clear();
 }
 
@@ -263,13 +264,14 @@
     }
     const MinionAnnouncement& announced = std::get<MinionAnnounced>(event).announcement;
     const std::pair run { announced.minion, announced.incarnation };
+    Incarnation& latest = taker.latest[announced.minion];
     if (announced.state == MinionState::Leaving)
         taker.left.insert(run);
     else if (taker.left.contains(run))
         violation_ = absl::StrCat(announced.minion.value(), " serves again after it left");
-    const auto known = taker.told.find(announced.minion);
-    if (known != taker.told.end() && known->second.incarnation > announced.incarnation)
+    if (announced.incarnation < latest)
         violation_ = absl::StrCat("an older run of ", announced.minion.value(), " came back");
+    latest = announced.incarnation;
     taker.told[announced.minion] = announced;
 }
 
@@ -298,6 +300,8 @@
             continue;
         each.nextAnnouncement = now_ + announceInterval;
         ++each.announcement.sequence;
+        if (options_.keepsHistory)
+            history_.push_back(each.announcement);
         if (const std::optional<size_t> target = balance(each.announcement.dataCentre))
             announce(each.announcement, *target);
     }
--- a/Tests/Control/EntryCluster.h
+++ b/Tests/Control/EntryCluster.h
@@ -26,6 +26,7 @@
         size_t entriesEach = 3;
         uint64_t seed = 1;
         absl::Duration step = absl::Milliseconds(50);
+        bool keepsHistory = true;
     };
 
     /// What the network does to each message.
@@ -55,6 +56,8 @@
         std::map<MinionId, MinionAnnouncement> told;
         /// Runs of minions that this run of the entry has known as leaving.
         std::set<std::pair<MinionId, Incarnation>> left;
+        /// The latest run of each minion that this run of the entry has known.
+        std::map<MinionId, Incarnation> latest;
 
         bool isUp() const { return membership != nullptr; }
         bool isRunning() const { return isUp() && !isFrozen; }
@@ -88,6 +91,8 @@
     /// Adds a serving minion of a data centre.
     size_t addMinion(size_t dataCentre = 0);
     Minion& minion(size_t index) { return minions_[index % minions_.size()]; }
+    /// Every announcement that was ever sent, oldest first.
+    const std::vector<MinionAnnouncement>& history() const { return history_; }
     size_t minionCount() const { return minions_.size(); }
     void stopMinion(size_t index) { minion(index).isUp = false; }
     void restartMinion(size_t index);
@@ -130,6 +135,7 @@
     std::vector<PeerSettings> peers_;
     std::vector<Entry> entries_;
     std::vector<Minion> minions_;
+    std::vector<MinionAnnouncement> history_;
     std::multimap<absl::Time, Flight> flights_;
     std::set<size_t> isolated_;
     Faults faults_;
--- a/Tests/Control/MinionRegistryFuzzTest.cpp
+++ b/Tests/Control/MinionRegistryFuzzTest.cpp
@@ -3,7 +3,6 @@
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
-#include <algorithm>
 #include <array>
 #include <ostream>
 
@@ -17,7 +16,10 @@
 
 namespace {
 
-constexpr size_t minions = 6;
+constexpr size_t minions = 4;
+
+/// One more than the largest choice of an action.
+constexpr uint32_t maxChoice = 1000;
 
 /// Longer than a minion's lease and than the silence after which an entry is gone.
 constexpr absl::Duration settlingTime = absl::Seconds(9);
@@ -30,17 +32,28 @@
     void (*act)(EntryCluster&, size_t target, uint32_t choice);
 };
 
+/// Delivers a copy of any earlier announcement to any entry.
 void announceAgain(EntryCluster& cluster, size_t target, uint32_t choice)
 {
-    // A late copy of an announcement, with any older sequence and in the other state at times.
-    MinionAnnouncement late = cluster.minion(target).announcement;
-    late.sequence -= std::min<uint64_t>(late.sequence, choice % 5);
-    if (choice % 2 == 0 && late.state == MinionState::Leaving && choice % 5 != 0)
-        late.state = MinionState::Serving;
-    cluster.announce(late, choice);
+    if (!cluster.history().empty())
+        cluster.announce(cluster.history()[choice * cluster.history().size() / maxChoice], target);
+}
+
+/// A minion that leaves forgets it once, and renews its lease as if it served.
+void serveAgain(EntryCluster& cluster, size_t target, uint32_t choice)
+{
+    for (size_t i = target; i < target + minions; ++i) {
+        MinionAnnouncement& announcement = cluster.minion(i).announcement;
+        if (announcement.state != MinionState::Leaving)
+            continue;
+        MinionAnnouncement wrong = announcement;
+        wrong.sequence = ++announcement.sequence;
+        wrong.state = MinionState::Serving;
+        cluster.announce(wrong, choice);
+    }
 }
 
-constexpr std::array<ActionKind, 16> actionKinds { {
+constexpr std::array<ActionKind, 17> actionKinds { {
     { "run", [](EntryCluster& cluster, size_t, uint32_t choice) { cluster.run(absl::Milliseconds(choice)); } },
     { "run long", [](EntryCluster& cluster, size_t, uint32_t choice) { cluster.run(absl::Milliseconds(4 * choice)); } },
     { "kill", [](EntryCluster& cluster, size_t target, uint32_t) { cluster.kill(target); } },
@@ -59,12 +72,13 @@
     { "leave minion", [](EntryCluster& cluster, size_t target, uint32_t) { cluster.leaveMinion(target); } },
     { "resize minion", [](EntryCluster& cluster, size_t target, uint32_t choice) { cluster.resizeMinion(target, choice % 9); } },
     { "announce again", announceAgain },
+    { "serve again", serveAgain },
 } };
 
 struct Action : rc::state::Command<NoModel, EntryCluster> {
     size_t kind = *rc::gen::inRange<size_t>(0, actionKinds.size());
     size_t target = *rc::gen::inRange<size_t>(0, 12);
-    uint32_t choice = *rc::gen::inRange<uint32_t>(0, 1000);
+    uint32_t choice = *rc::gen::inRange<uint32_t>(0, maxChoice);
 
     void run(const NoModel&, EntryCluster& cluster) const override
     {
--- a/Tests/Control/MinionRegistryTest.cpp
+++ b/Tests/Control/MinionRegistryTest.cpp
@@ -69,6 +69,19 @@
     STRCMP_EQUAL("", cluster.violation().c_str());
 }
 
+TEST(MinionRegistry, TheOthersCorrectARestartedEntryThatIsToldOfALeftRun)
+{
+    const MinionAnnouncement serving = cluster.minion(3).announcement;
+    cluster.leaveMinion(3);
+    cluster.run(absl::Milliseconds(100));
+    cluster.stopMinion(3);
+    cluster.restart(0);
+    cluster.run(absl::Seconds(1));
+    cluster.announce(serving, 0);
+    cluster.run(absl::Milliseconds(100));
+    CHECK(stateAt(0, 3) == MinionState::Leaving);
+}
+
 TEST(MinionRegistry, AnOlderLeavingStillCounts)
 {
     MinionAnnouncement leaving = cluster.minion(3).announcement;
