--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -220,7 +220,7 @@
         if (isWanted && *reply.nextPiece != progress.snapshotPiece)
             progress.snapshotPiece = *reply.nextPiece;
     } else if (reply.isAccepted) {
-        progress.accepted(reply.lastIndex);
+        progress.accepted(std::min(reply.lastIndex, store_.lastIndex()));
         if (progress.snapshot && reply.lastIndex >= progress.snapshot->lastIndex)
             progress.snapshot = nullptr;
         advanceCommit(now);
--- a/Tests/Adapters/Disk/JournalFolderTest.cpp
+++ b/Tests/Adapters/Disk/JournalFolderTest.cpp
@@ -225,7 +225,7 @@
     Events events;
     journal.start(events);
     journal.append(batchOf(1, { entryOf(1, 1) }));
-    events.done.WaitForNotification();
+    CHECK(events.done.WaitForNotificationWithTimeout(absl::Seconds(60)));
     STRCMP_EQUAL("can't sync", events.failure.c_str());
     files.failSyncs(false);
     journal.append(batchOf(2, { entryOf(2, 1) }));
@@ -244,7 +244,7 @@
         journal.start(events);
         for (uint64_t i = 1; i <= 3; ++i)
             journal.append(batchOf(i, { entryOf(i, 1) }));
-        events.done.WaitForNotification();
+        CHECK(events.done.WaitForNotificationWithTimeout(absl::Seconds(60)));
         journal.stop();
         CHECK(journal.totals().syncs <= 4);
     }
