Let urgent jobs of backers beyond their quota wait for the others

Cause: started jobs of a bursting backer become urgent and went before all others. Urgent jobs go first only where their backer has stayed within its share on a 30 s average.

--- a/Source/Dispatch/Broker/Backer.h
+++ b/Source/Dispatch/Broker/Backer.h
@@ -35,7 +35,7 @@
 struct Lane {
     MinionPool* pool = nullptr;
     bool isLong = false;
-    /// Backers with a job that has to go first to end in time.
+    /// Backers within their share of late with a job that has to go first to end in time.
     boost::intrusive::set<BackerQueue> urgent;
     boost::intrusive::set<BackerQueue> withinShare;
     boost::intrusive::set<BackerQueue> beyondShare;
--- a/Source/Dispatch/Broker/DemandQueue.cpp
+++ b/Source/Dispatch/Broker/DemandQueue.cpp
@@ -86,7 +86,8 @@
 
 boost::intrusive::set<BackerQueue>* DemandQueue::groupFor(BackerQueue& queue) const
 {
-    if (queue.demands.begin()->job->isUrgent)
+    // A backer that has used more than its share of late doesn't push others aside by starting what it can't end.
+    if (queue.demands.begin()->job->isUrgent && queue.backer->averageUse < queue.backer->share)
         return &queue.lane->urgent;
     return backerOrder_.isWithinShare(*queue.backer) ? &queue.lane->withinShare : &queue.lane->beyondShare;
 }
--- a/Source/Dispatch/Broker/QueueingSlotBroker.cpp
+++ b/Source/Dispatch/Broker/QueueingSlotBroker.cpp
@@ -25,7 +25,7 @@
     constexpr absl::Duration busyTime = absl::Milliseconds(20);
 
     /// A backer's use of slots is averaged over about this time.
-    constexpr absl::Duration useAveragingTime = absl::Seconds(10);
+    constexpr absl::Duration useAveragingTime = absl::Seconds(30);
     constexpr absl::Duration averagesRefreshPeriod = absl::Milliseconds(100);
 
     /// Kinds of tasks that run longer than this are long.
--- a/Tests/Bench/DispatchBench.cpp
+++ b/Tests/Bench/DispatchBench.cpp
@@ -57,6 +57,8 @@
         { "deadline-average-quota", with(with(patient, &BrokerPolicy::admission, "deadline"), &BrokerPolicy::backerOrder, "average-quota") },
         { "reserve", with(deadline, &BrokerPolicy::reserve, "adaptive") },
         { "no-ejection", with({}, &BrokerPolicy::ejection, "none") },
+        { "default-own-slots", {}, Sharing::OwnSlots },
+        { "default-unshared", {}, Sharing::Unshared },
         { "baseline-own-slots", baseline, Sharing::OwnSlots },
         { "baseline-unshared", baseline, Sharing::Unshared },
     };
@@ -115,6 +117,7 @@
         sum.rejected += measures.rejected;
         sum.usefulWork += measures.usefulWork;
         sum.allWork += measures.allWork;
+        sum.recovery += measures.recovery;
         slowest = std::max(slowest, measures.recovery);
         const Trial one(addisCrest(true), seed);
         const CrestMeasures burst = measureCrest(one.scenario, one.jobs, one.run(named));
@@ -122,8 +125,8 @@
         worst = std::min(worst, burst.worstBacker);
     }
     const auto n = static_cast<double>(seeds);
-    std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f |\n", named.name, sum.inDeadline / n, sum.rejected / n,
-        sum.usefulWork / n, sum.allWork / n, sum.worstBacker / n, worst, slowest);
+    std::printf("| %s | %.3f | %.3f | %.3f | %.3f | %.3f | %.3f | %.2f | %.2f |\n", named.name, sum.inDeadline / n, sum.rejected / n,
+        sum.usefulWork / n, sum.allWork / n, sum.worstBacker / n, worst, sum.recovery / n, slowest);
 }
 
 void printShortBehindLong(const NamedPolicy& named, uint64_t seeds)
@@ -173,7 +176,7 @@
 
 constexpr std::array<Table, 4> tables { {
     { "response", "| policy | load | mean | median | p99 | largest p99 | wasted a task |\n|---|---|---|---|---|---|---|", printResponses },
-    { "crest", "| policy | in deadline of admitted | rejected | useful work | all work | worst backer, mean | worst backer, least | recovery s |\n|---|---|---|---|---|---|---|---|",
+    { "crest", "| policy | in deadline of admitted | rejected | useful work | all work | worst backer, mean | worst backer, least | recovery s, mean | recovery s, slowest |\n|---|---|---|---|---|---|---|---|---|",
         printCrest },
     { "short", "| policy | credit p50 ms | credit p99 ms | match p50 ms | match p99 ms | review work |\n|---|---|---|---|---|---|",
         printShortBehindLong },
--- a/Tests/Dispatch/Broker/AdmissionTest.cpp
+++ b/Tests/Dispatch/Broker/AdmissionTest.cpp
@@ -53,6 +53,24 @@
     LONGS_EQUAL(1, f.grants()[1]);
 }
 
+TEST(Admission, AnUrgentJobOfABackerBeyondItsQuotaGoesAfterThoseWithin)
+{
+    ServiceDeclaration declaration;
+    declaration.backers = { { BackerId("greedy"), 1, {} }, { BackerId("modest"), 1, {} } };
+    f.broker->declare(declaration);
+    f.teach(a, { { "m", absl::Seconds(1) } });
+    Demand greedy = f.demand(1, 8, "greedy");
+    greedy.deadline = f.now + absl::Seconds(100);
+    f.update(a, { greedy });
+    LONGS_EQUAL(4, f.grants()[1]);
+    f.now += absl::Seconds(95);
+    SlotReport ended = BrokerFixture::report(1, "m");
+    ended.runTime = absl::Seconds(1);
+    f.update(a, {}, { ended });
+    f.update(a, { f.demand(2, 1, "modest") });
+    LONGS_EQUAL(1, f.grants()[2]);
+}
+
 TEST(Admission, ABurstOfOneBackerLeavesTheOthersTheirShare)
 {
     ServiceDeclaration declaration;
