--- a/Source/Control/ReplicatedGroup.cpp
+++ b/Source/Control/ReplicatedGroup.cpp
@@ -69,7 +69,7 @@
     return isRemoved;
 }
 
-GroupStatus ReplicatedGroup::status() const
+GroupState ReplicatedGroup::status() const
 {
     const absl::Time time = now();
     MutexLock lock(mutex_);
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -24,7 +24,7 @@
 };
 
 /// Where a member of a group stands, for status pages and logs.
-struct GroupStatus {
+struct GroupState {
     LogRole role = LogRole::Joining;
     bool isLeading = false;
     std::optional<MemberId> leader;
@@ -60,7 +60,7 @@
     /// @return false where this member doesn't lead, or another change is under way.
     bool removeDaemon(const DaemonId&);
 
-    GroupStatus status() const;
+    GroupState status() const;
 
     void synced(SyncToken) override;
     void journalFailed(const Error&) override;
--- a/Source/Daemon/ControlRole.cpp
+++ b/Source/Daemon/ControlRole.cpp
@@ -2,6 +2,8 @@
 
 #include "Daemon/LedgerGroups.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -64,9 +66,19 @@
         ledger->ownerGone(run);
 }
 
-std::map<GroupId, GroupStatus> ControlRole::status() const
+Result<Done> ControlRole::removeMember(const GroupId& id, const DaemonId& daemon)
+{
+    const auto group = groups_.find(id);
+    if (group == groups_.end())
+        return Error { ErrorCode::Unavailable, absl::StrCat("This daemon is no member of group ", id.value(), "; ask one of its members."), Verdict::NotRun };
+    if (!group->second->removeDaemon(daemon))
+        return Error { ErrorCode::Unavailable, "This daemon doesn't lead the group, or another change is under way; see status for the leader.", Verdict::NotRun };
+    return Done {};
+}
+
+std::map<GroupId, GroupState> ControlRole::status() const
 {
-    std::map<GroupId, GroupStatus> status;
+    std::map<GroupId, GroupState> status;
     for (const auto& [id, group] : groups_)
         status.emplace(id, group->status());
     return status;
--- a/Source/Daemon/ControlRole.h
+++ b/Source/Daemon/ControlRole.h
@@ -49,7 +49,10 @@
     /// A daemon's run has ended.
     void daemonGone(const DaemonRun&);
 
-    std::map<GroupId, GroupStatus> status() const;
+    /// Takes a daemon that won't come back out of a group that this daemon leads.
+    Result<Done> removeMember(const GroupId&, const DaemonId&);
+
+    std::map<GroupId, GroupState> status() const;
     bool isKeeper() const { return keeper_ != nullptr; }
 
     void stop();
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -1,5 +1,7 @@
 #include "Daemon/Daemon.h"
 
+#include "Adapters/Histogram/PrometheusText.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -61,7 +63,7 @@
 
 } // namespace
 
-Daemon::Daemon(const DaemonSettings& settings, Metrics& metrics, EventLog& log)
+Daemon::Daemon(const DaemonSettings& settings, HistogramMetrics& metrics, EventLog& log)
     : settings_(settings)
     , log_(log)
     , self_ { settings.daemon, nextIncarnation() }
@@ -76,9 +78,12 @@
     , server_(HttpServerOptions { settings_.maxConnections, settings_.maxRequestBody })
     , minionApi_(*this)
     , callerApi_(std::make_unique<CallerApi>(entry_->desk(), clock_, settings_.maxConnections / parkedShare))
+    , operations_(settings_, membership_, control_, *entry_)
+    , operatorApi_(operations_, metrics, prometheusText)
 {
     minionApi_.addRoutes(server_);
     callerApi_->addRoutes(server_);
+    operatorApi_.addRoutes(server_);
 }
 
 Daemon::~Daemon()
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -1,14 +1,17 @@
 #pragma once
 
 #include "Adapters/Clock/SystemClock.h"
+#include "Adapters/Histogram/HistogramMetrics.h"
 #include "Adapters/Http/CallerApi.h"
 #include "Adapters/Http/HttpServer.h"
 #include "Adapters/Http/MinionApi.h"
+#include "Adapters/Http/OperatorApi.h"
 #include "Daemon/ControlRole.h"
 #include "Daemon/DeclarationBoard.h"
 #include "Daemon/EntryRole.h"
 #include "Daemon/LoopbackLink.h"
 #include "Daemon/MembershipRole.h"
+#include "Daemon/OperationsRole.h"
 #include "Model/Settings.h"
 #include "Ports/EventLog.h"
 #include "Ports/MinionSink.h"
@@ -21,7 +24,7 @@
 class Daemon : public PeerEvents, public MinionSink, public MembershipEvents {
 public:
     /// @param metrics and log outlive the daemon.
-    Daemon(const DaemonSettings&, Metrics&, EventLog&);
+    Daemon(const DaemonSettings&, HistogramMetrics&, EventLog&);
     ~Daemon() override;
 
     /// Binds the addresses and begins to serve.
@@ -62,6 +65,8 @@
     HttpServer server_;
     MinionApi minionApi_;
     std::unique_ptr<CallerApi> callerApi_;
+    OperationsRole operations_;
+    OperatorApi operatorApi_;
 };
 
 } // namespace trefoilwing
--- a/Source/Daemon/EntryRole.cpp
+++ b/Source/Daemon/EntryRole.cpp
@@ -41,7 +41,7 @@
     for (const auto& declaration : ports_.declarations.all()) {
         const std::optional<DaemonId> broker = ports_.directory.brokerFor(declaration->service);
         brokerShardOf(declaration->service).setService(*declaration, broker == self, ports_.clock.now());
-        shardOf(declaration->service).setBroker(declaration->service, broker);
+        shardOf(declaration->service).declare(*declaration, broker);
     }
 }
 
@@ -126,6 +126,16 @@
     return count;
 }
 
+std::vector<QueueStatus> EntryRole::queues() const
+{
+    std::vector<QueueStatus> all;
+    for (const auto& shard : dispatch_) {
+        const std::vector<QueueStatus> part = shard->queues();
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+}
+
 void EntryRole::stop()
 {
     for (const auto& pump : pumps_)
--- a/Source/Daemon/EntryRole.h
+++ b/Source/Daemon/EntryRole.h
@@ -7,6 +7,7 @@
 #include "Dispatch/BrokerShard.h"
 #include "Dispatch/DispatchShard.h"
 #include "Dispatch/SubmissionDesk.h"
+#include "Model/OperatorMessages.h"
 #include "Ports/MinionLink.h"
 
 #include <array>
@@ -55,6 +56,9 @@
 
     size_t jobCount() const;
 
+    /// @return the jobs and tasks of each service and backer.
+    std::vector<QueueStatus> queues() const;
+
     /// Ends the threads. Jobs that still run are given up without an outcome.
     void stop();
 
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -17,13 +17,6 @@
     constexpr char version[] = "0.1";
     constexpr absl::Duration drainLimit = absl::Minutes(5);
 
-    class NullMetrics : public Metrics {
-    public:
-        void count(std::string_view, const MetricLabels&, uint64_t) override { }
-        void observe(std::string_view, const MetricLabels&, absl::Duration) override { }
-        void set(std::string_view, const MetricLabels&, double) override { }
-    };
-
     /// Blocks the signals that end the daemon in this thread and all it starts, so that one sigwait takes them.
     sigset_t blockEndSignals()
     {
@@ -41,7 +34,8 @@
     {
         const sigset_t signals = blockEndSignals();
         GlogEventLog log("trefoilwing", settings.logFolder);
-        NullMetrics metrics;
+        const SystemClock clock;
+        HistogramMetrics metrics(clock);
         Daemon daemon(settings, metrics, log);
         const Result<Done> started = daemon.start();
         if (const Error* error = errorOf(started)) {
--- a/Source/Daemon/MembershipRole.cpp
+++ b/Source/Daemon/MembershipRole.cpp
@@ -31,6 +31,34 @@
     return minionLease;
 }
 
+std::vector<MinionCounts> MembershipRole::minionCounts() const
+{
+    std::map<ServiceId, MinionCounts> counts;
+    const MutexLock lock(mutex_);
+    for (const auto& [minion, lease] : leases_) {
+        const MinionAnnouncement& announcement = lease.announcement;
+        MinionCounts& each = counts[announcement.service];
+        each.service = announcement.service;
+        ++(announcement.state == MinionState::Serving ? each.serving : each.leaving);
+        each.slots = SlotCount(each.slots.value() + announcement.slots.value());
+        each.busySlots = SlotCount(each.busySlots.value() + announcement.busySlots.value());
+    }
+    std::vector<MinionCounts> list;
+    for (const auto& [service, each] : counts)
+        list.push_back(each);
+    return list;
+}
+
+std::vector<PeerStatus> MembershipRole::peers() const
+{
+    std::vector<PeerStatus> list;
+    for (const PeerSettings& peer : settings_.peers) {
+        if (peer.daemon != self_.daemon)
+            list.push_back({ peer.daemon, true });
+    }
+    return list;
+}
+
 std::optional<DaemonId> MembershipRole::entryIn(const DataCentreId& dataCentre) const
 {
     for (const PeerSettings& peer : settings_.peers) {
--- a/Source/Daemon/MembershipRole.h
+++ b/Source/Daemon/MembershipRole.h
@@ -4,6 +4,7 @@
 #include "Base/MutexLock.h"
 #include "Dispatch/Pumped.h"
 #include "Dispatch/WorkSignal.h"
+#include "Model/OperatorMessages.h"
 #include "Model/Settings.h"
 #include "Ports/Clock.h"
 #include "Ports/DaemonDirectory.h"
@@ -33,6 +34,11 @@
     /// @return how long it holds.
     Result<absl::Duration> announced(const MinionAnnouncement&);
 
+    /// @return the minions known, by service and state.
+    std::vector<MinionCounts> minionCounts() const;
+    /// @return the other daemons, as this one sees them.
+    std::vector<PeerStatus> peers() const;
+
     DaemonRun self() const override { return self_; }
     DataCentreId dataCentre() const override { return settings_.dataCentre; }
     std::optional<DaemonId> entryIn(const DataCentreId&) const override;
@@ -53,7 +59,7 @@
     DaemonRun self_;
     const Clock& clock_;
     MembershipEvents& events_;
-    absl::Mutex mutex_;
+    mutable absl::Mutex mutex_;
     std::map<MinionId, Lease> leases_ ABSL_GUARDED_BY(mutex_);
     WorkSignal signal_;
 };
--- /dev/null
+++ b/Source/Daemon/OperationsRole.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Daemon/ControlRole.h"
+#include "Daemon/EntryRole.h"
+#include "Daemon/MembershipRole.h"
+#include "Ports/Operations.h"
+
+namespace trefoilwing {
+
+/// Offers operators what the other roles know and do.
+class OperationsRole : public Operations {
+public:
+    OperationsRole(const DaemonSettings&, const MembershipRole&, ControlRole&, EntryRole&);
+
+    DaemonStatus status() const override;
+    Configuration configuration() const override;
+    void publish(PublishRecord, std::function<void(Result<ConfigurationVersion>)> done) override;
+    void drain() override;
+    void removeMember(const MemberRemoval&, std::function<void(Result<Done>)> done) override;
+
+private:
+    std::vector<GroupStatus> groups() const;
+
+    const DaemonSettings& settings_;
+    const MembershipRole& membership_;
+    ControlRole& control_;
+    EntryRole& entry_;
+};
+
+} // namespace trefoilwing
--- a/Source/Dispatch/DispatchShard.cpp
+++ b/Source/Dispatch/DispatchShard.cpp
@@ -11,6 +11,15 @@
 {
 }
 
+void DispatchShard::declare(const ServiceDeclaration& declaration, std::optional<DaemonId> broker)
+{
+    {
+        MutexLock lock(mutex_);
+        serviceOf(declaration.service).dispatcher.setObjective(declaration.objective);
+    }
+    setBroker(declaration.service, std::move(broker));
+}
+
 void DispatchShard::setBroker(const ServiceId& service, std::optional<DaemonId> broker)
 {
     {
@@ -120,6 +129,17 @@
     return count;
 }
 
+std::vector<QueueStatus> DispatchShard::queues() const
+{
+    std::vector<QueueStatus> all;
+    MutexLock lock(mutex_);
+    for (const auto& [id, service] : services_) {
+        const std::vector<QueueStatus> part = service->dispatcher.queues();
+        all.insert(all.end(), part.begin(), part.end());
+    }
+    return all;
+}
+
 absl::Time DispatchShard::pump(absl::Time now)
 {
     std::vector<Delivery> deliveries;
--- a/Source/Dispatch/DispatchShard.h
+++ b/Source/Dispatch/DispatchShard.h
@@ -6,6 +6,7 @@
 #include "Dispatch/ServiceDispatcher.h"
 #include "Dispatch/WorkSignal.h"
 #include "Model/MinionBatches.h"
+#include "Model/OperatorMessages.h"
 #include "Ports/Metrics.h"
 #include "Ports/MinionLink.h"
 #include "Ports/OutcomeSink.h"
@@ -32,6 +33,8 @@
 public:
     DispatchShard(DaemonRun self, DispatchPorts);
 
+    /// Takes a declaration, and which daemon hosts the service's broker.
+    void declare(const ServiceDeclaration&, std::optional<DaemonId> broker);
     /// Takes which daemon hosts a service's broker.
     void setBroker(const ServiceId&, std::optional<DaemonId>);
 
@@ -48,6 +51,9 @@
     /// @return how many jobs have no outcome yet.
     size_t jobCount() const;
 
+    /// @return the jobs and tasks of each service and backer.
+    std::vector<QueueStatus> queues() const;
+
     absl::Time pump(absl::Time now) override;
     void waitForWork(absl::Time until) override { signal_.wait(until); }
     void wake() override { signal_.raise(); }
--- a/Source/Dispatch/Job.h
+++ b/Source/Dispatch/Job.h
@@ -7,6 +7,7 @@
 #include <boost/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -59,6 +60,10 @@
     Verdict verdict(uint32_t openAttempts) const;
     JobAnswer takeAnswer();
 
+    /// The longest run of one of its tasks: no answer can come sooner.
+    absl::Duration longestRunTime() const { return longestRunTime_; }
+    void noteRunTime(absl::Duration runTime) { longestRunTime_ = std::max(longestRunTime_, runTime); }
+
     uint32_t repeats() const { return repeats_; }
     void noteRepeat() { ++repeats_; }
 
@@ -69,6 +74,7 @@
     std::map<TaskKindId, std::deque<TaskIndex>> waiting_;
     std::vector<std::string> outputs_;
     absl::flat_hash_set<MinionId> excluded_;
+    absl::Duration longestRunTime_;
     uint32_t endedTasks_ = 0;
     uint32_t completedTasks_ = 0;
     uint32_t repeats_ = 0;
--- a/Source/Dispatch/ServiceDispatcher.cpp
+++ b/Source/Dispatch/ServiceDispatcher.cpp
@@ -199,6 +199,25 @@
     return held;
 }
 
+std::vector<QueueStatus> ServiceDispatcher::queues() const
+{
+    std::map<BackerId, QueueStatus> byBacker;
+    for (const auto& [number, job] : jobs_) {
+        const BackerId& backer = job->submission().id.backer;
+        QueueStatus& status = byBacker[backer];
+        status.service = service_;
+        status.backer = backer;
+        ++status.jobs;
+        status.waitingTasks += job->waitingCount();
+        status.runningTasks += openAttempts(*job);
+    }
+    std::vector<QueueStatus> list;
+    list.reserve(byBacker.size());
+    for (auto& [backer, status] : byBacker)
+        list.push_back(std::move(status));
+    return list;
+}
+
 void ServiceDispatcher::onStarted(Attempt& attempt, absl::Time)
 {
     attempt.state = AttemptState::Started;
@@ -272,6 +291,7 @@
 {
     const JobPtr job = attempt.job;
     const TaskIndex index = attempt.index;
+    job->noteRunTime(result.runTime);
     endAttempt(attempt, SlotEnding::Succeeded, result.runTime);
     if (job->isDecided() || !job->complete(index, std::move(result.output)))
         return;
@@ -379,6 +399,12 @@
     const JobNumber number = job->number();
     const absl::Duration response = now - job->accepted();
     effects_.samples.push_back({ MetricSample::Form::Latency, metric::requestLatency, labelsOf(*job), 0, response });
+    if (valueOf(outcome)) {
+        if (response <= objective_.within)
+            count(metric::requestsGood, labelsOf(*job));
+        if (job->longestRunTime() > absl::ZeroDuration())
+            effects_.samples.push_back({ MetricSample::Form::Latency, metric::responseOverIdeal, labelsOf(*job), 0, absl::Seconds(response / job->longestRunTime()) });
+    }
     effects_.decided.push_back({ job->submission().id, std::move(outcome), response });
     if (job->waitingCount() > 0)
         changedDemands_.insert(number);
--- a/Source/Dispatch/ServiceDispatcher.h
+++ b/Source/Dispatch/ServiceDispatcher.h
@@ -3,6 +3,8 @@
 #include "Dispatch/DispatchEffects.h"
 #include "Dispatch/Job.h"
 #include "Dispatch/RetryBudget.h"
+#include "Model/Declaration.h"
+#include "Model/OperatorMessages.h"
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
@@ -22,6 +24,9 @@
 public:
     explicit ServiceDispatcher(ServiceId);
 
+    /// Takes what counts as a good answer.
+    void setObjective(const ServiceLevelObjective& objective) { objective_ = objective; }
+
     /// Takes a job. Its claim must be durable, so that its tasks may be started.
     JobNumber accept(Submission, absl::Time now);
 
@@ -53,6 +58,9 @@
     /// @return the slots that open attempts hold, by minion.
     std::map<MinionId, uint32_t> heldSlots() const;
 
+    /// @return the jobs and tasks of each backer.
+    std::vector<QueueStatus> queues() const;
+
     size_t jobCount() const { return jobs_.size(); }
     size_t attemptCount() const { return attempts_.size(); }
 
@@ -118,6 +126,7 @@
     uint32_t openAttempts(const Job&) const;
 
     ServiceId service_;
+    ServiceLevelObjective objective_;
     uint64_t lastJob_ = 0;
     uint64_t lastAttempt_ = 0;
     absl::flat_hash_map<JobNumber, JobPtr> jobs_;
