--- a/Source/Daemon/ControlRole.cpp
+++ b/Source/Daemon/ControlRole.cpp
@@ -22,8 +22,6 @@
     }
     if (settings.isKeeper)
         addKeeper();
-    for (const auto& pump : groupPumps_)
-        threads_.push_back(std::make_unique<PumpThread>(*pump, ports.clock));
 }
 
 ControlRole::~ControlRole()
@@ -31,6 +29,12 @@
     stop();
 }
 
+void ControlRole::start()
+{
+    for (const auto& pump : groupPumps_)
+        threads_.push_back(std::make_unique<PumpThread>(*pump, ports_.clock));
+}
+
 void ControlRole::publish(PublishRecord record, ReplicatedConfiguration::PublishCallback done)
 {
     if (keeper_)
--- a/Source/Daemon/ControlRole.h
+++ b/Source/Daemon/ControlRole.h
@@ -33,6 +33,9 @@
     ControlRole(const DaemonSettings&, DaemonRun self, ControlPorts, ConfigurationListener);
     ~ControlRole();
 
+    /// Begins to take part in the groups.
+    void start();
+
     /// The ledger of this data centre.
     Ledger& ledger() { return *ownLedger_; }
     const ConfigurationReplica& configuration() const { return replica_; }
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -74,7 +74,6 @@
     , entry_(std::make_unique<EntryRole>(
           EntryPorts { clock_, declarations_, membership_, control_.ledger(), peers_, metrics },
           HttpMinionLinkOptions { self_, settings_.httpEndpoint, minionSenders, {} }))
-    , membershipThread_(membership_, clock_)
     , server_(HttpServerOptions { settings_.maxConnections, settings_.maxRequestBody })
     , minionApi_(*this)
     , callerApi_(std::make_unique<CallerApi>(entry_->desk(), clock_, settings_.maxConnections / parkedShare))
@@ -94,8 +93,12 @@
 Result<Done> Daemon::start()
 {
     Result<Done> started = server_.start(settings_.httpEndpoint);
-    if (valueOf(started))
-        log_.write(Severity::Info, "serving", { { "daemon", settings_.daemon.value() }, { "data_centre", settings_.dataCentre.value() }, { "http", absl::StrCat(settings_.httpEndpoint.address, ":", server_.port()) }, { "incarnation", self_.incarnation.value() } });
+    if (errorOf(started))
+        return started;
+    membershipThread_ = std::make_unique<PumpThread>(membership_, clock_);
+    control_.start();
+
+    log_.write(Severity::Info, "serving", { { "daemon", settings_.daemon.value() }, { "data_centre", settings_.dataCentre.value() }, { "http", absl::StrCat(settings_.httpEndpoint.address, ":", server_.port()) }, { "incarnation", self_.incarnation.value() } });
     return started;
 }
 
@@ -117,7 +120,8 @@
 void Daemon::stop()
 {
     server_.stop();
-    membershipThread_.stop();
+    if (membershipThread_)
+        membershipThread_->stop();
     entry_->stop();
     control_.stop();
 }
@@ -164,8 +168,7 @@
 {
     const std::vector<ServiceId> removed = declarations_.set(configuration);
     log_.write(Severity::Info, "configuration_in_force", { { "version", configuration.version.value() }, { "services", uint64_t { configuration.services.size() } } });
-    if (entry_)
-        entry_->refreshServices(removed);
+    entry_->refreshServices(removed);
 }
 
 } // namespace trefoilwing
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -61,7 +61,7 @@
     MembershipRole membership_;
     ControlRole control_;
     std::unique_ptr<EntryRole> entry_;
-    PumpThread membershipThread_;
+    std::unique_ptr<PumpThread> membershipThread_;
     HttpServer server_;
     MinionApi minionApi_;
     std::unique_ptr<CallerApi> callerApi_;
