--- a/Source/Daemon/ControlRole.cpp
+++ b/Source/Daemon/ControlRole.cpp
@@ -9,17 +9,15 @@
 
 namespace trefoilwing {
 
-ControlRole::ControlRole(const DaemonSettings& settings, DaemonRun self, ControlPorts ports, ConfigurationListener listener)
+ControlRole::ControlRole(const DaemonSettings& settings, DaemonRun self, std::unique_ptr<GroupJournals> journals, ControlPorts ports, ConfigurationListener listener)
     : settings_(settings)
     , self_(std::move(self))
     , ports_(ports)
     , replica_(ports.peers, ports.clock, std::move(listener))
+    , journals_(std::move(journals))
 {
-    for (const DataCentreId& dataCentre : dataCentres(settings)) {
-        const std::vector<DaemonId> members = ledgerMembers(settings, dataCentre);
-        if (std::find(members.begin(), members.end(), self_.daemon) != members.end())
-            addLedger(dataCentre);
-    }
+    for (const DataCentreId& dataCentre : ledgersOf(settings))
+        addLedger(dataCentre);
     if (settings.isKeeper)
         addKeeper();
 }
@@ -31,6 +29,10 @@
 
 void ControlRole::start()
 {
+    for (const auto& [id, group] : groups_) {
+        if (DiskJournal* journal = journals_->find(id))
+            journal->start(*group);
+    }
     for (const auto& pump : groupPumps_)
         threads_.push_back(std::make_unique<PumpThread>(*pump, ports_.clock));
 }
@@ -92,46 +94,44 @@
 {
     for (const auto& thread : threads_)
         thread->stop();
+    journals_->stop();
 }
 
-void ControlRole::addLedger(const DataCentreId& dataCentre)
-{
-    const GroupId group = ledgerGroup(dataCentre);
-    auto ledger = std::make_unique<ReplicatedLedger>(self_, logSettings(group, ledgerMembers(settings_, dataCentre)), JournalContent {}, groupPorts());
-    ledgers_.push_back(ledger.get());
-    if (dataCentre == settings_.dataCentre)
-        ownLedger_ = ledger.get();
-    add(group, std::move(ledger));
-}
-
-void ControlRole::addKeeper()
-{
-    const GroupId group = configurationGroup();
-    auto keeper = std::make_unique<ReplicatedConfiguration>(logSettings(group, configurationMembers(settings_)), JournalContent {}, groupPorts(),
-        [this](const ConfigurationDelta& delta) { replica_.receive(delta); });
-    keeper_ = keeper.get();
-    add(group, std::move(keeper));
-}
-
-void ControlRole::add(const GroupId& id, std::unique_ptr<ReplicatedGroup> group)
+template <typename Factory>
+auto* ControlRole::add(const GroupId& id, const std::vector<DaemonId>& members, const Factory& make)
 {
-    groupPumps_.push_back(std::make_unique<GroupPump>(*group));
+    DiskJournal* journal = journals_->find(id);
+    LogSettings settings;
+    settings.group = id;
+    settings.self = Member { MemberId { self_.daemon, journal ? journal->storage() : self_.incarnation }, false, journal != nullptr, false };
+    settings.daemons = members;
+    randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
+    const GroupPorts ports { ports_.peers, ports_.clock, *randoms_.back(), journal };
+    auto group = make(std::move(settings), journal ? journal->takeContent() : JournalContent {}, ports);
+    auto* added = group.get();
+    groupPumps_.push_back(std::make_unique<GroupPump>(*added));
     groups_.emplace(id, std::move(group));
+    return added;
 }
 
-LogSettings ControlRole::logSettings(const GroupId& group, std::vector<DaemonId> members) const
+void ControlRole::addLedger(const DataCentreId& dataCentre)
 {
-    LogSettings settings;
-    settings.group = group;
-    settings.self = Member { MemberId { self_.daemon, self_.incarnation }, false, false, false };
-    settings.daemons = std::move(members);
-    return settings;
+    const auto make = [this](LogSettings settings, JournalContent content, GroupPorts ports) {
+        return std::make_unique<ReplicatedLedger>(self_, std::move(settings), std::move(content), ports);
+    };
+    ReplicatedLedger* ledger = add(ledgerGroup(dataCentre), ledgerMembers(settings_, dataCentre), make);
+    ledgers_.push_back(ledger);
+    if (dataCentre == settings_.dataCentre)
+        ownLedger_ = ledger;
 }
 
-GroupPorts ControlRole::groupPorts()
+void ControlRole::addKeeper()
 {
-    randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
-    return GroupPorts { ports_.peers, ports_.clock, *randoms_.back(), nullptr };
+    const auto make = [this](LogSettings settings, JournalContent content, GroupPorts ports) {
+        return std::make_unique<ReplicatedConfiguration>(std::move(settings), std::move(content), ports,
+            [this](const ConfigurationDelta& delta) { replica_.receive(delta); });
+    };
+    keeper_ = add(configurationGroup(), configurationMembers(settings_), make);
 }
 
 } // namespace trefoilwing
--- a/Source/Daemon/ControlRole.h
+++ b/Source/Daemon/ControlRole.h
@@ -4,6 +4,7 @@
 #include "Control/ConfigurationReplica.h"
 #include "Control/ReplicatedConfiguration.h"
 #include "Control/ReplicatedLedger.h"
+#include "Daemon/GroupJournals.h"
 #include "Daemon/GroupPump.h"
 #include "Daemon/PumpThread.h"
 #include "Model/Settings.h"
@@ -30,7 +31,7 @@
 public:
     using ConfigurationListener = std::function<void(std::shared_ptr<const Configuration>)>;
 
-    ControlRole(const DaemonSettings&, DaemonRun self, ControlPorts, ConfigurationListener);
+    ControlRole(const DaemonSettings&, DaemonRun self, std::unique_ptr<GroupJournals>, ControlPorts, ConfigurationListener);
     ~ControlRole();
 
     /// Begins to take part in the groups.
@@ -61,16 +62,17 @@
     void stop();
 
 private:
+    /// Adds a member of a group, which the factory makes from its settings, content and ports.
+    template <typename Factory>
+    auto* add(const GroupId&, const std::vector<DaemonId>& members, const Factory&);
     void addLedger(const DataCentreId&);
     void addKeeper();
-    void add(const GroupId&, std::unique_ptr<ReplicatedGroup>);
-    LogSettings logSettings(const GroupId&, std::vector<DaemonId> members) const;
-    GroupPorts groupPorts();
 
     const DaemonSettings& settings_;
     DaemonRun self_;
     ControlPorts ports_;
     ConfigurationReplica replica_;
+    std::unique_ptr<GroupJournals> journals_;
     std::vector<std::unique_ptr<SeededRandom>> randoms_;
     std::map<GroupId, std::unique_ptr<ReplicatedGroup>> groups_;
     ReplicatedLedger* ownLedger_ = nullptr;
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/Daemon.h"
 
 #include "Adapters/Histogram/PrometheusText.h"
+#include "Daemon/LedgerGroups.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -63,14 +64,23 @@
 
 } // namespace
 
-Daemon::Daemon(const DaemonSettings& settings, HistogramMetrics& metrics, EventLog& log)
+Result<std::unique_ptr<Daemon>> Daemon::create(const DaemonSettings& settings, HistogramMetrics& metrics, EventLog& log)
+{
+    const Incarnation incarnation = nextIncarnation();
+    auto journals = GroupJournals::open(settings, groupsOf(settings), incarnation);
+    if (const Error* error = errorOf(journals))
+        return *error;
+    return std::unique_ptr<Daemon>(new Daemon(settings, incarnation, std::get<std::unique_ptr<GroupJournals>>(std::move(journals)), metrics, log));
+}
+
+Daemon::Daemon(const DaemonSettings& settings, Incarnation incarnation, std::unique_ptr<GroupJournals> journals, HistogramMetrics& metrics, EventLog& log)
     : settings_(settings)
     , log_(log)
-    , self_ { settings.daemon, nextIncarnation() }
+    , self_ { settings.daemon, incarnation }
     , others_(std::make_unique<UnreachableLink>())
     , peers_(settings.daemon, *others_, *this)
     , membership_(settings_, self_, clock_, *this)
-    , control_(settings_, self_, ControlPorts { clock_, peers_, log }, [this](const std::shared_ptr<const Configuration>& configuration) { configurationChanged(*configuration); })
+    , control_(settings_, self_, std::move(journals), ControlPorts { clock_, peers_, log }, [this](const std::shared_ptr<const Configuration>& configuration) { configurationChanged(*configuration); })
     , entry_(std::make_unique<EntryRole>(
           EntryPorts { clock_, declarations_, membership_, control_.ledger(), peers_, metrics },
           HttpMinionLinkOptions { self_, settings_.httpEndpoint, minionSenders, {} }))
@@ -119,9 +129,10 @@
 
 void Daemon::stop()
 {
-    server_.stop();
+    // Minions can't announce themselves any more once the server stops, which doesn't mean that they are gone.
     if (membershipThread_)
         membershipThread_->stop();
+    server_.stop();
     entry_->stop();
     control_.stop();
 }
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -23,8 +23,10 @@
 /// One daemon: composes the roles that its settings name, and routes events between them.
 class Daemon : public PeerEvents, public MinionSink, public MembershipEvents {
 public:
-    /// @param metrics and log outlive the daemon.
-    Daemon(const DaemonSettings&, HistogramMetrics&, EventLog&);
+    /// Opens the data folder and composes the daemon.
+    /// @param metrics, log must outlive the daemon.
+    /// @return the daemon, or an error that names the file at fault and the cure.
+    static Result<std::unique_ptr<Daemon>> create(const DaemonSettings&, HistogramMetrics& metrics, EventLog& log);
     ~Daemon() override;
 
     /// Binds the addresses and begins to serve.
@@ -49,6 +51,8 @@
     void brokersMoved() override;
 
 private:
+    Daemon(const DaemonSettings&, Incarnation, std::unique_ptr<GroupJournals>, HistogramMetrics&, EventLog&);
+
     void configurationChanged(const Configuration&);
 
     const DaemonSettings settings_;
--- a/Source/Daemon/DaemonOptions.cpp
+++ b/Source/Daemon/DaemonOptions.cpp
@@ -63,7 +63,7 @@
     std::string text = "usage: trefoilwing --settings FILE\n\nRuns one daemon of trefoilwing. SIGTERM drains it: it takes nothing new, finishes what it\ntook, and exits. A second signal changes nothing.\n\n";
     for (const OptionRow& row : optionRows)
         absl::StrAppend(&text, "  --", row.definition.name, " ", row.help, "\n");
-    absl::StrAppend(&text, "\nExit status: 0 drained, 1 work was given up at the drain's limit, 2 usage, 3 bad settings, 4 an address can't be bound.\n");
+    absl::StrAppend(&text, "\nExit status: 0 drained, 1 work was given up at the drain's limit, 2 usage, 3 bad settings, 4 an address can't be bound,\n5 the data folder can't be used.\n");
     return text;
 }
 
--- a/Source/Daemon/LedgerGroups.cpp
+++ b/Source/Daemon/LedgerGroups.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <set>
 
 namespace trefoilwing {
@@ -35,23 +36,45 @@
 std::vector<DaemonId> ledgerMembers(const DaemonSettings& settings, const DataCentreId& dataCentre)
 {
     std::vector<DaemonId> members;
+    bool hasDisk = false;
     for (const PeerSettings& peer : settings.peers) {
-        if (peer.dataCentre == dataCentre)
-            members.push_back(peer.daemon);
+        if (peer.dataCentre != dataCentre)
+            continue;
+        members.push_back(peer.daemon);
+        hasDisk = hasDisk || peer.isKeeper;
     }
     for (const PeerSettings& peer : settings.peers) {
-        if (members.size() < fewestLedgerMembers && peer.dataCentre != dataCentre && peer.isKeeper)
-            members.push_back(peer.daemon);
+        const bool isWanted = members.size() < fewestLedgerMembers || !hasDisk;
+        if (!isWanted || peer.dataCentre == dataCentre || !peer.isKeeper)
+            continue;
+        members.push_back(peer.daemon);
+        hasDisk = true;
     }
     return members;
 }
 
-std::vector<DataCentreId> dataCentres(const DaemonSettings& settings)
+std::vector<DataCentreId> ledgersOf(const DaemonSettings& settings)
 {
-    std::set<DataCentreId> names;
+    std::set<DataCentreId> all;
     for (const PeerSettings& peer : settings.peers)
-        names.insert(peer.dataCentre);
-    return { names.begin(), names.end() };
+        all.insert(peer.dataCentre);
+    std::vector<DataCentreId> kept;
+    for (const DataCentreId& dataCentre : all) {
+        const std::vector<DaemonId> members = ledgerMembers(settings, dataCentre);
+        if (std::find(members.begin(), members.end(), settings.daemon) != members.end())
+            kept.push_back(dataCentre);
+    }
+    return kept;
+}
+
+std::vector<GroupId> groupsOf(const DaemonSettings& settings)
+{
+    std::vector<GroupId> groups;
+    for (const DataCentreId& dataCentre : ledgersOf(settings))
+        groups.push_back(ledgerGroup(dataCentre));
+    if (settings.isKeeper)
+        groups.push_back(configurationGroup());
+    return groups;
 }
 
 } // namespace trefoilwing
--- a/Source/Daemon/LedgerGroups.h
+++ b/Source/Daemon/LedgerGroups.h
@@ -16,10 +16,13 @@
 std::vector<DaemonId> configurationMembers(const DaemonSettings&);
 
 /// @return the daemons that keep a data centre's ledger: its own entries and keepers, and keepers of
-///     other data centres where those are fewer than three.
+///     other data centres where those are fewer than three or none of them has a disk.
 std::vector<DaemonId> ledgerMembers(const DaemonSettings&, const DataCentreId&);
 
-/// @return all data centres of the settings, each once and in order.
-std::vector<DataCentreId> dataCentres(const DaemonSettings&);
+/// @return the data centres whose ledgers this daemon helps to keep, in order.
+std::vector<DataCentreId> ledgersOf(const DaemonSettings&);
+
+/// @return all groups that this daemon is a member of.
+std::vector<GroupId> groupsOf(const DaemonSettings&);
 
 } // namespace trefoilwing
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -14,6 +14,7 @@
     constexpr int exitUsage = 2;
     constexpr int exitSettings = 3;
     constexpr int exitAddress = 4;
+    constexpr int exitDataFolder = 5;
     constexpr char version[] = "0.1";
     constexpr absl::Duration drainLimit = absl::Minutes(5);
 
@@ -36,7 +37,12 @@
         GlogEventLog log("trefoilwing", settings.logFolder);
         const SystemClock clock;
         HistogramMetrics metrics(clock);
-        Daemon daemon(settings, metrics, log);
+        const auto created = Daemon::create(settings, metrics, log);
+        if (const Error* error = errorOf(created)) {
+            std::cerr << "trefoilwing: " << error->message << "\n";
+            return exitDataFolder;
+        }
+        Daemon& daemon = **valueOf(created);
         const Result<Done> started = daemon.start();
         if (const Error* error = errorOf(started)) {
             std::cerr << "trefoilwing: " << error->message << "\n";
--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -215,7 +215,7 @@
 {
     if (!hasLeader())
         return false;
-    const GroupStatus status = hosts_[leader()]->group->status();
+    const GroupState status = hosts_[leader()]->group->status();
     const auto wanted = std::min<size_t>(options_.maxVoters, hosts_.size());
     const auto voters = std::count_if(status.members.begin(), status.members.end(), [](const Member& member) { return member.isVoter; });
     return static_cast<size_t>(voters) == wanted && status.commitIndex == status.lastIndex
--- a/Tests/Control/RecordingGroup.cpp
+++ b/Tests/Control/RecordingGroup.cpp
@@ -139,7 +139,7 @@
     for (size_t i = 0; i < cluster.size(); ++i) {
         if (!cluster.group(i))
             continue;
-        const GroupStatus status = cluster.group(i)->status();
+        const GroupState status = cluster.group(i)->status();
         if (status.role == LogRole::Leader)
             oracle.led(status.epoch, status.term, *status.leader);
     }
