--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -19,11 +19,6 @@
     constexpr uint32_t parkedShare = 2;
     constexpr uint32_t minionSenders = 32;
 
-    class UnreachableLink : public PeerLink {
-    public:
-        void send(const DaemonId&, PeerMessage) override { }
-    };
-
     Incarnation nextIncarnation()
     {
         return Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())));
@@ -46,6 +41,7 @@
         const DaemonId& from;
         EntryRole& entry;
         ControlRole& control;
+        MembershipRole& membership;
 
         template <HasLogHeader T>
         void operator()(T& message) const { control.receive(from, LogMessage(message), message.header.group); }
@@ -60,6 +56,8 @@
         void operator()(const ForwardedSubmission& forwarded) const { entry.receive(from, forwarded); }
         void operator()(const OutcomeQuery& query) const { entry.receive(from, query); }
         void operator()(const ForwardReply& reply) const { entry.receive(from, reply); }
+        template <typename T>
+        void operator()(const T& message) const { membership.receive(from, message); }
     };
 
 } // namespace
@@ -77,9 +75,10 @@
     : settings_(settings)
     , log_(log)
     , self_ { settings.daemon, incarnation }
-    , others_(std::make_unique<UnreachableLink>())
-    , peers_(settings.daemon, *others_, *this)
-    , membership_(settings_, self_, clock_, *this)
+    , linkRandom_(SeededRandom::freshSeed())
+    , others_(settings_, incarnation, steadyClock_, linkRandom_, log)
+    , peers_(settings.daemon, others_, *this)
+    , membership_(settings_, self_, peers_, *this)
     , control_(settings_, self_, std::move(journals), ControlPorts { clock_, peers_, log }, [this](const std::shared_ptr<const Configuration>& configuration) { configurationChanged(*configuration); })
     , entry_(std::make_unique<EntryRole>(
           EntryPorts { clock_, declarations_, membership_, control_.ledger(), peers_, metrics },
@@ -105,6 +104,9 @@
     Result<Done> started = server_.start(settings_.httpEndpoint);
     if (errorOf(started))
         return started;
+    Result<Done> linked = others_.start(*this);
+    if (errorOf(linked))
+        return linked;
     membershipThread_ = std::make_unique<PumpThread>(membership_, clock_);
     control_.start();
 
@@ -117,6 +119,7 @@
     const absl::Time begin = clock_.now();
     SubmissionDesk& desk = entry_->desk();
     desk.drain();
+    membership_.drain();
     log_.write(Severity::Info, "draining", { { "open", desk.openCount() } });
     while (desk.openCount() > 0 && clock_.now() < begin + limit)
         absl::SleepFor(drainPoll);
@@ -129,17 +132,19 @@
 
 void Daemon::stop()
 {
+    membership_.leave();
     // Minions can't announce themselves any more once the server stops, which doesn't mean that they are gone.
     if (membershipThread_)
         membershipThread_->stop();
     server_.stop();
     entry_->stop();
     control_.stop();
+    others_.stop();
 }
 
 void Daemon::messageReceived(const DaemonId& from, PeerMessage message)
 {
-    std::visit(Router { from, *entry_, control_ }, message);
+    std::visit(Router { from, *entry_, control_, membership_ }, message);
 }
 
 Result<absl::Duration> Daemon::announced(const MinionAnnouncement& announcement)
@@ -163,6 +168,11 @@
     entry_->minionGone(service, minion);
 }
 
+void Daemon::daemonJoined(const DaemonRun& run)
+{
+    log_.write(Severity::Info, "daemon_joined", { { "daemon", run.daemon.value() }, { "incarnation", run.incarnation.value() } });
+}
+
 void Daemon::daemonGone(const DaemonRun& run)
 {
     log_.write(Severity::Warning, "daemon_gone", { { "daemon", run.daemon.value() }, { "incarnation", run.incarnation.value() } });
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -6,6 +6,7 @@
 #include "Adapters/Http/HttpServer.h"
 #include "Adapters/Http/MinionApi.h"
 #include "Adapters/Http/OperatorApi.h"
+#include "Adapters/Wire/TcpPeerLink.h"
 #include "Daemon/ControlRole.h"
 #include "Daemon/DeclarationBoard.h"
 #include "Daemon/EntryRole.h"
@@ -47,6 +48,7 @@
 
     void minionAnnounced(const MinionAnnouncement&) override;
     void minionGone(const ServiceId&, const MinionId&) override;
+    void daemonJoined(const DaemonRun&) override;
     void daemonGone(const DaemonRun&) override;
     void brokersMoved() override;
 
@@ -60,7 +62,9 @@
     SystemClock clock_;
     DaemonRun self_;
     DeclarationBoard declarations_;
-    std::unique_ptr<PeerLink> others_;
+    SteadyClock steadyClock_;
+    SeededRandom linkRandom_;
+    TcpPeerLink others_;
     LoopbackLink peers_;
     MembershipRole membership_;
     ControlRole control_;
--- a/Source/Daemon/MembershipRole.cpp
+++ b/Source/Daemon/MembershipRole.cpp
@@ -1,22 +1,24 @@
 #include "Daemon/MembershipRole.h"
 
+#include <absl/time/clock.h>
+
 #include <algorithm>
-#include <utility>
-#include <vector>
 
 namespace trefoilwing {
 
 namespace {
 
-    constexpr absl::Duration minionLease = absl::Seconds(3);
+    constexpr absl::Duration minionLease = MinionRegistryOptions().lease;
 
 } // namespace
 
-MembershipRole::MembershipRole(const DaemonSettings& settings, DaemonRun self, const Clock& clock, MembershipEvents& events)
+MembershipRole::MembershipRole(const DaemonSettings& settings, DaemonRun self, PeerLink& peers, MembershipEvents& events)
     : settings_(settings)
     , self_(std::move(self))
-    , clock_(clock)
+    , peers_(peers)
     , events_(events)
+    , membership_(settings, self_.incarnation, clock_.now())
+    , registry_(settings.dataCentre, self_, clock_.now())
 {
 }
 
@@ -24,19 +26,94 @@
 {
     {
         const MutexLock lock(mutex_);
-        leases_[announcement.minion] = Lease { announcement, clock_.now() + minionLease };
+        const Result<Done> taken = registry_.announced(announcement, clock_.now());
+        if (const Error* error = errorOf(taken))
+            return *error;
+        const auto known = minions_.find({ announcement.service, announcement.minion });
+        if (known != minions_.end())
+            known->second.busySlots = announcement.busySlots;
     }
-    events_.minionAnnounced(announcement);
     signal_.raise();
     return minionLease;
 }
 
+void MembershipRole::receive(const DaemonId& from, const Heartbeat& heartbeat)
+{
+    {
+        const MutexLock lock(mutex_);
+        membership_.heartbeatReceived(from, heartbeat, clock_.now());
+    }
+    signal_.raise();
+}
+
+void MembershipRole::receive(const DaemonId& from, const RosterPart& part)
+{
+    {
+        const MutexLock lock(mutex_);
+        registry_.partReceived(from, part);
+    }
+    signal_.raise();
+}
+
+void MembershipRole::receive(const DaemonId& from, const RosterQuery& query)
+{
+    {
+        const MutexLock lock(mutex_);
+        registry_.rosterAsked(from, query);
+    }
+    signal_.raise();
+}
+
+void MembershipRole::receive(const DaemonId& from, const MinionVouch& vouch)
+{
+    {
+        const MutexLock lock(mutex_);
+        registry_.vouchReceived(from, vouch, clock_.now());
+    }
+    signal_.raise();
+}
+
+void MembershipRole::receive(const DaemonId& from, const MinionQuery& query)
+{
+    {
+        const MutexLock lock(mutex_);
+        registry_.announcementsAsked(from, query);
+    }
+    signal_.raise();
+}
+
+void MembershipRole::receive(const DaemonId& from, const MinionDelta& delta)
+{
+    {
+        const MutexLock lock(mutex_);
+        registry_.deltaReceived(from, delta, clock_.now());
+    }
+    signal_.raise();
+}
+
+void MembershipRole::drain()
+{
+    {
+        const MutexLock lock(mutex_);
+        membership_.drain(clock_.now());
+    }
+    signal_.raise();
+}
+
+void MembershipRole::leave()
+{
+    {
+        const MutexLock lock(mutex_);
+        membership_.leave(clock_.now());
+    }
+    signal_.raise();
+}
+
 std::vector<MinionCounts> MembershipRole::minionCounts() const
 {
     std::map<ServiceId, MinionCounts> counts;
     const MutexLock lock(mutex_);
-    for (const auto& [minion, lease] : leases_) {
-        const MinionAnnouncement& announcement = lease.announcement;
+    for (const auto& [key, announcement] : minions_) {
         MinionCounts& each = counts[announcement.service];
         each.service = announcement.service;
         ++(announcement.state == MinionState::Serving ? each.serving : each.leaving);
@@ -44,6 +121,7 @@
         each.busySlots = SlotCount(each.busySlots.value() + announcement.busySlots.value());
     }
     std::vector<MinionCounts> list;
+    list.reserve(counts.size());
     for (const auto& [service, each] : counts)
         list.push_back(each);
     return list;
@@ -51,47 +129,119 @@
 
 std::vector<PeerStatus> MembershipRole::peers() const
 {
+    const MutexLock lock(mutex_);
     std::vector<PeerStatus> list;
     for (const PeerSettings& peer : settings_.peers) {
         if (peer.daemon != self_.daemon)
-            list.push_back({ peer.daemon, true });
+            list.push_back({ peer.daemon, membership_.runOf(peer.daemon).has_value() });
     }
     return list;
 }
 
 std::optional<DaemonId> MembershipRole::entryIn(const DataCentreId& dataCentre) const
 {
-    for (const PeerSettings& peer : settings_.peers) {
-        if (peer.isEntry && peer.dataCentre == dataCentre)
-            return peer.daemon;
-    }
-    return std::nullopt;
+    const MutexLock lock(mutex_);
+    const std::vector<DaemonRun> entries = membership_.aliveEntries(dataCentre);
+    if (entries.empty())
+        return std::nullopt;
+    // In turn, so that no entry of the other data centre gets all that is forwarded.
+    return entries[++lastEntry_ % entries.size()].daemon;
 }
 
-std::optional<DaemonId> MembershipRole::brokerFor(const ServiceId&) const
+std::optional<DaemonId> MembershipRole::brokerFor(const ServiceId& service) const
 {
-    return entryIn(settings_.dataCentre);
+    const MutexLock lock(mutex_);
+    if (!membership_.isFresh())
+        return std::nullopt;
+    const std::optional<DaemonRun> broker = membership_.brokerFor(service);
+    return broker ? std::optional(broker->daemon) : std::nullopt;
 }
 
-absl::Time MembershipRole::pump(absl::Time now)
+bool MembershipRole::isAlive(const DaemonRun& run) const
 {
-    std::vector<MinionAnnouncement> gone;
-    absl::Time next = absl::InfiniteFuture();
+    if (run == self_)
+        return true;
+    const MutexLock lock(mutex_);
+    return membership_.runOf(run.daemon) == run;
+}
+
+absl::Time MembershipRole::pump(absl::Time)
+{
+    Decided decided;
+    absl::Duration sleep;
     {
         const MutexLock lock(mutex_);
-        for (auto lease = leases_.begin(); lease != leases_.end();) {
-            if (lease->second.end <= now) {
-                gone.push_back(lease->second.announcement);
-                lease = leases_.erase(lease);
-            } else {
-                next = std::min(next, lease->second.end);
-                ++lease;
-            }
-        }
+        const absl::Time now = clock_.now();
+        if (membership_.nextWakeup() <= now)
+            membership_.tick(now);
+        if (registry_.nextWakeup() <= now)
+            registry_.tick(now);
+        decided = takeDecided();
+        sleep = std::min(membership_.nextWakeup(), registry_.nextWakeup()) - now;
+    }
+    for (Envelope& each : decided.messages)
+        peers_.send(each.to, std::move(each.message));
+    for (const MembershipEvent& event : decided.daemons)
+        deliver(event);
+    for (const MinionEvent& event : decided.minions)
+        deliver(event);
+    if (decided.brokersMoved)
+        events_.brokersMoved();
+    // The pump's thread sleeps by the time of day, which only a step of that clock can lengthen.
+    return absl::Now() + std::max(sleep, absl::ZeroDuration());
+}
+
+MembershipRole::Decided MembershipRole::takeDecided()
+{
+    Decided decided;
+    MembershipOutbox members = membership_.takeOutbox();
+    noteMembers(members.events);
+    MinionRegistryOutbox registry = registry_.takeOutbox();
+    noteMinions(registry.events);
+    decided.messages = std::move(members.messages);
+    std::move(registry.messages.begin(), registry.messages.end(), std::back_inserter(decided.messages));
+    decided.daemons = std::move(members.events);
+    decided.minions = std::move(registry.events);
+    decided.brokersMoved = toldBrokersVersion_ != membership_.brokersVersion() || toldFresh_ != membership_.isFresh();
+    toldBrokersVersion_ = membership_.brokersVersion();
+    toldFresh_ = membership_.isFresh();
+    return decided;
+}
+
+void MembershipRole::noteMembers(const std::vector<MembershipEvent>& events)
+{
+    for (const MembershipEvent& event : events) {
+        if (const auto* joined = std::get_if<MemberJoined>(&event); joined && joined->isNear)
+            registry_.peerJoined(joined->run.daemon);
+        else if (const auto* gone = std::get_if<MemberGone>(&event); gone && gone->isNear)
+            registry_.peerGone(gone->run.daemon);
     }
-    for (const MinionAnnouncement& each : gone)
-        events_.minionGone(each.service, each.minion);
-    return next;
+}
+
+void MembershipRole::noteMinions(const std::vector<MinionEvent>& events)
+{
+    for (const MinionEvent& event : events) {
+        if (const auto* announced = std::get_if<MinionAnnounced>(&event))
+            minions_[{ announced->announcement.service, announced->announcement.minion }] = announced->announcement;
+        else if (const auto* gone = std::get_if<MinionGone>(&event))
+            minions_.erase({ gone->service, gone->minion });
+    }
+}
+
+void MembershipRole::deliver(const MembershipEvent& event)
+{
+    if (const auto* joined = std::get_if<MemberJoined>(&event))
+        events_.daemonJoined(joined->run);
+    else if (const auto* gone = std::get_if<MemberGone>(&event))
+        events_.daemonGone(gone->run);
+}
+
+void MembershipRole::deliver(const MinionEvent& event)
+{
+    if (const auto* announced = std::get_if<MinionAnnounced>(&event))
+        events_.minionAnnounced(announced->announcement);
+    else if (const auto* gone = std::get_if<MinionGone>(&event))
+        events_.minionGone(gone->service, gone->minion);
 }
 
 } // namespace trefoilwing
--- a/Source/Daemon/MembershipRole.h
+++ b/Source/Daemon/MembershipRole.h
@@ -1,39 +1,60 @@
 #pragma once
 
+#include "Adapters/Clock/SteadyClock.h"
 #include "Base/Error.h"
 #include "Base/MutexLock.h"
+#include "Control/Membership.h"
+#include "Control/MinionRegistry.h"
 #include "Dispatch/Pumped.h"
 #include "Dispatch/WorkSignal.h"
+#include "Model/MembershipMessages.h"
 #include "Model/OperatorMessages.h"
 #include "Model/Settings.h"
-#include "Ports/Clock.h"
 #include "Ports/DaemonDirectory.h"
+#include "Ports/PeerLink.h"
 
+#include <atomic>
 #include <map>
+#include <utility>
 
 namespace trefoilwing {
 
-/// Takes what membership finds out. Calls come from the role's thread and hold no lock.
+/// Takes what membership finds out. Calls come from the role's thread, in order, and hold no lock.
 class MembershipEvents {
 public:
     virtual ~MembershipEvents() = default;
 
     virtual void minionAnnounced(const MinionAnnouncement&) = 0;
     virtual void minionGone(const ServiceId&, const MinionId&) = 0;
+    virtual void daemonJoined(const DaemonRun&) = 0;
     virtual void daemonGone(const DaemonRun&) = 0;
-    /// The entries that can host brokers are others than before.
+    /// The entries that host brokers are others than before, or this daemon's view became stale or fresh.
     virtual void brokersMoved() = 0;
 };
 
-/// Knows which daemons and which minions of this data centre are alive.
+/// Knows which daemons and which minions of this data centre are alive: one shard, under its own lock,
+/// around the two decision objects, with a pump that delivers what they decide.
 class MembershipRole : public DaemonDirectory, public Pumped {
 public:
-    MembershipRole(const DaemonSettings&, DaemonRun self, const Clock&, MembershipEvents&);
+    /// @param peers, events must outlive the role.
+    MembershipRole(const DaemonSettings&, DaemonRun self, PeerLink& peers, MembershipEvents& events);
 
     /// Takes a minion's announcement to this daemon.
     /// @return how long it holds.
     Result<absl::Duration> announced(const MinionAnnouncement&);
 
+    void receive(const DaemonId& from, const Heartbeat&);
+    void receive(const DaemonId& from, const RosterPart&);
+    void receive(const DaemonId& from, const RosterQuery&);
+    void receive(const DaemonId& from, const MinionVouch&);
+    void receive(const DaemonId& from, const MinionQuery&);
+    void receive(const DaemonId& from, const MinionDelta&);
+
+    /// Tells all daemons that this one takes nothing new.
+    void drain();
+    /// Tells all daemons that this one ends.
+    void leave();
+
     /// @return the minions known, by service and state.
     std::vector<MinionCounts> minionCounts() const;
     /// @return the other daemons, as this one sees them.
@@ -43,24 +64,42 @@
     DataCentreId dataCentre() const override { return settings_.dataCentre; }
     std::optional<DaemonId> entryIn(const DataCentreId&) const override;
     std::optional<DaemonId> brokerFor(const ServiceId&) const override;
-    bool isAlive(const DaemonRun&) const override { return true; }
+    bool isAlive(const DaemonRun&) const override;
 
     absl::Time pump(absl::Time now) override;
     void waitForWork(absl::Time until) override { signal_.wait(until); }
     void wake() override { signal_.raise(); }
 
 private:
-    struct Lease {
-        MinionAnnouncement announcement;
-        absl::Time end;
+    using MinionKey = std::pair<ServiceId, MinionId>;
+
+    /// What the decision objects decided since the last pump.
+    struct Decided {
+        std::vector<Envelope> messages;
+        std::vector<MembershipEvent> daemons;
+        std::vector<MinionEvent> minions;
+        bool brokersMoved = false;
     };
 
+    Decided takeDecided() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void noteMembers(const std::vector<MembershipEvent>&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void noteMinions(const std::vector<MinionEvent>&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void deliver(const MembershipEvent&);
+    void deliver(const MinionEvent&);
+
     const DaemonSettings& settings_;
     DaemonRun self_;
-    const Clock& clock_;
+    PeerLink& peers_;
     MembershipEvents& events_;
+    /// Leases and silences are measured by a clock that never steps.
+    SteadyClock clock_;
     mutable absl::Mutex mutex_;
-    std::map<MinionId, Lease> leases_ ABSL_GUARDED_BY(mutex_);
+    Membership membership_ ABSL_GUARDED_BY(mutex_);
+    MinionRegistry registry_ ABSL_GUARDED_BY(mutex_);
+    std::map<MinionKey, MinionAnnouncement> minions_ ABSL_GUARDED_BY(mutex_);
+    uint64_t toldBrokersVersion_ ABSL_GUARDED_BY(mutex_) = 0;
+    bool toldFresh_ ABSL_GUARDED_BY(mutex_) = false;
+    mutable std::atomic<uint64_t> lastEntry_ { 0 };
     WorkSignal signal_;
 };
 
