Tell the configuration's version in heartbeats, and read large bodies of any content type

An entry that keeps no configuration learnt of none: heartbeats now carry the version, and whoever hears a higher one fetches the changes. curl names a form as content type, for which the HTTP library refuses bodies over 8 KiB with 413; the server reads bodies itself now (test TakesALargeBodyThatClaimsToBeAForm).

--- a/Source/Adapters/Http/HttpServer.cpp
+++ b/Source/Adapters/Http/HttpServer.cpp
@@ -32,6 +32,23 @@
         target.set_content(source.body, source.contentType);
     }
 
+    using Bridge = std::function<void(const httplib::Request&, httplib::Response&)>;
+
+    /// Reads the body here: left to itself, the library refuses what is over 8 KiB where the client names no
+    /// content type and so claims to send a form, as curl does.
+    httplib::Server::HandlerWithContentReader readingBody(Bridge bridge)
+    {
+        return [bridge = std::move(bridge)](const httplib::Request& request, httplib::Response& response, const httplib::ContentReader& read) {
+            httplib::Request whole = request;
+            const bool isRead = read([&whole](const char* data, size_t length) {
+                whole.body.append(data, length);
+                return true;
+            });
+            if (isRead)
+                bridge(whole, response);
+        };
+    }
+
 } // namespace
 
 struct HttpServer::Library {
@@ -82,7 +99,7 @@
         library_->server.Get(pattern, std::move(bridge));
         break;
     case HttpMethod::Post:
-        library_->server.Post(pattern, std::move(bridge));
+        library_->server.Post(pattern, readingBody(std::move(bridge)));
         break;
     case HttpMethod::Delete:
         library_->server.Delete(pattern, std::move(bridge));
--- a/Source/Adapters/Msgpack/MembershipFields.h
+++ b/Source/Adapters/Msgpack/MembershipFields.h
@@ -10,7 +10,7 @@
 
 void visitFields(auto&& visit, Fields<Heartbeat> auto& value)
 {
-    visit(value.incarnation, value.sequence, value.echo, value.state);
+    visit(value.incarnation, value.sequence, value.echo, value.state, value.configuration);
 }
 
 void visitFields(auto&& visit, Fields<RosterPart> auto& value)
--- a/Source/Control/Membership.cpp
+++ b/Source/Control/Membership.cpp
@@ -188,7 +188,7 @@
 void Membership::beat(const DaemonId& daemon, Peer& peer, absl::Time now)
 {
     // An answer counts for freshness by its number alone, so each heartbeat has its own.
-    outbox_.messages.push_back({ daemon, Heartbeat { self_.incarnation, ++sequence_, peer.sequence, state_ } });
+    outbox_.messages.push_back({ daemon, Heartbeat { self_.incarnation, ++sequence_, peer.sequence, state_, configuration_ } });
     peer.nextBeat = state_ == DaemonState::Left ? absl::InfiniteFuture() : now + timingOf(peer).interval;
 }
 
--- a/Source/Control/Membership.h
+++ b/Source/Control/Membership.h
@@ -87,6 +87,9 @@
 
     void heartbeatReceived(const DaemonId& from, const Heartbeat&, absl::Time now);
 
+    /// Takes the version of the configuration that heartbeats tell from now on.
+    void setConfiguration(ConfigurationVersion version) { configuration_ = version; }
+
     /// Does what is due: sends heartbeats, and judges silence.
     void tick(absl::Time now);
 
@@ -153,6 +156,7 @@
     const MembershipOptions options_;
     Peers peers_;
     DaemonState state_ = DaemonState::Active;
+    ConfigurationVersion configuration_;
     uint64_t sequence_ = 0;
     absl::Time lastDriven_;
     bool isFresh_ = false;
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -56,6 +56,11 @@
         void operator()(const ForwardedSubmission& forwarded) const { entry.receive(from, forwarded); }
         void operator()(const OutcomeQuery& query) const { entry.receive(from, query); }
         void operator()(const ForwardReply& reply) const { entry.receive(from, reply); }
+        void operator()(const Heartbeat& heartbeat) const
+        {
+            membership.receive(from, heartbeat);
+            control.versionHeard(from, heartbeat.configuration);
+        }
         template <typename T>
         void operator()(const T& message) const { membership.receive(from, message); }
     };
@@ -189,6 +194,7 @@
 {
     const std::vector<ServiceId> removed = declarations_.set(configuration);
     log_.write(Severity::Info, "configuration_in_force", { { "version", configuration.version.value() }, { "services", uint64_t { configuration.services.size() } } });
+    membership_.setConfiguration(configuration.version);
     entry_->refreshServices(removed);
 }
 
--- a/Source/Daemon/MembershipRole.cpp
+++ b/Source/Daemon/MembershipRole.cpp
@@ -91,6 +91,12 @@
     signal_.raise();
 }
 
+void MembershipRole::setConfiguration(ConfigurationVersion version)
+{
+    const MutexLock lock(mutex_);
+    membership_.setConfiguration(version);
+}
+
 void MembershipRole::drain()
 {
     {
--- a/Source/Daemon/MembershipRole.h
+++ b/Source/Daemon/MembershipRole.h
@@ -50,6 +50,9 @@
     void receive(const DaemonId& from, const MinionQuery&);
     void receive(const DaemonId& from, const MinionDelta&);
 
+    /// Takes the version of the configuration that is in force here.
+    void setConfiguration(ConfigurationVersion);
+
     /// Tells all daemons that this one takes nothing new.
     void drain();
     /// Tells all daemons that this one ends.
--- a/Source/Model/MembershipMessages.h
+++ b/Source/Model/MembershipMessages.h
@@ -25,6 +25,8 @@
     /// The highest sequence that the sender has received from the receiver; 0 where none came yet.
     uint64_t echo = 0;
     DaemonState state = DaemonState::Active;
+    /// The version of the configuration in force at the sender.
+    ConfigurationVersion configuration;
 
     friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
--- a/Tests/Adapters/Http/HttpServerTest.cpp
+++ b/Tests/Adapters/Http/HttpServerTest.cpp
@@ -39,6 +39,19 @@
     CHECK(answer->body.find("not run") != std::string::npos);
 }
 
+TEST(HttpServer, TakesALargeBodyThatClaimsToBeAForm)
+{
+    HttpServer large { { 4, Bytes { 1U << 20U } } };
+    large.route(HttpMethod::Post, "/size", [](const HttpRequest& request) {
+        return HttpResponse { 200, std::to_string(request.body.size()), "text/plain", {} };
+    });
+    CHECK(valueOf(large.start({ "127.0.0.1", 0 })));
+    httplib::Client client("127.0.0.1", large.port());
+    auto answer = client.Post("/size", std::string(20000, 'x'), "application/x-www-form-urlencoded");
+    CHECK(answer);
+    STRCMP_EQUAL("20000", answer->body.c_str());
+}
+
 TEST(HttpServer, NamesAnAddressThatIsTaken)
 {
     start();
