--- a/Source/Dispatch/BrokerHost.cpp
+++ b/Source/Dispatch/BrokerHost.cpp
@@ -24,7 +24,8 @@
     service.declaration = declaration;
     if (!isHost) {
         service.broker.reset();
-        service.entries.clear();
+        service.sent.clear();
+        service.asked.clear();
         return;
     }
     if (service.broker) {
@@ -62,7 +63,8 @@
 void BrokerHost::entryGone(const DaemonRun& entry, absl::Time now)
 {
     for (auto& [id, service] : services_) {
-        if (service.entries.erase(entry) > 0 && service.broker)
+        service.sent.erase(entry);
+        if (service.broker)
             service.broker->entryGone(entry, now);
     }
 }
@@ -73,8 +75,9 @@
     if (found == services_.end() || !found->second.broker)
         return;
     Service& service = found->second;
-    EntryStream& entry = service.entries[update.entry];
-    if (takeSequence(entry, update, now))
+    if (missedDecisions(service, update, now))
+        service.asked.emplace_back(update.entry, update.stream);
+    else
         service.broker->entryUpdated(update, now);
 }
 
@@ -98,54 +101,38 @@
     return next;
 }
 
-bool BrokerHost::takeSequence(EntryStream& entry, const BrokerUpdate& update, absl::Time now)
+bool BrokerHost::missedDecisions(const Service& service, const BrokerUpdate& update, absl::Time now)
 {
-    if (update.sequence == 1 && update.stream > entry.stream) {
-        entry = EntryStream { update.stream, 1, 0, absl::InfinitePast(), false };
-        return true;
-    }
-    if (update.stream < entry.stream)
-        return false;
-    const bool lostDecisions = update.received < entry.sent && now > entry.lastSent + confirmTimeout;
-    if (update.stream != entry.stream || update.sequence != entry.received + 1 || lostDecisions) {
-        entry.wantsWholeState = true;
-        return false;
-    }
-    entry.received = update.sequence;
-    return true;
+    const auto sent = service.sent.find(update.entry);
+    return sent != service.sent.end() && sent->second.stream == update.stream
+        && update.received < sent->second.sequence && now > sent->second.at + confirmTimeout;
 }
 
 void BrokerHost::decideService(const ServiceId& id, Service& service, absl::Time now, std::vector<AddressedDecisions>& addressed)
 {
-    std::vector<EntryDecisions> decided = service.broker->decide(now);
-    for (EntryDecisions& each : decided) {
-        const auto entry = service.entries.find(each.entry);
-        if (entry == service.entries.end())
-            continue;
-        BrokerDecisions decisions = nextHeader(id, each.entry, entry->second, now);
+    for (EntryDecisions& each : service.broker->decide(now)) {
+        BrokerDecisions decisions = headerFor(id, each.entry, each.stream, each.sequence);
         decisions.grants = std::move(each.grants);
         decisions.rejections = std::move(each.rejections);
-        decisions.wantsWholeState = each.wantsWholeState || std::exchange(entry->second.wantsWholeState, false);
+        decisions.wantsWholeState = each.wantsWholeState;
+        service.sent[each.entry] = Sent { each.stream, each.sequence, now };
         addressed.push_back({ each.entry.daemon, std::move(decisions) });
     }
-    for (auto& [run, entry] : service.entries) {
-        if (!std::exchange(entry.wantsWholeState, false))
-            continue;
-        BrokerDecisions decisions = nextHeader(id, run, entry, now);
+    for (const auto& [entry, stream] : std::exchange(service.asked, {})) {
+        BrokerDecisions decisions = headerFor(id, entry, stream, 0);
         decisions.wantsWholeState = true;
-        addressed.push_back({ run.daemon, std::move(decisions) });
+        addressed.push_back({ entry.daemon, std::move(decisions) });
     }
 }
 
-BrokerDecisions BrokerHost::nextHeader(const ServiceId& id, const DaemonRun& entry, EntryStream& stream, absl::Time now) const
+BrokerDecisions BrokerHost::headerFor(const ServiceId& id, const DaemonRun& entry, uint64_t stream, uint64_t sequence) const
 {
-    stream.lastSent = now;
     BrokerDecisions decisions;
     decisions.service = id;
     decisions.broker = self_;
     decisions.entry = entry;
-    decisions.stream = stream.stream;
-    decisions.sequence = ++stream.sent;
+    decisions.stream = stream;
+    decisions.sequence = sequence;
     return decisions;
 }
 
--- a/Source/Dispatch/BrokerHost.h
+++ b/Source/Dispatch/BrokerHost.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace trefoilwing {
@@ -17,7 +18,7 @@
     BrokerDecisions decisions;
 };
 
-/// Hosts the slot brokers of the services that fall to this daemon, and keeps the entries' streams in order.
+/// Hosts the slot brokers of the services that fall to this daemon, and notices decisions that were lost.
 class BrokerHost {
 public:
     using BrokerFactory = std::function<std::unique_ptr<SlotBroker>(const ServiceDeclaration&)>;
@@ -38,27 +39,26 @@
     absl::Time nextWakeup() const;
 
 private:
-    /// What was received from and sent to one entry.
-    struct EntryStream {
+    /// The last decisions sent to one entry.
+    struct Sent {
         uint64_t stream = 0;
-        uint64_t received = 0;
-        uint64_t sent = 0;
-        absl::Time lastSent = absl::InfinitePast();
-        bool wantsWholeState = false;
+        uint64_t sequence = 0;
+        absl::Time at;
     };
 
     struct Service {
         ServiceDeclaration declaration;
         /// Null while another daemon hosts the broker.
         std::unique_ptr<SlotBroker> broker;
-        std::map<DaemonRun, EntryStream> entries;
+        std::map<DaemonRun, Sent> sent;
+        /// Entries that missed decisions and are asked for their whole state.
+        std::vector<std::pair<DaemonRun, uint64_t>> asked;
         std::map<MinionId, MinionAnnouncement> minions;
     };
 
-    /// @return whether the update follows on what was received before.
-    static bool takeSequence(EntryStream&, const BrokerUpdate&, absl::Time now);
+    static bool missedDecisions(const Service&, const BrokerUpdate&, absl::Time now);
     void decideService(const ServiceId&, Service&, absl::Time now, std::vector<AddressedDecisions>&);
-    BrokerDecisions nextHeader(const ServiceId&, const DaemonRun& entry, EntryStream&, absl::Time now) const;
+    BrokerDecisions headerFor(const ServiceId&, const DaemonRun& entry, uint64_t stream, uint64_t sequence) const;
 
     DaemonRun self_;
     BrokerFactory factory_;
--- a/Source/Dispatch/ServiceDispatcher.cpp
+++ b/Source/Dispatch/ServiceDispatcher.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 // Each table is indexed by the enumeration that a minion's message carries.
-const ServiceDispatcher::AttemptHandler ServiceDispatcher::startHandlers[] = {
+const std::array<ServiceDispatcher::AttemptHandler, 7> ServiceDispatcher::startHandlers {
     &ServiceDispatcher::onStarted,
     &ServiceDispatcher::onRefusedBusy,
     &ServiceDispatcher::onRefusedLeaving,
@@ -36,14 +36,14 @@
     &ServiceDispatcher::onAnswerLost,
 };
 
-const ServiceDispatcher::AttemptHandler ServiceDispatcher::cancelHandlers[] = {
+const std::array<ServiceDispatcher::AttemptHandler, 4> ServiceDispatcher::cancelHandlers {
     &ServiceDispatcher::onFenced,
     &ServiceDispatcher::onStillRunning,
     &ServiceDispatcher::onEndedThere,
     &ServiceDispatcher::onCancelLost,
 };
 
-const ServiceDispatcher::ResultHandler ServiceDispatcher::resultHandlers[] = {
+const std::array<ServiceDispatcher::ResultHandler, 3> ServiceDispatcher::resultHandlers {
     &ServiceDispatcher::onSucceeded,
     &ServiceDispatcher::onFailed,
     &ServiceDispatcher::onNotBegun,
@@ -69,8 +69,11 @@
 void ServiceDispatcher::cancel(JobNumber number, absl::Time now)
 {
     const auto found = jobs_.find(number);
-    if (found != jobs_.end())
-        fail(found->second, ErrorCode::Cancelled, "The caller cancelled the job.", now);
+    if (found == jobs_.end())
+        return;
+    // A copy, since deciding the job erases the map's own pointer.
+    const JobPtr job = found->second;
+    fail(job, ErrorCode::Cancelled, "The caller cancelled the job.", now);
 }
 
 void ServiceDispatcher::applyGrant(const Grant& grant, absl::Time now)
@@ -110,7 +113,7 @@
 {
     for (const StartAnswer& answer : answers) {
         if (Attempt* attempt = findAttempt(answer.attempt, minion))
-            (this->*startHandlers[static_cast<size_t>(answer.reply)])(*attempt, now);
+            (this->*startHandlers.at(static_cast<size_t>(answer.reply)))(*attempt, now);
     }
 }
 
@@ -118,7 +121,7 @@
 {
     for (const CancelAnswer& answer : answers) {
         if (Attempt* attempt = findAttempt(answer.attempt, minion))
-            (this->*cancelHandlers[static_cast<size_t>(answer.reply)])(*attempt, now);
+            (this->*cancelHandlers.at(static_cast<size_t>(answer.reply)))(*attempt, now);
     }
 }
 
@@ -133,7 +136,7 @@
             count(metric::wastedMessages, { service_, {}, {} });
             continue;
         }
-        (this->*resultHandlers[static_cast<size_t>(result.status)])(*attempt, result, now);
+        (this->*resultHandlers.at(static_cast<size_t>(result.status)))(*attempt, result, now);
     }
 }
 
--- a/Source/Dispatch/ServiceDispatcher.h
+++ b/Source/Dispatch/ServiceDispatcher.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
 
+#include <array>
 #include <map>
 #include <utility>
 #include <vector>
@@ -85,9 +86,9 @@
     using AttemptHandler = void (ServiceDispatcher::*)(Attempt&, absl::Time);
     using ResultHandler = void (ServiceDispatcher::*)(Attempt&, TaskResult&, absl::Time);
 
-    static const AttemptHandler startHandlers[];
-    static const AttemptHandler cancelHandlers[];
-    static const ResultHandler resultHandlers[];
+    static const std::array<AttemptHandler, 7> startHandlers;
+    static const std::array<AttemptHandler, 4> cancelHandlers;
+    static const std::array<ResultHandler, 3> resultHandlers;
 
     void onStarted(Attempt&, absl::Time);
     void onRefusedBusy(Attempt&, absl::Time);
--- a/Source/Model/MembershipMessages.h
+++ b/Source/Model/MembershipMessages.h
@@ -26,7 +26,7 @@
     uint64_t echo = 0;
     DaemonState state = DaemonState::Active;
     /// The version of the configuration in force at the sender.
-    ConfigurationVersion configuration;
+    ConfigurationVersion configuration {};
 
     friend bool operator==(const Heartbeat&, const Heartbeat&) = default;
 };
