Add the demo and the tests of real processes on loopback

Ten tests start four daemons and stand-in minions: jobs over two entries, a drain, a resubmission elsewhere, a conflict, refusals, an entry killed and one stopped for 10 s, killed and adverse minions, a wiped keeper. Outcomes are checked against the minions' execution logs.

--- /dev/null
+++ b/Tests/System/ChildProcess.cpp
@@ -0,0 +1,69 @@
+#include "System/ChildProcess.h"
+
+#include <absl/time/clock.h>
+
+#include <csignal>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr absl::Duration pollInterval = absl::Milliseconds(10);
+    constexpr absl::Duration killPatience = absl::Seconds(30);
+    constexpr mode_t fileMode = 0644;
+
+} // namespace
+
+ChildProcess::ChildProcess(const std::vector<std::string>& command, const std::string& outputFile)
+{
+    std::vector<char*> arguments;
+    arguments.reserve(command.size() + 1);
+    for (const std::string& argument : command)
+        arguments.push_back(const_cast<char*>(argument.c_str()));
+    arguments.push_back(nullptr);
+
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, outputFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, fileMode);
+    posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+    if (posix_spawn(&id_, arguments[0], &actions, nullptr, arguments.data(), environ) != 0)
+        status_ = -1;
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+ChildProcess::~ChildProcess()
+{
+    kill();
+}
+
+void ChildProcess::signal(int number) const
+{
+    if (!status_)
+        ::kill(id_, number);
+}
+
+std::optional<int> ChildProcess::await(absl::Duration patience)
+{
+    const absl::Time end = absl::Now() + patience;
+    while (!status_ && absl::Now() < end) {
+        int status = 0;
+        if (waitpid(id_, &status, WNOHANG) == id_)
+            status_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        else
+            absl::SleepFor(pollInterval);
+    }
+    return status_;
+}
+
+void ChildProcess::kill()
+{
+    signal(SIGKILL);
+    await(killPatience);
+}
+
+} // namespace trefoilwing
