Let a cancel reach the submission's owner whichever entry is asked

A cancel at another entry than the owner's only gave up a local job, so two of three cancels through the balancer did nothing. It now takes the way of a question for the outcome (test ACancelReachesTheOwnerWhicheverEntryIsAsked).

--- a/Source/Adapters/Msgpack/ModelFields.h
+++ b/Source/Adapters/Msgpack/ModelFields.h
@@ -77,7 +77,7 @@
 
 void visitFields(auto&& visit, Fields<OutcomeQuery> auto& value)
 {
-    visit(value.request, value.submission, value.patience);
+    visit(value.request, value.submission, value.patience, value.cancels);
 }
 
 void visitFields(auto&& visit, Fields<StillRunning> auto&)
--- a/Source/Dispatch/SubmissionDesk.cpp
+++ b/Source/Dispatch/SubmissionDesk.cpp
@@ -100,24 +100,28 @@
 
 void SubmissionDesk::awaitOutcome(const SubmissionKey& key, absl::Duration patience, StateCallback done)
 {
-    if (watchHere(key, patience, done))
+    ask(Question { key, patience, false }, std::move(done));
+}
+
+void SubmissionDesk::cancel(const SubmissionKey& key, StateCallback done)
+{
+    ask(Question { key, forwardTimeout, true }, std::move(done));
+}
+
+void SubmissionDesk::ask(const Question& question, StateCallback done)
+{
+    if (askHere(question, done))
         return;
-    const auto declaration = ports_.declarations.find(key.service);
-    const BackerDeclaration* backer = declaration ? findBacker(*declaration, key.backer) : nullptr;
+    const auto declaration = ports_.declarations.find(question.key.service);
+    const BackerDeclaration* backer = declaration ? findBacker(*declaration, question.key.backer) : nullptr;
     if (!backer)
         return done(Error { declaration ? ErrorCode::UnknownBacker : ErrorCode::UnknownService, "The service or the backer isn't declared.", Verdict::NotRun });
     if (backer->home == ports_.directory.dataCentre())
-        return awaitByLedger(key, patience, done);
+        return askByLedger(question, done);
     const auto entry = ports_.directory.entryIn(backer->home);
     if (!entry)
         return done(unreachableHome(backer->home));
-    query(*entry, key, patience, unreachableHome(backer->home), std::move(done));
-}
-
-void SubmissionDesk::cancel(const SubmissionKey& key, StateCallback done)
-{
-    ports_.runner.cancel(key);
-    awaitOutcome(key, forwardTimeout, std::move(done));
+    query(*entry, question, unreachableHome(backer->home), std::move(done));
 }
 
 CallerKey SubmissionDesk::nextRequestKey()
@@ -160,8 +164,9 @@
     const auto reply = [this, from, request = asked.request](const SubmissionState& state) {
         ports_.peers.send(from, ForwardReply { request, state });
     };
-    if (!watchHere(asked.submission, asked.patience, reply))
-        awaitByLedger(asked.submission, asked.patience, reply);
+    const Question question { asked.submission, asked.patience, asked.cancels };
+    if (!askHere(question, reply))
+        askByLedger(question, reply);
 }
 
 void SubmissionDesk::forwardAnswered(const ForwardReply& answer)
@@ -287,7 +292,7 @@
     }
     for (StateCallback& callback : accepted) {
         if (holder.outcome)
-            awaitFromOwner(submission.id, holder, absl::ZeroDuration(), std::move(callback));
+            askOwner(Question { submission.id, absl::ZeroDuration(), false }, holder, std::move(callback));
         else
             notices.add(std::move(callback), StillRunning {});
     }
@@ -319,54 +324,56 @@
     ports_.peers.send(*entry, ForwardedSubmission { request, std::move(submission) });
 }
 
-void SubmissionDesk::awaitByLedger(const SubmissionKey& key, absl::Duration patience, const StateCallback& done)
+void SubmissionDesk::askByLedger(const Question& question, const StateCallback& done)
 {
-    ports_.ledger.lookUp(key, [this, key, patience, done](const Result<std::optional<ClaimHolder>>& found) {
+    ports_.ledger.lookUp(question.key, [this, question, done](const Result<std::optional<ClaimHolder>>& found) {
         if (const Error* error = errorOf(found))
             return done(*error);
         const std::optional<ClaimHolder>& holder = *valueOf(found);
         if (!holder)
             return done(Error { ErrorCode::UnknownSubmission, "No submission with this id is known here; it may be past its retention.", Verdict::MayHaveRun });
-        awaitFromOwner(key, *holder, patience, done);
+        askOwner(question, *holder, done);
     });
 }
 
-void SubmissionDesk::awaitFromOwner(const SubmissionKey& key, const ClaimHolder& holder, absl::Duration patience, StateCallback done)
+void SubmissionDesk::askOwner(const Question& question, const ClaimHolder& holder, StateCallback done)
 {
     const DaemonRun& owner = holder.owner;
     const bool isElsewhere = owner != ports_.directory.self() && ports_.directory.isAlive(owner);
     if (isElsewhere) {
         const SubmissionState unanswered = holder.outcome ? stateWithoutAnswer(*holder.outcome) : SubmissionState { StillRunning {} };
-        return query(owner.daemon, key, patience, unanswered, std::move(done));
+        return query(owner.daemon, question, unanswered, std::move(done));
     }
-    if (watchHere(key, patience, done))
+    if (askHere(question, done))
         return;
     // The owner is gone. Until the ledger has recorded that, the submission counts as running.
     done(holder.outcome ? stateWithoutAnswer(*holder.outcome) : SubmissionState { StillRunning {} });
 }
 
-void SubmissionDesk::query(const DaemonId& entry, const SubmissionKey& key, absl::Duration patience, SubmissionState unanswered, StateCallback done)
+void SubmissionDesk::query(const DaemonId& entry, const Question& question, SubmissionState unanswered, StateCallback done)
 {
     RequestId request;
     {
         MutexLock lock(forwardsMutex_);
-        request = forwards_.add(ports_.clock.now() + patience + answerAllowance, std::move(unanswered), std::move(done));
+        request = forwards_.add(ports_.clock.now() + question.patience + answerAllowance, std::move(unanswered), std::move(done));
     }
     signal_.raise();
-    ports_.peers.send(entry, OutcomeQuery { request, key, patience });
+    ports_.peers.send(entry, OutcomeQuery { request, question.key, question.patience, question.cancels });
 }
 
-bool SubmissionDesk::watchHere(const SubmissionKey& key, absl::Duration patience, const StateCallback& done)
+bool SubmissionDesk::askHere(const Question& question, const StateCallback& done)
 {
     StateNotices notices;
     bool isKnown;
     {
-        Shard& shard = shardOf(key);
+        Shard& shard = shardOf(question.key);
         MutexLock lock(shard.mutex);
-        isKnown = shard.table.watch(key, ports_.clock.now() + patience, done, notices);
+        isKnown = shard.table.watch(question.key, ports_.clock.now() + question.patience, done, notices);
     }
     if (isKnown)
         signal_.raise();
+    if (isKnown && question.cancels)
+        ports_.runner.cancel(question.key);
     notices.deliver();
     return isKnown;
 }
--- a/Source/Dispatch/SubmissionDesk.h
+++ b/Source/Dispatch/SubmissionDesk.h
@@ -77,11 +77,20 @@
 
     /// Sends a submission to its home.
     void forward(const DataCentreId& home, Submission, StateCallback done);
+    /// A question about a submission, wherever it is held.
+    struct Question {
+        SubmissionKey key;
+        absl::Duration patience;
+        bool cancels = false;
+    };
+
+    void ask(const Question&, StateCallback done);
     /// Finds an outcome by the ledger and the owner that it names.
-    void awaitByLedger(const SubmissionKey&, absl::Duration patience, const StateCallback& done);
-    void awaitFromOwner(const SubmissionKey&, const ClaimHolder&, absl::Duration patience, StateCallback done);
-    void query(const DaemonId&, const SubmissionKey&, absl::Duration patience, SubmissionState unanswered, StateCallback done);
-    bool watchHere(const SubmissionKey&, absl::Duration patience, const StateCallback& done);
+    void askByLedger(const Question&, const StateCallback& done);
+    void askOwner(const Question&, const ClaimHolder&, StateCallback done);
+    void query(const DaemonId&, const Question&, SubmissionState unanswered, StateCallback done);
+    /// @return whether the submission is known here, so that the callback will be called.
+    bool askHere(const Question&, const StateCallback& done);
 
     void recordOutcome(const SubmissionKey&);
     void outcomeRecorded(const SubmissionKey&, const Result<RecordedOutcome>&);
--- a/Source/Model/ForwardMessages.h
+++ b/Source/Model/ForwardMessages.h
@@ -22,6 +22,8 @@
     SubmissionKey submission;
     /// How long to hold the answer back while the submission runs.
     absl::Duration patience;
+    /// Whether the submission is to be given up first.
+    bool cancels {};
 
     friend bool operator==(const OutcomeQuery&, const OutcomeQuery&) = default;
 };
--- a/Tests/Dispatch/SubmissionDeskTest.cpp
+++ b/Tests/Dispatch/SubmissionDeskTest.cpp
@@ -210,6 +210,19 @@
     LONGS_EQUAL(2, ledger.recordings.size());
 }
 
+TEST(SubmissionDesk, ACancelReachesTheOwnerWhicheverEntryIsAsked)
+{
+    directory.alive = { DaemonId("a2"), Incarnation(1) };
+    ledger.found = ClaimHolder { directory.alive, Digest(1), std::nullopt };
+    desk.cancel(submission("here").id, keep());
+    CHECK(std::get<OutcomeQuery>(peers.sent.at(0).second).cancels);
+    desk.submit(submission("here"), keep());
+    expectRun();
+    ledger.claims.at(0)(ClaimGranted {});
+    mock().expectOneCall("cancel").withParameter("key", "q1");
+    desk.outcomeQueried(DaemonId("a2"), { RequestId(1), submission("here").id, absl::Seconds(1), true });
+}
+
 TEST(SubmissionDesk, AnUnreachableHomeIsMayHaveRun)
 {
     desk.submit(submission("there"), keep());
