--- a/Source/Dispatch/Broker/SlotTable.cpp
+++ b/Source/Dispatch/Broker/SlotTable.cpp
@@ -93,8 +93,8 @@
     known->unaccounted = 0;
     totalSlots_ -= known->slots;
     known->slots = 0;
-    if (known->granted == 0)
-        minions_.erase(id);
+    // One that still holds granted slots is forgotten with a later one, once its slots have been reported.
+    absl::erase_if(minions_, [](const auto& each) { return !each.second->isPresent && each.second->granted == 0; });
 }
 
 Minion& SlotTable::minion(const MinionId& id)
--- a/Tests/Dispatch/Broker/DemandTest.cpp
+++ b/Tests/Dispatch/Broker/DemandTest.cpp
@@ -28,6 +28,15 @@
     LONGS_EQUAL(1, f.grants()[1]);
 }
 
+TEST(Demand, TheJobWithTheLeastWorkGoesFirst)
+{
+    f.update(a, { f.demand(1, 50), f.demand(2, 2) });
+    f.announce("m", 3);
+    auto grants = f.grants();
+    LONGS_EQUAL(2, grants[2]);
+    LONGS_EQUAL(1, grants[1]);
+}
+
 TEST(Demand, ExcludedMinionsAreNotGranted)
 {
     f.announce("m", 8);
