Make the test of a replaced connection depend on the replacement alone

On a scratch copy it passed without the code under test, as the silent connection was closed after 16 s in any case. It now sets that limit to an hour, and a peer that waits in vain fails the test instead of waiting again. With the break it now fails.

--- a/Tests/Adapters/Wire/TcpPeerLinkTest.cpp
+++ b/Tests/Adapters/Wire/TcpPeerLinkTest.cpp
@@ -106,7 +106,7 @@
     void wait(short events)
     {
         pollfd item { socket_.descriptor(), events, 0 };
-        ::poll(&item, 1, static_cast<int>(absl::ToInt64Milliseconds(patience)));
+        CHECK_EQUAL(1, ::poll(&item, 1, static_cast<int>(absl::ToInt64Milliseconds(patience))));
     }
 
     Socket socket_;
@@ -255,7 +255,10 @@
 
 TEST(TcpPeerLink, ANewConnectionOfAPeerReplacesItsOldOne)
 {
-    Node first(settings(0), 1);
+    WireOptions options;
+    // Silence must not be what closes the old one.
+    options.receiveTimeout = absl::Hours(1);
+    Node first(settings(0), 1, options);
     CHECK(first.start());
     RawPeer halfOpen(peers[0].peerEndpoint);
     halfOpen.send(hello(1));
