--- a/Source/Adapters/Yaml/SettingsLoader.cpp
+++ b/Source/Adapters/Yaml/SettingsLoader.cpp
@@ -63,6 +63,7 @@
             requiredKey("daemon", &DaemonSettings::daemon, idValue<DaemonId>()),
             optionalKey("data_folder", &DaemonSettings::dataFolder, textValue()),
             optionalKey("log_folder", &DaemonSettings::logFolder, textValue()),
+            optionalKey("claim_guard", &DaemonSettings::claimGuard, durationValue(absl::ZeroDuration(), absl::Hours(24 * 30))),
             optionalKey("max_connections", &DaemonSettings::maxConnections, numberValue(8, 100000)),
             optionalKey("max_request_body", &DaemonSettings::maxRequestBody, sizeValue(Bytes(1024), Bytes(uint64_t { 1 } << 30U))),
             requiredKey("peers", &DaemonSettings::peers, listValue(peerKeys(), &PeerSettings::daemon)),
--- a/Source/Daemon/ControlRole.cpp
+++ b/Source/Daemon/ControlRole.cpp
@@ -9,6 +9,13 @@
 
 namespace trefoilwing {
 
+namespace {
+
+    constexpr absl::Duration groupHeartbeat = absl::Milliseconds(500);
+    constexpr absl::Duration groupElectionTimeout = absl::Seconds(2);
+
+} // namespace
+
 ControlRole::ControlRole(const DaemonSettings& settings, DaemonRun self, std::unique_ptr<GroupJournals> journals, ControlPorts ports, ConfigurationListener listener)
     : settings_(settings)
     , self_(std::move(self))
@@ -98,13 +105,16 @@
 }
 
 template <typename Factory>
-auto* ControlRole::add(const GroupId& id, const std::vector<DaemonId>& members, const Factory& make)
+auto* ControlRole::add(const GroupId& id, const std::vector<DaemonId>& members, absl::Duration claimGuard, const Factory& make)
 {
     DiskJournal* journal = journals_->find(id);
     LogSettings settings;
     settings.group = id;
     settings.self = Member { MemberId { self_.daemon, journal ? journal->storage() : self_.incarnation }, false, journal != nullptr, false };
     settings.daemons = members;
+    settings.heartbeat = groupHeartbeat;
+    settings.electionTimeout = groupElectionTimeout;
+    settings.claimGuard = claimGuard;
     randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
     const GroupPorts ports { ports_.peers, ports_.clock, *randoms_.back(), journal };
     auto group = make(std::move(settings), journal ? journal->takeContent() : JournalContent {}, ports);
@@ -119,7 +129,7 @@
     const auto make = [this](LogSettings settings, JournalContent content, GroupPorts ports) {
         return std::make_unique<ReplicatedLedger>(self_, std::move(settings), std::move(content), ports);
     };
-    ReplicatedLedger* ledger = add(ledgerGroup(dataCentre), ledgerMembers(settings_, dataCentre), make);
+    ReplicatedLedger* ledger = add(ledgerGroup(dataCentre), ledgerMembers(settings_, dataCentre), settings_.claimGuard, make);
     ledgers_.push_back(ledger);
     if (dataCentre == settings_.dataCentre)
         ownLedger_ = ledger;
@@ -131,7 +141,7 @@
         return std::make_unique<ReplicatedConfiguration>(std::move(settings), std::move(content), ports,
             [this](const ConfigurationDelta& delta) { replica_.receive(delta); });
     };
-    keeper_ = add(configurationGroup(), configurationMembers(settings_), make);
+    keeper_ = add(configurationGroup(), configurationMembers(settings_), absl::ZeroDuration(), make);
 }
 
 } // namespace trefoilwing
--- a/Source/Daemon/ControlRole.h
+++ b/Source/Daemon/ControlRole.h
@@ -64,7 +64,7 @@
 private:
     /// Adds a member of a group, which the factory makes from its settings, content and ports.
     template <typename Factory>
-    auto* add(const GroupId&, const std::vector<DaemonId>& members, const Factory&);
+    auto* add(const GroupId&, const std::vector<DaemonId>& members, absl::Duration claimGuard, const Factory&);
     void addLedger(const DataCentreId&);
     void addKeeper();
 
--- a/Source/Model/Settings.h
+++ b/Source/Model/Settings.h
@@ -4,6 +4,8 @@
 #include "Model/MinionMessages.h"
 #include "Model/Units.h"
 
+#include <absl/time/time.h>
+
 #include <string>
 #include <vector>
 
@@ -38,6 +40,9 @@
     /// Connections from callers and minions that are served at once.
     uint32_t maxConnections = 256;
     Bytes maxRequestBody { 64U << 20U };
+    /// How long a ledger that is founded anew answers "may have run" for submissions that it doesn't know.
+    /// At least the longest retention; zero only for the first start of a system that never ran.
+    absl::Duration claimGuard = absl::Hours(1);
     /// Every daemon of the system, this one included.
     std::vector<PeerSettings> peers;
 
