--- a/Source/Daemon/DeclarationBoard.h
+++ b/Source/Daemon/DeclarationBoard.h
@@ -13,6 +13,7 @@
 /// Holds the declarations in force, for many readers.
 class DeclarationBoard : public Declarations {
 public:
+    bool hasConfiguration() const override { return version() > ConfigurationVersion(0); }
     std::shared_ptr<const ServiceDeclaration> find(const ServiceId&) const override;
 
     /// Puts a configuration in force.
--- a/Source/Dispatch/SubmissionDesk.cpp
+++ b/Source/Dispatch/SubmissionDesk.cpp
@@ -27,6 +27,12 @@
         return Error { ErrorCode::Draining, "This entry is shutting down and takes nothing new; send it to another entry.", Verdict::NotRun };
     }
 
+    Error noConfiguration()
+    {
+        return Error { ErrorCode::Unavailable, "This entry has no configuration yet; ask again or ask another entry. An earlier try may have been taken.", Verdict::MayHaveRun };
+    }
+
+
     Error unreachableHome(const DataCentreId& home)
     {
         return Error { ErrorCode::Unavailable, absl::StrCat("Data centre ", home.value(), ", which keeps this backer's submissions, can't be reached. An earlier try may have been taken there."), Verdict::MayHaveRun };
@@ -62,8 +68,7 @@
     const absl::Time now = ports_.clock.now();
     const auto declaration = ports_.declarations.find(submission.id.service);
     applyDefaultDeadline(declaration.get(), submission, now);
-    const Result<Done> checked = checkSubmission(declaration.get(), submission, now);
-    if (const Error* error = errorOf(checked))
+    if (const auto error = contentError(declaration.get(), submission))
         return done(*error);
     if (isAnonymous(submission.id))
         return done(Error { ErrorCode::Malformed, absl::StrCat("Ids that begin with '", anonymousPrefix, "' are reserved; use another id."), Verdict::NotRun });
@@ -79,11 +84,12 @@
     const absl::Time now = ports_.clock.now();
     const auto declaration = ports_.declarations.find(submission.id.service);
     applyDefaultDeadline(declaration.get(), submission, now);
-    const Result<Done> checked = checkSubmission(declaration.get(), submission, now);
-    if (const Error* error = errorOf(checked))
+    if (!ports_.declarations.hasConfiguration())
+        return done(Error { ErrorCode::Unavailable, "This entry has no configuration yet; try again or use another entry.", Verdict::NotRun });
+    if (const auto error = contentError(declaration.get(), submission))
+        return done(*error);
+    if (const auto error = newcomerError(submission))
         return done(*error);
-    if (isDraining_)
-        return done(drainingError());
     const SubmissionKey key = submission.id;
     StateNotices notices;
     {
@@ -114,8 +120,11 @@
         return;
     const auto declaration = ports_.declarations.find(question.key.service);
     const BackerDeclaration* backer = declaration ? findBacker(*declaration, question.key.backer) : nullptr;
+    if (!ports_.declarations.hasConfiguration())
+        return done(noConfiguration());
+    // A question about a submission that may have run before the declaration was changed.
     if (!backer)
-        return done(Error { declaration ? ErrorCode::UnknownBacker : ErrorCode::UnknownService, "The service or the backer isn't declared.", Verdict::NotRun });
+        return done(Error { declaration ? ErrorCode::UnknownBacker : ErrorCode::UnknownService, "The service or the backer isn't declared here.", Verdict::MayHaveRun });
     if (backer->home == ports_.directory.dataCentre())
         return askByLedger(question, done);
     const auto entry = ports_.directory.entryIn(backer->home);
@@ -150,8 +159,7 @@
     };
     const Submission& submission = forwarded.submission;
     const auto declaration = ports_.declarations.find(submission.id.service);
-    const Result<Done> checked = checkSubmission(declaration.get(), submission, ports_.clock.now());
-    if (const Error* error = errorOf(checked))
+    if (const auto error = contentError(declaration.get(), submission))
         return reply(*error);
     // Sent on once only, so that two views of the home can't pass it to and fro.
     if (findBacker(*declaration, submission.id.backer)->home != ports_.directory.dataCentre())
@@ -231,24 +239,55 @@
     return absl::StartsWith(key.key.value(), anonymousPrefix);
 }
 
+std::optional<Error> SubmissionDesk::contentError(const ServiceDeclaration* declaration, const Submission& submission) const
+{
+    if (!ports_.declarations.hasConfiguration())
+        return noConfiguration();
+    const Result<Done> checked = checkSubmission(declaration, submission);
+    const Error* error = errorOf(checked);
+    return error ? std::optional(*error) : std::nullopt;
+}
+
+std::optional<Error> SubmissionDesk::newcomerError(const Submission& submission) const
+{
+    if (isDraining_)
+        return drainingError();
+    if (submission.deadline <= ports_.clock.now())
+        return Error { ErrorCode::PastDeadline, "The deadline had passed when the request came; nothing was started.", Verdict::NotRun };
+    return std::nullopt;
+}
+
+void SubmissionDesk::joinOnly(const Submission& submission, const Error& refusal, const StateCallback& done)
+{
+    ports_.ledger.lookUp(submission.id, [this, submission, refusal, done](const Result<std::optional<ClaimHolder>>& found) {
+        if (const Error* error = errorOf(found))
+            return done(*error);
+        const std::optional<ClaimHolder>& holder = *valueOf(found);
+        if (!holder)
+            return done(refusal);
+        if (holder->digest != digestOf(submission))
+            return done(conflictError());
+        askOwner(Question { submission.id, absl::ZeroDuration(), false }, *holder, done);
+    });
+}
+
 void SubmissionDesk::submitHere(const ServiceDeclaration& declaration, const Submission& submission, const StateCallback& done)
 {
     const SubmissionKey& key = submission.id;
     const Digest digest = digestOf(submission);
+    const std::optional<Error> refusal = newcomerError(submission);
     StateNotices notices;
-    SubmissionTable::Admission admission;
+    std::optional<SubmissionTable::Admission> admission;
     {
         Shard& shard = shardOf(key);
         MutexLock lock(shard.mutex);
-        if (isDraining_ && !shard.table.stageOf(key)) {
-            notices.add(done, drainingError());
-            admission = SubmissionTable::Admission::IsKnown;
-        } else {
+        if (!refusal || shard.table.stageOf(key))
             admission = shard.table.admit(key, digest, declaration.retention, done, notices);
-        }
     }
     notices.deliver();
-    if (admission == SubmissionTable::Admission::IsNew)
+    if (!admission)
+        joinOnly(submission, *refusal, done);
+    else if (*admission == SubmissionTable::Admission::IsNew)
         ports_.ledger.claim(key, digest, declaration.retention, [this, submission](const ClaimReply& reply) { claimAnswered(submission, reply); });
 }
 
@@ -277,7 +316,7 @@
 void SubmissionDesk::claimHeld(const Submission& submission, const ClaimHolder& holder)
 {
     if (holder.digest != digestOf(submission))
-        return refuse(submission.id, Error { ErrorCode::Conflict, "Another submission with the same id and other content was taken before; use a new id.", Verdict::NotRun });
+        return refuse(submission.id, conflictError());
     // A claim of this very run that isn't in the table was made by a try whose answer was lost
     // before anything started, so it may run now.
     if (holder.owner == ports_.directory.self() && !holder.outcome)
--- a/Source/Dispatch/SubmissionDesk.h
+++ b/Source/Dispatch/SubmissionDesk.h
@@ -68,6 +68,12 @@
     Shard& shardOf(const SubmissionKey&);
     static bool isAnonymous(const SubmissionKey&);
 
+    /// @return the error of a submission that can't be taken by its content, or nothing.
+    std::optional<Error> contentError(const ServiceDeclaration*, const Submission&) const;
+    /// @return why nothing new may be taken, or nothing.
+    std::optional<Error> newcomerError(const Submission&) const;
+    /// Joins a submission that was taken before; one that never was is refused.
+    void joinOnly(const Submission&, const Error& refusal, const StateCallback& done);
     /// Claims and runs a submission whose home is this data centre.
     void submitHere(const ServiceDeclaration&, const Submission&, const StateCallback& done);
     void claimAnswered(const Submission&, const ClaimReply&);
--- a/Source/Dispatch/SubmissionRules.cpp
+++ b/Source/Dispatch/SubmissionRules.cpp
@@ -35,7 +35,7 @@
 
 } // namespace
 
-Result<Done> checkSubmission(const ServiceDeclaration* declaration, const Submission& submission, absl::Time now)
+Result<Done> checkSubmission(const ServiceDeclaration* declaration, const Submission& submission)
 {
     if (!declaration)
         return refusal(ErrorCode::UnknownService, absl::StrCat("Service '", submission.id.service.value(), "' isn't declared; publish its declaration first."));
@@ -43,8 +43,6 @@
         return refusal(ErrorCode::UnknownBacker, absl::StrCat("Backer '", submission.id.backer.value(), "' isn't declared for service ", declaration->service.value(), "."));
     if (submission.id.key.value().empty() || submission.id.key.value().size() > longestCallerKey)
         return refusal(ErrorCode::Malformed, absl::StrCat("The id must have 1 to ", longestCallerKey, " bytes."));
-    if (submission.deadline <= now)
-        return refusal(ErrorCode::PastDeadline, "The deadline had passed when the request came; nothing was started.");
     return checkTasks(*declaration, submission);
 }
 
@@ -66,6 +64,11 @@
     return found == declaration.kinds.end() ? nullptr : &*found;
 }
 
+Error conflictError()
+{
+    return refusal(ErrorCode::Conflict, "Another submission with the same id and other content was taken before; use a new id.");
+}
+
 Digest digestOf(const Submission& submission)
 {
     // Lengths stand before the texts, so that no two different lists give the same bytes.
--- a/Source/Dispatch/SubmissionTable.cpp
+++ b/Source/Dispatch/SubmissionTable.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/SubmissionTable.h"
 
+#include "Dispatch/SubmissionRules.h"
+
 #include <algorithm>
 
 namespace trefoilwing {
@@ -29,7 +31,7 @@
         return Admission::IsNew;
     }
     if (entry.digest != digest)
-        notices.add(std::move(accepted), Error { ErrorCode::Conflict, "Another submission with the same id and other content was taken before; use a new id.", Verdict::NotRun });
+        notices.add(std::move(accepted), conflictError());
     else if (entry.stage == Stage::Claiming)
         entry.accepted.push_back(std::move(accepted));
     else
--- a/Source/Ports/Declarations.h
+++ b/Source/Ports/Declarations.h
@@ -11,6 +11,9 @@
 public:
     virtual ~Declarations() = default;
 
+    /// @return whether any configuration is in force here yet.
+    virtual bool hasConfiguration() const = 0;
+
     /// @return the service's declaration, or null if there is none in force.
     virtual std::shared_ptr<const ServiceDeclaration> find(const ServiceId&) const = 0;
 };
--- a/Tests/Dispatch/SubmissionDeskTest.cpp
+++ b/Tests/Dispatch/SubmissionDeskTest.cpp
@@ -24,11 +24,14 @@
         declaration_.backers = { { BackerId("here"), 1, DataCentreId("bole") }, { BackerId("there"), 1, DataCentreId("merkato") } };
         declaration_.kinds = { { TaskKindId("price"), absl::Milliseconds(100), true, {} } };
     }
+    bool hasConfiguration() const override { return isReady; }
     std::shared_ptr<const ServiceDeclaration> find(const ServiceId& service) const override
     {
         return service == declaration_.service ? std::make_shared<const ServiceDeclaration>(declaration_) : nullptr;
     }
 
+    bool isReady = true;
+
 private:
     ServiceDeclaration declaration_;
 };
@@ -254,6 +257,27 @@
     LONGS_EQUAL(1, desk.openCount());
 }
 
+TEST(SubmissionDesk, AnEntryWithoutAConfigurationNeverSaysNotRunOfASubmission)
+{
+    declarations.isReady = false;
+    desk.submit(submission("here"), keep());
+    CHECK(lastError().verdict == Verdict::MayHaveRun);
+    desk.awaitOutcome(submission("here").id, absl::Seconds(1), keep());
+    CHECK(lastError().verdict == Verdict::MayHaveRun);
+}
+
+TEST(SubmissionDesk, ALateOrDrainingResubmissionJoinsWhatRanElsewhere)
+{
+    ledger.found = ClaimHolder { { DaemonId("a2"), Incarnation(1) }, digestOf(submission("here")), RecordedOutcome { Verdict::Ran, true } };
+    Submission late = submission("here");
+    late.deadline = clock.time;
+    desk.submit(late, keep());
+    CHECK(lastError().verdict == Verdict::Ran);
+    desk.drain();
+    desk.submit(submission("here"), keep());
+    CHECK(lastError().verdict == Verdict::Ran);
+}
+
 TEST(SubmissionDesk, RefusalsBeforeTheClaimAreNotRun)
 {
     Submission late = submission("here");
--- a/Tests/System/Cluster.cpp
+++ b/Tests/System/Cluster.cpp
@@ -104,7 +104,7 @@
 void Cluster::writeSettings(const std::string& daemon) const
 {
     std::ofstream file(absl::StrCat(folder_, "/", daemon, ".yaml"));
-    file << "daemon: " << daemon << "\ndata_folder: " << dataFolder(daemon) << "\nmax_connections: 64\npeers:\n";
+    file << "daemon: " << daemon << "\ndata_folder: " << dataFolder(daemon) << "\nclaim_guard: 0s\nmax_connections: 64\npeers:\n";
     for (const DaemonRow& row : daemons) {
         file << "  - daemon: " << row.name << "\n    data_centre: " << row.dataCentre
              << "\n    peer_endpoint: " << describe(peerEndpoints_.at(row.name))
