Read a submission's state without an optional result

g++ 12 takes the optional variant for perhaps uninitialised under the sanitizers, and -Werror stops that build (a false finding). The poll now asks whether the submission runs and reads the outcome once it doesn't.

--- a/Source/Ctl/Commands.cpp
+++ b/Source/Ctl/Commands.cpp
@@ -66,7 +66,7 @@
 void Commands::showHelp(std::ostream& out) const
 {
     out << "usage: trefoilctl COMMAND [OPTION]... [ARGUMENT]...\n\n";
-    TextTable table({ "COMMAND", "" });
+    TextTable table({ "COMMAND", "WHAT IT DOES" });
     for (const std::unique_ptr<CtlCommand>& command : commands_)
         table.add({ command->name(), command->summary() });
     out << table << "\ntrefoilctl COMMAND --help shows a command's options.\n"
--- a/Source/Ctl/HttpCallerLink.cpp
+++ b/Source/Ctl/HttpCallerLink.cpp
@@ -30,18 +30,21 @@
         return *answer;
     }
 
-    /// What the body of a submission's state says; nothing while it runs.
-    std::optional<Result<size_t>> outcomeOf(const std::string& body)
+    bool isRunning(const std::string& body)
+    {
+        const Result<json> document = parseJson(body);
+        return valueOf(document) && valueOf(document)->value("status", "") == "running";
+    }
+
+    /// @return what the body says of a submission that has ended.
+    Result<size_t> outcomeOf(const std::string& body)
     {
         const Result<json> document = parseJson(body);
         if (const Error* error = errorOf(document))
-            return Result<size_t>(*error);
-        const std::string status = valueOf(document)->value("status", "");
-        if (status == "running")
-            return std::nullopt;
-        if (status == "complete")
-            return Result<size_t>(valueOf(document)->value("outputs", json::array()).size());
-        return Result<size_t>(decodeError(okStatus, body));
+            return *error;
+        if (valueOf(document)->value("status", "") == "complete")
+            return valueOf(document)->value("outputs", json::array()).size();
+        return decodeError(okStatus, body);
     }
 
 } // namespace
@@ -86,13 +89,11 @@
     };
     const std::string poll = absl::StrCat("/v1/submissions/", item.service.value(), "/", item.backer.value(), "/", item.key.value(), "?wait_ms=", pollMs);
     Result<HttpAnswer> answer = answerOf(connection_.post("/v1/submissions", jsonText(body)));
-    while (true) {
-        if (const Error* error = errorOf(answer))
-            return *error;
-        if (const std::optional<Result<size_t>> outcome = outcomeOf(valueOf(answer)->body))
-            return *outcome;
+    while (valueOf(answer) && isRunning(valueOf(answer)->body))
         answer = answerOf(connection_.get(poll));
-    }
+    if (const Error* error = errorOf(answer))
+        return *error;
+    return outcomeOf(valueOf(answer)->body);
 }
 
 } // namespace trefoilwing
