--- a/Source/Dispatch/Job.h
+++ b/Source/Dispatch/Job.h
@@ -46,6 +46,10 @@
     bool isExcluded(const MinionId& minion) const { return excluded_.contains(minion); }
     const absl::flat_hash_set<MinionId>& excluded() const { return excluded_; }
 
+    /// Whether a grant was ever used for this job.
+    bool hasStarted() const { return hasStarted_; }
+    void noteStart() { hasStarted_ = true; }
+
     /// Notes evidence that a task started, or may have.
     void noteMayHaveStarted() { mayHaveStarted_ = true; }
 
@@ -78,6 +82,7 @@
     uint32_t endedTasks_ = 0;
     uint32_t completedTasks_ = 0;
     uint32_t repeats_ = 0;
+    bool hasStarted_ = false;
     bool mayHaveStarted_ = false;
     bool isDecided_ = false;
 };
--- a/Source/Dispatch/ServiceDispatcher.cpp
+++ b/Source/Dispatch/ServiceDispatcher.cpp
@@ -62,7 +62,6 @@
     deadlines_.emplace(job->submission().deadline, number);
     changedDemands_.insert(number);
     retryBudget_.earn();
-    count(metric::requestsTotal, labelsOf(*job));
     return number;
 }
 
@@ -333,6 +332,7 @@
 
 void ServiceDispatcher::sendStart(const JobPtr& job, TaskIndex index, const MinionId& minion, absl::Time now)
 {
+    job->noteStart();
     const AttemptId id { ++lastAttempt_ };
     const Submission& submission = job->submission();
     const TaskSpec& task = job->task(index);
@@ -402,6 +402,8 @@
     const JobNumber number = job->number();
     const absl::Duration response = now - job->accepted();
     effects_.samples.push_back({ MetricSample::Form::Latency, metric::requestLatency, labelsOf(*job), 0, response });
+    // Counted together with the good ones, so that both fall into the same interval.
+    count(metric::requestsTotal, labelsOf(*job));
     if (valueOf(outcome)) {
         if (response <= objective_.within)
             count(metric::requestsGood, labelsOf(*job));
@@ -473,6 +475,7 @@
         demand.waiting.emplace(kind, static_cast<uint32_t>(tasks.size()));
     demand.excluded.assign(job.excluded().begin(), job.excluded().end());
     std::sort(demand.excluded.begin(), demand.excluded.end());
+    demand.hasStarted = job.hasStarted();
     return demand;
 }
 
--- a/Source/Dispatch/SubmissionDesk.cpp
+++ b/Source/Dispatch/SubmissionDesk.cpp
@@ -32,7 +32,6 @@
         return Error { ErrorCode::Unavailable, "This entry has no configuration yet; ask again or ask another entry. An earlier try may have been taken.", Verdict::MayHaveRun };
     }
 
-
     Error unreachableHome(const DataCentreId& home)
     {
         return Error { ErrorCode::Unavailable, absl::StrCat("Data centre ", home.value(), ", which keeps this backer's submissions, can't be reached. An earlier try may have been taken there."), Verdict::MayHaveRun };
--- a/Source/Ports/MetricNames.h
+++ b/Source/Ports/MetricNames.h
@@ -14,7 +14,7 @@
 inline constexpr std::string_view taskStarts = "task_starts";
 /// From a job's acceptance to the start of each of its tasks.
 inline constexpr std::string_view queueWait = "queue_wait";
-/// A job's response over the run time of its longest task, in thousandths.
+/// A job's response over the run time of its longest task, a ratio of 1 being one second.
 inline constexpr std::string_view responseOverIdeal = "response_over_ideal";
 
 } // namespace trefoilwing::metric
--- a/Tests/Dispatch/ServiceDispatcherTest.cpp
+++ b/Tests/Dispatch/ServiceDispatcherTest.cpp
@@ -74,6 +74,7 @@
     answer(m1, starts[0], StartReply::RefusedBusy);
     LONGS_EQUAL(1, effects.demands.size());
     LONGS_EQUAL(1, effects.demands[0].waiting.at(price));
+    CHECK(effects.demands[0].hasStarted);
     LONGS_EQUAL(1, effects.reports.size());
     CHECK(effects.reports[0].ending == SlotEnding::RefusedBusy);
     LONGS_EQUAL(1, grant(job, m2, 1).size());
