--- a/Source/Ctl/SvgChart.cpp
+++ b/Source/Ctl/SvgChart.cpp
@@ -46,9 +46,12 @@
         double yMax() const { return yMax_; }
 
     private:
+        /// The axis reaches at least so far, so that a calm chart doesn't magnify noise.
+        static constexpr double smallestTop = 1;
+
         static double largestValue(const SvgChart& chart)
         {
-            double largest = 1e-9;
+            double largest = smallestTop;
             for (const SvgLine& line : chart.lines) {
                 for (const auto& [x, y] : line.points)
                     largest = std::max(largest, y);
--- a/Tests/Ctl/ServiceLevelReportTest.cpp
+++ b/Tests/Ctl/ServiceLevelReportTest.cpp
@@ -114,3 +114,12 @@
     // A report without any measurement is written, too.
     CHECK_TRUE(reportHtml(makeReport(configuration, MetricsSnapshot())).find("nan") == std::string::npos);
 }
+
+TEST(ServiceLevelReport, AChartOfZerosHasAPlainAxis)
+{
+    SvgChart chart;
+    chart.lines = { { "all", { { -0.5, 0 }, { 0, 0 } }, false } };
+    const std::string svg = drawSvg(chart);
+    CHECK(svg.find("e-0") == std::string::npos);
+    CHECK(svg.find("e-1") == std::string::npos);
+}
