--- a/Source/Adapters/Http/CallerCodec.cpp
+++ b/Source/Adapters/Http/CallerCodec.cpp
@@ -1,6 +1,7 @@
 #include "Adapters/Http/CallerCodec.h"
 
 #include "Adapters/Http/JsonFields.h"
+#include "Adapters/Http/JsonMembers.h"
 
 #include <limits>
 
@@ -13,11 +14,6 @@
     constexpr uint64_t longestTimeoutMs = 24ULL * 3600 * 1000;
     constexpr uint64_t latestDeadlineMs = uint64_t { 1 } << 50U;
 
-    std::string dump(const nlohmann::json& body)
-    {
-        return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-    }
-
     absl::Time decodeDeadline(const JsonFields& fields, absl::Time now)
     {
         if (fields.has("deadline_ms"))
@@ -63,15 +59,15 @@
     if (std::holds_alternative<StillRunning>(state))
         return R"({"status":"running"})";
     if (const auto* answer = std::get_if<JobAnswer>(&state))
-        return dump({ { "status", "complete" }, { "outputs", answer->outputs } });
+        return jsonText({ { "status", "complete" }, { "outputs", answer->outputs } });
     const Error& error = std::get<Error>(state);
-    return dump({ { "status", "failed" },
+    return jsonText({ { "status", "failed" },
         { "error", { { "code", errorCodeName(error.code) }, { "message", error.message }, { "verdict", verdictName(error.verdict) } } } });
 }
 
 std::string CallerCodec::encodeAnswer(const JobAnswer& answer)
 {
-    return dump({ { "output", answer.outputs.empty() ? std::string() : answer.outputs.front() }, { "verdict", verdictName(Verdict::Ran) } });
+    return jsonText({ { "output", answer.outputs.empty() ? std::string() : answer.outputs.front() }, { "verdict", verdictName(Verdict::Ran) } });
 }
 
 } // namespace trefoilwing
--- a/Source/Adapters/Http/ErrorResponse.cpp
+++ b/Source/Adapters/Http/ErrorResponse.cpp
@@ -1,6 +1,6 @@
 #include "Adapters/Http/ErrorResponse.h"
 
-#include <nlohmann/json.hpp>
+#include "Adapters/Http/JsonMembers.h"
 
 #include <array>
 
@@ -52,7 +52,7 @@
     };
     HttpResponse response;
     response.status = statusOf(error.code);
-    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    response.body = jsonText(body);
     return response;
 }
 
--- a/Source/Adapters/Http/JsonFields.cpp
+++ b/Source/Adapters/Http/JsonFields.cpp
@@ -1,5 +1,7 @@
 #include "Adapters/Http/JsonFields.h"
 
+#include "Adapters/Http/JsonMembers.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <limits>
@@ -69,7 +71,7 @@
     }
     if (value->is_string())
         return text(name, maxLength);
-    std::string dumped = value->dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    std::string dumped = jsonText(*value);
     if (dumped.size() > maxLength) {
         fail(name, absl::StrCat("at most ", maxLength, " bytes long"));
         return {};
--- a/Source/Adapters/Http/MinionCodec.cpp
+++ b/Source/Adapters/Http/MinionCodec.cpp
@@ -1,6 +1,7 @@
 #include "Adapters/Http/MinionCodec.h"
 
 #include "Adapters/Http/JsonFields.h"
+#include "Adapters/Http/JsonMembers.h"
 
 #include <array>
 #include <limits>
@@ -77,12 +78,6 @@
         return table.front().first;
     }
 
-    /// Texts came in as JSON, so they are UTF-8; the replacement only keeps the encoder from throwing.
-    std::string dump(const json& value)
-    {
-        return value.dump(-1, ' ', false, json::error_handler_t::replace);
-    }
-
     json toJson(const Endpoint& endpoint)
     {
         return { { "address", endpoint.address }, { "port", endpoint.port } };
@@ -249,7 +244,7 @@
 
 std::string encodeAnnouncement(const MinionAnnouncement& announcement)
 {
-    return dump({
+    return jsonText({
         { "minion", announcement.minion.value() },
         { "incarnation", announcement.incarnation.value() },
         { "sequence", announcement.sequence },
@@ -286,7 +281,7 @@
 
 std::string encodeLease(absl::Duration lease)
 {
-    return dump({ { "lease_ms", toMicroseconds(lease) / 1000 } });
+    return jsonText({ { "lease_ms", toMicroseconds(lease) / 1000 } });
 }
 
 Result<absl::Duration> decodeLease(const std::string& body)
@@ -297,7 +292,7 @@
 
 std::string encodeStarts(const StartBatch& batch)
 {
-    return dump({
+    return jsonText({
         { "entry", toJson(batch.entry) },
         { "minion", batch.minion.value() },
         { "incarnation", batch.incarnation.value() },
@@ -320,7 +315,7 @@
 
 std::string encodeStartAnswers(const std::vector<StartAnswer>& answers)
 {
-    return dump({ { "answers", toList(answers) } });
+    return jsonText({ { "answers", toList(answers) } });
 }
 
 Result<std::vector<StartAnswer>> decodeStartAnswers(const std::string& body)
@@ -331,7 +326,7 @@
 
 std::string encodeCancels(const CancelBatch& batch)
 {
-    return dump({
+    return jsonText({
         { "entry", toJson(batch.entry) },
         { "minion", batch.minion.value() },
         { "incarnation", batch.incarnation.value() },
@@ -352,7 +347,7 @@
 
 std::string encodeCancelAnswers(const std::vector<CancelAnswer>& answers)
 {
-    return dump({ { "answers", toList(answers) } });
+    return jsonText({ { "answers", toList(answers) } });
 }
 
 Result<std::vector<CancelAnswer>> decodeCancelAnswers(const std::string& body)
@@ -363,7 +358,7 @@
 
 std::string encodeResults(const ResultBatch& batch)
 {
-    return dump({
+    return jsonText({
         { "service", batch.service.value() },
         { "minion", batch.minion.value() },
         { "entry", toJson(batch.entry) },
--- a/Source/Daemon/OperationsRole.cpp
+++ b/Source/Daemon/OperationsRole.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-OperationsRole::OperationsRole(const DaemonSettings& settings, const MembershipRole& membership, ControlRole& control, EntryRole& entry)
+OperationsRole::OperationsRole(const DaemonSettings& settings, MembershipRole& membership, ControlRole& control, EntryRole& entry)
     : settings_(settings)
     , membership_(membership)
     , control_(control)
@@ -66,6 +66,7 @@
 void OperationsRole::drain()
 {
     entry_.desk().drain();
+    membership_.drain();
 }
 
 void OperationsRole::removeMember(const MemberRemoval& removal, std::function<void(Result<Done>)> done)
--- a/Source/Daemon/OperationsRole.h
+++ b/Source/Daemon/OperationsRole.h
@@ -10,7 +10,7 @@
 /// Offers operators what the other roles know and do.
 class OperationsRole : public Operations {
 public:
-    OperationsRole(const DaemonSettings&, const MembershipRole&, ControlRole&, EntryRole&);
+    OperationsRole(const DaemonSettings&, MembershipRole&, ControlRole&, EntryRole&);
 
     DaemonStatus status() const override;
     Configuration configuration() const override;
@@ -22,7 +22,7 @@
     std::vector<GroupStatus> groups() const;
 
     const DaemonSettings& settings_;
-    const MembershipRole& membership_;
+    MembershipRole& membership_;
     ControlRole& control_;
     EntryRole& entry_;
 };
--- a/Tests/Adapters/Http/DecoderFuzzTest.cpp
+++ b/Tests/Adapters/Http/DecoderFuzzTest.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/Http/CallerCodec.h"
 #include "Adapters/Http/MinionCodec.h"
 
 #include <rapidcheck.h>
@@ -60,6 +61,8 @@
 std::vector<std::string> rightBodies()
 {
     return {
+        R"({"service":"s","backer":"b","id":"i","timeout_ms":1000,"tasks":[{"kind":"t","payload":{"n":1}},{"kind":"t","payload":"x"}]})",
+        R"({"service":"s","backer":"b","kind":"t","deadline_ms":1796382000123,"idempotent":true,"payload":[1,2]})",
         MinionCodec::encodeAnnouncement({ MinionId("m"), Incarnation(1), 2, { "127.0.0.1", 80 }, ServiceId("s"), DataCentreId("d"),
             WorkerId("w"), RackId("r"), SlotCount(8), SlotCount(1), { { "accelerators", 2 } }, MinionState::Serving }),
         MinionCodec::encodeLease(absl::Seconds(3)),
@@ -104,6 +107,9 @@
 {
     for (const Decoder& decode : decoders())
         decode(body);
+    // Callers' bodies are only ever decoded.
+    CallerCodec::decodeSubmission(body, absl::FromUnixSeconds(1000));
+    CallerCodec::decodeRequest(body, absl::FromUnixSeconds(1000));
 }
 
 } // namespace
