Start nothing on a claim that was given up

Cause: a claim that isn't committed within 5 s is answered with may have run, and the ledger decides it as not run if it is committed later. A resubmission at the same entry in between took the claim for its own and started the job, whose outcome then stood as not run. It joins instead (test AClaimOfThisRunThatWasGivenUpIsNotStartedByAResubmission failed before).

--- a/Source/Dispatch/SubmissionDesk.cpp
+++ b/Source/Dispatch/SubmissionDesk.cpp
@@ -316,11 +316,9 @@
 {
     if (holder.digest != digestOf(submission))
         return refuse(submission.id, conflictError());
-    // A claim of this very run that isn't in the table was made by a try whose answer was lost
-    // before anything started, so it may run now.
-    if (holder.owner == ports_.directory.self() && !holder.outcome)
-        return claimGranted(submission);
-    // Joined by the ledger: those who wait hear that it was taken and ask on from there.
+    // Joined by the ledger: those who wait hear that it was taken and ask on from there. That goes for a claim
+    // of this very run too: one that isn't in the table was given up before it was committed, and the ledger
+    // decides it as not run, so it must not start now.
     StateNotices notices;
     std::vector<StateCallback> accepted;
     {
--- a/Tests/Dispatch/SubmissionDeskTest.cpp
+++ b/Tests/Dispatch/SubmissionDeskTest.cpp
@@ -171,6 +171,20 @@
     CHECK(std::get<JobAnswer>(states.back()).outputs[0] == "out");
 }
 
+TEST(SubmissionDesk, AClaimOfThisRunThatWasGivenUpIsNotStartedByAResubmission)
+{
+    desk.submit(submission("here"), keep());
+    ledger.claims.at(0)(Error { ErrorCode::Unavailable, "no majority", Verdict::MayHaveRun });
+    CHECK(lastError().verdict == Verdict::MayHaveRun);
+    desk.submit(submission("here"), keep());
+    // No call of the runner is expected.
+    ledger.claims.at(1)(ClaimHolder { directory.self(), digestOf(submission("here")), std::nullopt });
+    CHECK(lastIsRunning());
+    ledger.found = ClaimHolder { directory.self(), digestOf(submission("here")), RecordedOutcome { Verdict::NotRun, false } };
+    desk.awaitOutcome(submission("here").id, absl::Seconds(1), keep());
+    CHECK(lastError().verdict == Verdict::NotRun);
+}
+
 TEST(SubmissionDesk, AClaimHeldWithOtherContentIsAConflict)
 {
     desk.submit(submission("here"), keep());
