Bound the answers that are kept for resubmissions

An entry kept every output for the declared retention, so 200 jobs a second of 7 KB (computed) would have held 5 GB within an hour.

--- a/Source/Dispatch/SubmissionTable.cpp
+++ b/Source/Dispatch/SubmissionTable.cpp
@@ -6,6 +6,13 @@
 
 namespace trefoilwing {
 
+namespace {
+
+    /// What a kept output takes besides its bytes.
+    constexpr uint64_t outputOverheadBytes = 32;
+
+} // namespace
+
 void StateNotices::add(std::vector<CallerDesk::StateCallback>&& callbacks, const SubmissionState& state)
 {
     for (CallerDesk::StateCallback& callback : callbacks)
@@ -106,6 +113,8 @@
         notices.add(std::move(watch.callback), state);
     entry.watches.clear();
     expiries_.emplace(now + entry.retention, key);
+    keepAnswer(key, entry);
+    dropOldAnswers();
 }
 
 bool SubmissionTable::watch(const SubmissionKey& key, absl::Time until, CallerDesk::StateCallback callback, StateNotices& notices)
@@ -144,7 +153,11 @@
         watches.erase(watch);
     }
     while (!expiries_.empty() && expiries_.begin()->first <= now) {
-        entries_.erase(expiries_.begin()->second);
+        const auto expired = entries_.find(expiries_.begin()->second);
+        if (expired != entries_.end()) {
+            dropAnswer(expired->second);
+            entries_.erase(expired);
+        }
         untold_.erase(expiries_.begin()->second);
         expiries_.erase(expiries_.begin());
     }
@@ -160,6 +173,40 @@
     return next;
 }
 
+void SubmissionTable::keepAnswer(const SubmissionKey& key, Entry& entry)
+{
+    const auto* answer = std::get_if<JobAnswer>(&entry.state);
+    if (!answer)
+        return;
+    entry.answerNumber = ++lastAnswer_;
+    for (const std::string& output : answer->outputs)
+        entry.answerBytes += outputOverheadBytes + output.size();
+    answerBytes_ += entry.answerBytes;
+    answers_.emplace(entry.answerNumber, key);
+}
+
+void SubmissionTable::dropAnswer(Entry& entry)
+{
+    if (entry.answerNumber == 0)
+        return;
+    answers_.erase(entry.answerNumber);
+    answerBytes_ -= entry.answerBytes;
+    entry.answerNumber = 0;
+    entry.answerBytes = 0;
+}
+
+void SubmissionTable::dropOldAnswers()
+{
+    // The newest stays whatever its size, so that its caller can fetch it.
+    while (answerBytes_ > mostAnswerBytes_.value() && answers_.size() > 1) {
+        const SubmissionKey key = answers_.begin()->second;
+        Entry& entry = entries_.at(key);
+        entry.state = Error { ErrorCode::Lost, "The job ran to its end; its answer is no longer kept here.", Verdict::Ran };
+        untold_.erase(key);
+        dropAnswer(entry);
+    }
+}
+
 void SubmissionTable::addWatch(const SubmissionKey& key, Entry& entry, absl::Time until, CallerDesk::StateCallback callback)
 {
     const uint64_t number = ++lastWatch_;
--- a/Source/Dispatch/SubmissionTable.h
+++ b/Source/Dispatch/SubmissionTable.h
@@ -7,6 +7,7 @@
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -47,6 +48,12 @@
         IsKnown,
     };
 
+    /// @param mostAnswerBytes how much of published answers is kept. The oldest go first; of those the verdict is kept.
+    explicit SubmissionTable(Bytes mostAnswerBytes = defaultAnswerBytes())
+        : mostAnswerBytes_(mostAnswerBytes)
+    {
+    }
+
     /// Takes a submission or joins it to the one with the same id.
     Admission admit(const SubmissionKey&, Digest, absl::Duration retention, CallerDesk::StateCallback accepted, StateNotices&);
 
@@ -98,14 +105,28 @@
         std::vector<Watch> watches;
         std::optional<JobOutcome> unrecorded;
         SubmissionState state;
+        /// The answer's place among those kept, and its size; 0 where none is kept.
+        uint64_t answerNumber = 0;
+        uint64_t answerBytes = 0;
     };
 
+    static constexpr uint64_t defaultAnswerMebibytes = 8;
+    static Bytes defaultAnswerBytes() { return Bytes(defaultAnswerMebibytes << 20U); }
+
+    void keepAnswer(const SubmissionKey&, Entry&);
+    void dropAnswer(Entry&);
+    void dropOldAnswers();
     void addWatch(const SubmissionKey&, Entry&, absl::Time until, CallerDesk::StateCallback);
 
     absl::flat_hash_map<SubmissionKey, Entry> entries_;
     absl::btree_set<std::pair<absl::Time, std::pair<SubmissionKey, uint64_t>>> watchEnds_;
     absl::btree_set<std::pair<absl::Time, SubmissionKey>> expiries_;
     absl::btree_set<SubmissionKey> untold_;
+    Bytes mostAnswerBytes_;
+    /// The submissions whose answers are kept, oldest first.
+    std::map<uint64_t, SubmissionKey> answers_;
+    uint64_t lastAnswer_ = 0;
+    uint64_t answerBytes_ = 0;
     uint64_t lastWatch_ = 0;
     size_t openCount_ = 0;
 };
