Set the newest view of the brokers last

A change of the configuration and a change of the members refresh the services from two threads. The one that had read the older view could set it last, and a service then kept a broker that had moved until the next change. Refreshes take turns now, each reading the view in its turn. Not reproduced: found by reading.

--- a/Source/Daemon/EntryRole.cpp
+++ b/Source/Daemon/EntryRole.cpp
@@ -33,6 +33,7 @@
 
 void EntryRole::refreshServices(const std::vector<ServiceId>& removed)
 {
+    const MutexLock lock(refreshMutex_);
     const DaemonId self = ports_.directory.self().daemon;
     for (const ServiceId& service : removed) {
         shardOf(service).setBroker(service, std::nullopt);
--- a/Source/Daemon/EntryRole.h
+++ b/Source/Daemon/EntryRole.h
@@ -71,6 +71,8 @@
     std::unique_ptr<SlotBroker> makeBroker(size_t shard);
 
     EntryPorts ports_;
+    /// Serialises refreshes, which come from two threads, so that the newest view is set last. Taken before a shard's lock.
+    absl::Mutex refreshMutex_;
     SubmissionDesk desk_;
     HttpMinionLink minions_;
     /// Each broker shard draws from its own source, so that draws need no lock of their own.
