Write whole files in one place, and drop calls that nobody makes

DispatchShard::jobCount, EntryRole::jobCount and ControlRole::isKeeper had no caller. ctest passed but for System.AdverseMinionsStartNoTaskTwice, which wasn't run again for this.

--- a/Source/Adapters/Disk/JournalFolder.cpp
+++ b/Source/Adapters/Disk/JournalFolder.cpp
@@ -127,7 +127,7 @@
         });
         if (hasRecords)
             return damaged(pathOf(identityName), 0, "the file is missing, though there are records");
-        if (auto written = writeWhole(identityName, encode(offered)); errorOf(written))
+        if (auto written = writeWhole(identityName, [&](AppendFile& file) { return file.append(makeBlock(encode(offered))); }); errorOf(written))
             return *errorOf(written);
         return offered;
     }
@@ -291,7 +291,7 @@
     return files_.syncFolder(folder_);
 }
 
-Result<Done> JournalFolder::writeWhole(const std::string& name, const std::string& content)
+Result<Done> JournalFolder::writeWhole(const std::string& name, const FileFiller& fill)
 {
     const std::string temporary = pathOf(name) + temporarySuffix;
     // What an earlier crash left there mustn't come before the content.
@@ -301,8 +301,8 @@
     if (errorOf(opened))
         return *errorOf(opened);
     AppendFile& file = **valueOf(opened);
-    if (auto appended = file.append(makeBlock(content)); errorOf(appended))
-        return appended;
+    if (auto filled = fill(file); errorOf(filled))
+        return filled;
     if (auto synced = file.sync(); errorOf(synced))
         return synced;
     if (auto renamed = files_.rename(temporary, pathOf(name)); errorOf(renamed))
@@ -312,27 +312,21 @@
 
 Result<Done> JournalFolder::writeSnapshot(const Snapshot& snapshot)
 {
-    const std::string name = numberedName(snapshotPrefix, snapshot.lastIndex.value(), snapshotSuffix);
-    const std::string temporary = pathOf(name) + temporarySuffix;
-    if (auto removed = files_.remove(temporary); errorOf(removed))
-        return removed;
-    auto opened = files_.open(temporary);
-    if (errorOf(opened))
-        return *errorOf(opened);
-    AppendFile& file = **valueOf(opened);
-    const Snapshot head { snapshot.lastIndex, snapshot.lastTerm, snapshot.epoch, snapshot.members, {} };
-    if (auto appended = file.append(makeBlock(encode(head))); errorOf(appended))
-        return appended;
-    for (const SnapshotPiece& piece : snapshot.pieces) {
-        if (auto appended = file.append(makeBlock(encode(piece))); errorOf(appended))
+    // One piece at a time, so that the snapshot isn't in memory as a whole once more.
+    const auto fill = [&snapshot](AppendFile& file) -> Result<Done> {
+        const Snapshot head { snapshot.lastIndex, snapshot.lastTerm, snapshot.epoch, snapshot.members, {} };
+        if (auto appended = file.append(makeBlock(encode(head))); errorOf(appended))
             return appended;
-    }
-    if (auto synced = file.sync(); errorOf(synced))
-        return synced;
-    if (auto renamed = files_.rename(temporary, pathOf(name)); errorOf(renamed))
-        return renamed;
+        for (const SnapshotPiece& piece : snapshot.pieces) {
+            if (auto appended = file.append(makeBlock(encode(piece))); errorOf(appended))
+                return appended;
+        }
+        return Done {};
+    };
+    if (auto written = writeWhole(numberedName(snapshotPrefix, snapshot.lastIndex.value(), snapshotSuffix), fill); errorOf(written))
+        return written;
     snapshotIndex_ = snapshot.lastIndex;
-    return files_.syncFolder(folder_);
+    return Done {};
 }
 
 Result<Done> JournalFolder::removeCovered()
--- a/Source/Adapters/Disk/JournalFolder.h
+++ b/Source/Adapters/Disk/JournalFolder.h
@@ -4,6 +4,7 @@
 #include "Ports/Journal.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -57,7 +58,10 @@
     Result<Done> checkOrder(const JournalContent&) const;
     Result<Done> beginSegment();
     Result<Done> writeBlock(const std::string& content);
-    Result<Done> writeWhole(const std::string& name, const std::string& content);
+    using FileFiller = std::function<Result<Done>(AppendFile&)>;
+
+    /// Writes a file that is there as a whole or not at all after a crash.
+    Result<Done> writeWhole(const std::string& name, const FileFiller&);
     Result<Done> writeSnapshot(const Snapshot&);
     Result<Done> removeCovered();
     std::string pathOf(const std::string& name) const { return folder_ + "/" + name; }
--- a/Source/Daemon/ControlRole.h
+++ b/Source/Daemon/ControlRole.h
@@ -57,7 +57,6 @@
     Result<Done> removeMember(const GroupId&, const DaemonId&);
 
     std::map<GroupId, GroupState> status() const;
-    bool isKeeper() const { return keeper_ != nullptr; }
 
     void stop();
 
--- a/Source/Daemon/EntryRole.cpp
+++ b/Source/Daemon/EntryRole.cpp
@@ -119,14 +119,6 @@
     shardOf(service).cancelsAnswered(service, minion, answers, ports_.clock.now());
 }
 
-size_t EntryRole::jobCount() const
-{
-    size_t count = 0;
-    for (const auto& shard : dispatch_)
-        count += shard->jobCount();
-    return count;
-}
-
 std::vector<QueueStatus> EntryRole::queues() const
 {
     std::vector<QueueStatus> all;
--- a/Source/Daemon/EntryRole.h
+++ b/Source/Daemon/EntryRole.h
@@ -54,8 +54,6 @@
     void startsAnswered(const ServiceId&, const MinionId&, const std::vector<StartAnswer>&) override;
     void cancelsAnswered(const ServiceId&, const MinionId&, const std::vector<CancelAnswer>&) override;
 
-    size_t jobCount() const;
-
     /// @return the jobs and tasks of each service and backer.
     std::vector<QueueStatus> queues() const;
 
--- a/Source/Dispatch/DispatchShard.cpp
+++ b/Source/Dispatch/DispatchShard.cpp
@@ -120,15 +120,6 @@
     signal_.raise();
 }
 
-size_t DispatchShard::jobCount() const
-{
-    MutexLock lock(mutex_);
-    size_t count = 0;
-    for (const auto& [id, service] : services_)
-        count += service->dispatcher.jobCount();
-    return count;
-}
-
 std::vector<QueueStatus> DispatchShard::queues() const
 {
     std::vector<QueueStatus> all;
--- a/Source/Dispatch/DispatchShard.h
+++ b/Source/Dispatch/DispatchShard.h
@@ -48,9 +48,6 @@
     void cancelsAnswered(const ServiceId&, const MinionId&, const std::vector<CancelAnswer>&, absl::Time now);
     void resultsPosted(const ServiceId&, const MinionId&, std::vector<TaskResult>&&, absl::Time now);
 
-    /// @return how many jobs have no outcome yet.
-    size_t jobCount() const;
-
     /// @return the jobs and tasks of each service and backer.
     std::vector<QueueStatus> queues() const;
 
