--- /dev/null
+++ b/Source/Adapters/Beast/HttpClient.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "Adapters/Beast/HttpLoop.h"
+#include "Adapters/Beast/WebMessage.h"
+#include "Model/MinionMessages.h"
+
+#include <absl/time/time.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <variant>
+
+namespace trefoilwing {
+
+/// Why a call has no response.
+enum class HttpFailure {
+    /// Nothing of it left this process.
+    NotSent,
+    /// It may have arrived.
+    NoAnswer,
+};
+
+using HttpResult = std::variant<WebResponse, HttpFailure>;
+
+struct HttpClientOptions {
+    /// Connections to one address at most; calls beyond it wait for one.
+    size_t maxConnections = 6;
+    /// Connections that are kept when they are idle.
+    size_t maxIdle = 3;
+    /// An idle connection is kept for so long; beyond it the other side may have dropped it silently.
+    absl::Duration idleLife = absl::Seconds(10);
+};
+
+/// Calls HTTP/1.1 servers over connections that are kept and used again.
+///
+/// A connection on which a call got no response in time is closed: bytes on it may be lost for good.
+class HttpClient {
+public:
+    using Callback = std::function<void(HttpResult)>;
+
+    HttpClient(HttpLoop&, HttpClientOptions);
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// @param done is called once, on the loop's thread.
+    void call(const Endpoint&, WebRequest, absl::Duration timeout, Callback done);
+
+private:
+    class Connection;
+    struct Call;
+    struct Pool;
+
+    void startCall(const Endpoint&, std::shared_ptr<Call>);
+    void released(const std::shared_ptr<Connection>&, bool isReusable);
+
+    HttpLoop& loop_;
+    const HttpClientOptions options_;
+    /// Used on the loop's thread only.
+    std::map<Endpoint, Pool> pools_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/Beast/WebMessage.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace trefoilwing {
+
+using WebHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/// @return the value of the header, or null; names are compared without case.
+const std::string* findHeader(const WebHeaders&, const std::string& name);
+
+struct WebRequest {
+    std::string method;
+    std::string target;
+    std::string host;
+    WebHeaders headers;
+    std::string body;
+};
+
+struct WebResponse {
+    unsigned status = 200;
+    WebHeaders headers;
+    std::string body;
+};
+
+} // namespace trefoilwing
--- a/Source/Adapters/Http/CallerCodec.cpp
+++ b/Source/Adapters/Http/CallerCodec.cpp
@@ -1,7 +1,7 @@
 #include "Adapters/Http/CallerCodec.h"
 
-#include "Adapters/Http/JsonFields.h"
-#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Json/JsonFields.h"
+#include "Adapters/Json/JsonMembers.h"
 
 #include <limits>
 
--- a/Source/Adapters/Http/ErrorResponse.cpp
+++ b/Source/Adapters/Http/ErrorResponse.cpp
@@ -1,6 +1,6 @@
 #include "Adapters/Http/ErrorResponse.h"
 
-#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Json/JsonMembers.h"
 
 #include <array>
 
--- a/Source/Adapters/Http/OperatorCodec.cpp
+++ b/Source/Adapters/Http/OperatorCodec.cpp
@@ -1,6 +1,6 @@
 #include "Adapters/Http/OperatorCodec.h"
 
-#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Json/JsonMembers.h"
 #include "Adapters/Yaml/DeclarationLoader.h"
 #include "Adapters/Yaml/YamlValues.h"
 
--- a/Source/Adapters/Http/JsonFields.cpp
+++ b/Source/Adapters/Json/JsonFields.cpp
@@ -1,6 +1,6 @@
-#include "Adapters/Http/JsonFields.h"
+#include "Adapters/Json/JsonFields.h"
 
-#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Json/JsonMembers.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -99,6 +99,17 @@
     return value->get<uint64_t>();
 }
 
+double JsonFields::decimal(const char* name, double minimum, double maximum) const
+{
+    const nlohmann::json* value = find(name);
+    const bool isInRange = value && value->is_number() && value->get<double>() >= minimum && value->get<double>() <= maximum;
+    if (!isInRange) {
+        fail(name, absl::StrCat("a number from ", minimum, " to ", maximum));
+        return minimum;
+    }
+    return value->get<double>();
+}
+
 bool JsonFields::optionalFlag(const char* name) const
 {
     const nlohmann::json* value = find(name);
--- a/Source/Adapters/Http/JsonFields.h
+++ b/Source/Adapters/Json/JsonFields.h
@@ -33,6 +33,8 @@
     }
     /// @return the whole number between the bounds.
     uint64_t number(const char* name, uint64_t minimum, uint64_t maximum) const;
+    /// @return the number, whole or not, between the bounds.
+    double decimal(const char* name, double minimum, double maximum) const;
     /// @return whether the field is there at all.
     bool has(const char* name) const { return find(name) != nullptr; }
     /// @return a string as it is, or any other value as JSON text, at most maxLength bytes long.
--- a/Source/Adapters/Http/JsonMembers.cpp
+++ b/Source/Adapters/Json/JsonMembers.cpp
@@ -1,4 +1,4 @@
-#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Json/JsonMembers.h"
 
 namespace trefoilwing {
 
--- /dev/null
+++ b/Source/Adapters/LineLog/LineLog.cpp
@@ -0,0 +1,103 @@
+#include "Adapters/LineLog/LineLog.h"
+
+#include <absl/time/clock.h>
+
+#include <array>
+#include <cerrno>
+#include <unistd.h>
+#include <utility>
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr std::array<std::string_view, 3> severityNames { "info", "warning", "error" };
+
+    /// Lines that come within this time go out in one call of the system.
+    constexpr absl::Duration batchTime = absl::Milliseconds(50);
+
+} // namespace
+
+LineLog::LineLog(std::string node, int descriptor)
+    : node_(std::move(node))
+    , descriptor_(descriptor)
+    , thread_([this] { run(); })
+{
+}
+
+LineLog::~LineLog()
+{
+    {
+        MutexLock lock(mutex_);
+        isStopping_ = true;
+        changed_.Signal();
+    }
+    thread_.join();
+}
+
+void LineLog::write(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
+{
+    Line line { absl::ToUnixMillis(absl::Now()), severity, formatEvent(event, fields) };
+    MutexLock lock(mutex_);
+    if (lines_.size() >= maxQueued) {
+        ++dropped_;
+        return;
+    }
+    if (lines_.empty())
+        changed_.Signal();
+    lines_.push_back(std::move(line));
+}
+
+uint64_t LineLog::dropped() const
+{
+    MutexLock lock(mutex_);
+    return dropped_;
+}
+
+void LineLog::run()
+{
+    bool isLast = false;
+    while (!isLast) {
+        std::vector<Line> lines;
+        uint64_t dropped = 0;
+        {
+            MutexLock lock(mutex_);
+            while (lines_.empty() && !isStopping_)
+                changed_.Wait(&mutex_);
+            if (!isStopping_)
+                changed_.WaitWithTimeout(&mutex_, batchTime);
+            lines = std::exchange(lines_, {});
+            dropped = dropped_ - droppedTold_;
+            isLast = isStopping_;
+        }
+        std::string text;
+        for (const Line& line : lines)
+            text += format(line);
+        if (dropped > 0) {
+            droppedTold_ += dropped;
+            text += format({ absl::ToUnixMillis(absl::Now()), Severity::Warning, formatEvent("log_lines_dropped", { { "lines", dropped } }) });
+        }
+        writeAll(text);
+    }
+}
+
+std::string LineLog::format(const Line& line) const
+{
+    return absl::StrCat("time=", line.milliseconds, " level=", absl::string_view(severityNames.at(static_cast<size_t>(line.severity)).data()), " node=", node_, " ", line.text, "\n");
+}
+
+void LineLog::writeAll(const std::string& text)
+{
+    size_t done = 0;
+    while (done < text.size()) {
+        const ssize_t count = ::write(descriptor_, text.data() + done, text.size() - done);
+        if (count < 0 && errno == EINTR)
+            continue;
+        // Nobody reads the output any more, and there is no other place to say so.
+        if (count <= 0)
+            return;
+        done += static_cast<size_t>(count);
+    }
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Adapters/LineLog/LineLog.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Base/MutexLock.h"
+#include "Ports/EventLog.h"
+
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Writes events as lines of key=value pairs to standard output, from a thread of its own.
+///
+/// Callers never wait for the output: lines beyond the bound of the queue are dropped, counted, and the
+/// count is written as soon as there is room.
+class LineLog : public EventLog {
+public:
+    static constexpr size_t maxQueued = 4000;
+
+    /// @param node names this process in each line.
+    /// @param descriptor where the lines go.
+    LineLog(std::string node, int descriptor);
+    /// Writes what waits.
+    ~LineLog() override;
+    LineLog(const LineLog&) = delete;
+    LineLog& operator=(const LineLog&) = delete;
+
+    void write(Severity, std::string_view event, std::initializer_list<LogField> fields) override;
+
+    /// @return the lines dropped so far.
+    uint64_t dropped() const;
+
+private:
+    struct Line {
+        int64_t milliseconds;
+        Severity severity;
+        std::string text;
+    };
+
+    void run();
+    std::string format(const Line&) const;
+    void writeAll(const std::string& text);
+
+    const std::string node_;
+    const int descriptor_;
+    mutable absl::Mutex mutex_;
+    absl::CondVar changed_;
+    std::vector<Line> lines_ ABSL_GUARDED_BY(mutex_);
+    uint64_t dropped_ ABSL_GUARDED_BY(mutex_) = 0;
+    uint64_t droppedTold_ = 0;
+    bool isStopping_ ABSL_GUARDED_BY(mutex_) = false;
+    std::thread thread_;
+};
+
+} // namespace trefoilwing
--- a/Source/Adapters/Msgpack/LogFields.h
+++ b/Source/Adapters/Msgpack/LogFields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Adapters/Msgpack/FieldList.h"
+#include "Adapters/Msgpack/FleetFields.h"
 #include "Model/LogMessages.h"
 
 namespace trefoilwing {
@@ -57,6 +58,26 @@
     visit(value.submission);
 }
 
+void visitFields(auto&& visit, Fields<RoutingRecord> auto& value)
+{
+    visit(value.document);
+}
+
+void visitFields(auto&& visit, Fields<GrantRecord> auto& value)
+{
+    visit(value.cell, value.owner, value.previous);
+}
+
+void visitFields(auto&& visit, Fields<BarrierRecord> auto& value)
+{
+    visit(value.proposer, value.number);
+}
+
+void visitFields(auto&& visit, Fields<FleetPiece> auto& value)
+{
+    visit(value.routing, value.grants);
+}
+
 void visitFields(auto&& visit, Fields<LogEntry> auto& value)
 {
     visit(value.index, value.term, value.command);
--- a/Source/Adapters/Wire/TcpPeerLink.cpp
+++ b/Source/Adapters/Wire/TcpPeerLink.cpp
@@ -16,13 +16,59 @@
     , clock_(clock)
     , log_(log)
     , options_(options)
+    , random_(random)
 {
+    MutexLock lock(peersMutex_);
     for (const PeerSettings& peer : settings.peers) {
         if (peer.daemon != self_.daemon)
-            peers_[peer.daemon] = std::make_unique<OutgoingConnection>(peer, self_, options_, poller_, random, log_);
+            addPeer(peer);
     }
 }
 
+TcpPeerLink::TcpPeerLink(DaemonRun self, Endpoint endpoint, const PeerResolver& resolver, const Clock& clock, Random& random, EventLog& log, WireOptions options)
+    : self_(std::move(self))
+    , endpoint_(std::move(endpoint))
+    , clock_(clock)
+    , log_(log)
+    , options_(options)
+    , resolver_(&resolver)
+    , random_(random)
+{
+}
+
+OutgoingConnection* TcpPeerLink::addPeer(const PeerSettings& peer) const
+{
+    auto& connection = peers_[peer.daemon];
+    connection = std::make_unique<OutgoingConnection>(peer, self_, options_, poller_, random_, log_);
+    return connection.get();
+}
+
+OutgoingConnection* TcpPeerLink::peerOf(const DaemonId& daemon) const
+{
+    MutexLock lock(peersMutex_);
+    const auto known = peers_.find(daemon);
+    if (known != peers_.end())
+        return known->second.get();
+    if (!resolver_ || daemon == self_.daemon)
+        return nullptr;
+    const std::optional<Endpoint> endpoint = resolver_->resolve(daemon);
+    if (!endpoint)
+        return nullptr;
+    PeerSettings settings;
+    settings.daemon = daemon;
+    settings.peerEndpoint = *endpoint;
+    return addPeer(settings);
+}
+
+std::vector<OutgoingConnection*> TcpPeerLink::allPeers() const
+{
+    MutexLock lock(peersMutex_);
+    std::vector<OutgoingConnection*> peers;
+    for (const auto& [daemon, connection] : peers_)
+        peers.push_back(connection.get());
+    return peers;
+}
+
 TcpPeerLink::~TcpPeerLink()
 {
     stop();
@@ -52,22 +98,22 @@
 
 void TcpPeerLink::send(const DaemonId& to, PeerMessage message)
 {
-    const auto peer = peers_.find(to);
-    if (peer == peers_.end())
+    OutgoingConnection* peer = peerOf(to);
+    if (!peer)
         return;
     std::string content = encode(message);
     if (content.size() > options_.maxFrame.value()) {
         log_.write(Severity::Error, "peer_message_too_long", { { "peer", to.value() }, { "bytes", uint64_t { content.size() } } });
         return;
     }
-    if (peer->second->enqueue(makeFrame(content), clock_.now()))
+    if (peer->enqueue(makeFrame(content), clock_.now()))
         poller_.wake();
 }
 
 std::vector<PeerTraffic> TcpPeerLink::traffic() const
 {
     std::vector<PeerTraffic> traffic;
-    for (const auto& [daemon, connection] : peers_)
+    for (const OutgoingConnection* connection : allPeers())
         traffic.push_back(connection->traffic());
     return traffic;
 }
@@ -86,7 +132,7 @@
 absl::Time TcpPeerLink::serviceAll(absl::Time now)
 {
     absl::Time due = absl::InfiniteFuture();
-    for (const auto& [daemon, connection] : peers_) {
+    for (OutgoingConnection* connection : allPeers()) {
         connection->service(now);
         due = std::min(due, connection->nextWakeup());
     }
@@ -110,7 +156,7 @@
 void TcpPeerLink::closeAll()
 {
     listener_.close();
-    for (const auto& [daemon, connection] : peers_)
+    for (OutgoingConnection* connection : allPeers())
         connection->close();
     for (IncomingConnection& connection : incoming_)
         connection.close();
@@ -150,7 +196,7 @@
         return Error { ErrorCode::Conflict, absl::StrCat(sender, " takes this daemon for ", hello.receiver.value()) };
     if (hello.version < oldestProtocolVersion)
         return Error { ErrorCode::Conflict, absl::StrCat(sender, " speaks the old protocol version ", hello.version) };
-    if (!peers_.contains(hello.sender.daemon))
+    if (!peerOf(hello.sender.daemon))
         return Error { ErrorCode::Conflict, absl::StrCat(sender, " is not in the settings") };
     for (const IncomingConnection& other : incoming_) {
         if (!other.isClosed() && other.peer() && other.peer()->daemon == hello.sender.daemon
@@ -172,7 +218,7 @@
 bool TcpPeerLink::frameReceived(IncomingConnection& connection, std::string_view content)
 {
     const DaemonId& from = connection.peer()->daemon;
-    PeerCounters& counters = peers_.at(from)->counters();
+    PeerCounters& counters = peerOf(from)->counters();
     counters.receivedBytes += content.size() + frameHeaderSize;
     Decoder decoder(content);
     Result<PeerMessage> message = decoder.take<PeerMessage>();
--- a/Source/Adapters/Wire/TcpPeerLink.h
+++ b/Source/Adapters/Wire/TcpPeerLink.h
@@ -2,6 +2,7 @@
 
 #include "Adapters/Wire/IncomingConnection.h"
 #include "Adapters/Wire/OutgoingConnection.h"
+#include "Base/MutexLock.h"
 #include "Model/Settings.h"
 #include "Ports/Clock.h"
 #include "Ports/PeerLink.h"
@@ -15,6 +16,15 @@
 
 namespace trefoilwing {
 
+/// Where daemons listen that the settings don't list.
+class PeerResolver {
+public:
+    virtual ~PeerResolver() = default;
+
+    /// @return where the daemon listens for its peers, or nothing where its name doesn't tell.
+    virtual std::optional<Endpoint> resolve(const DaemonId&) const = 0;
+};
+
 /// Sends to the other daemons over TCP and takes what they send.
 ///
 /// One thread serves all connections. A message is encoded by the thread that sends it, and decoded
@@ -24,6 +34,9 @@
     /// @param clock never steps; see SteadyClock.
     /// @param random is used by the link's thread only.
     TcpPeerLink(const DaemonSettings&, Incarnation, const Clock&, Random&, EventLog&, WireOptions = {});
+    /// Knows no daemon beforehand: whoever the resolver can place is a peer.
+    /// @param endpoint where this daemon listens; @param resolver must outlive the link.
+    TcpPeerLink(DaemonRun self, Endpoint endpoint, const PeerResolver& resolver, const Clock&, Random&, EventLog&, WireOptions = {});
     ~TcpPeerLink() override;
 
     /// Listens and begins to connect to the peers.
@@ -33,7 +46,7 @@
     /// Ends all connections. What waits to be sent is lost.
     void stop();
 
-    /// Encodes and queues a message. One to a daemon that the settings don't list is dropped.
+    /// Encodes and queues a message. One to a daemon that is neither listed nor can be placed is dropped.
     void send(const DaemonId& to, PeerMessage) override;
 
     /// @return what passed between this daemon and each peer so far.
@@ -56,15 +69,22 @@
     void connectionRefused(const IncomingConnection&, std::string_view reason) override;
     Result<Done> judgeHello(const Hello&) const;
     void closeOlder(const IncomingConnection& kept);
+    /// @return the connection to a peer, made where the resolver can place it; null for a stranger.
+    OutgoingConnection* peerOf(const DaemonId&) const ABSL_LOCKS_EXCLUDED(peersMutex_);
+    OutgoingConnection* addPeer(const PeerSettings&) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(peersMutex_);
+    std::vector<OutgoingConnection*> allPeers() const ABSL_LOCKS_EXCLUDED(peersMutex_);
 
     const DaemonRun self_;
     const Endpoint endpoint_;
     const Clock& clock_;
     EventLog& log_;
     const WireOptions options_;
-    Poller poller_;
-    /// Doesn't change after the constructor, so that all threads may look up in it.
-    absl::flat_hash_map<DaemonId, std::unique_ptr<OutgoingConnection>> peers_;
+    const PeerResolver* const resolver_ = nullptr;
+    Random& random_;
+    mutable Poller poller_;
+    mutable absl::Mutex peersMutex_;
+    /// Peers are added as they are met and never removed, so that pointers to them stay good.
+    mutable absl::flat_hash_map<DaemonId, std::unique_ptr<OutgoingConnection>> peers_ ABSL_GUARDED_BY(peersMutex_);
     PeerEvents* events_ = nullptr;
     Socket listener_;
     IncomingList incoming_;
--- /dev/null
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -0,0 +1,90 @@
+#include "Adapters/Yaml/FleetSettingsLoader.h"
+
+#include "Adapters/Yaml/YamlDocument.h"
+#include "Adapters/Yaml/YamlMapping.h"
+
+namespace trefoilwing {
+
+namespace {
+
+    constexpr uint32_t maxPort = 65535;
+    constexpr uint32_t maxLostDisks = 2;
+
+    YamlParser<std::vector<Endpoint>> endpointsValue()
+    {
+        return [parse = endpointValue()](const YAML::Node& node, const std::string& path, YamlFaults& faults) -> std::optional<std::vector<Endpoint>> {
+            if (!node.IsSequence()) {
+                faults.add(node, path, "this isn't a list", "write [ADDRESS:PORT, ...]");
+                return std::nullopt;
+            }
+            std::vector<Endpoint> endpoints;
+            for (const auto& item : node) {
+                if (std::optional<Endpoint> endpoint = parse(item, path, faults))
+                    endpoints.push_back(*std::move(endpoint));
+            }
+            return endpoints;
+        };
+    }
+
+    YamlParser<std::optional<Endpoint>> optionalEndpointValue()
+    {
+        return [parse = endpointValue()](const YAML::Node& node, const std::string& path, YamlFaults& faults) -> std::optional<std::optional<Endpoint>> {
+            return std::optional<std::optional<Endpoint>>(parse(node, path, faults));
+        };
+    }
+
+    const YamlKeys<FleetSettings>& settingsKeys()
+    {
+        static const YamlKeys<FleetSettings> keys {
+            requiredKey("node", &FleetSettings::node, textValue()),
+            requiredKey("address", &FleetSettings::address, textValue()),
+            requiredKey("data_centre", &FleetSettings::dataCentre, idValue<DataCentreId>()),
+            requiredKey("peer_port", &FleetSettings::peerPort, numberValue(1, maxPort)),
+            requiredKey("seeds", &FleetSettings::seeds, endpointsValue()),
+            optionalKey("callers", &FleetSettings::callers, optionalEndpointValue()),
+            optionalKey("readiness", &FleetSettings::readiness, optionalEndpointValue()),
+            optionalKey("control", &FleetSettings::control, optionalEndpointValue()),
+            optionalKey("metrics_port", &FleetSettings::metricsPort, numberValue(0, maxPort)),
+            optionalKey("data_folder", &FleetSettings::dataFolder, textValue()),
+            optionalKey("founding", &FleetSettings::isFounding, flagValue()),
+            optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
+        };
+        return keys;
+    }
+
+    void checkRoles(const YAML::Node& document, const FleetSettings& settings, YamlFaults& faults)
+    {
+        if (!settings.callers && !settings.control)
+            faults.add(document, "callers", "the process has neither callers nor control to serve", "give it the address of one of them");
+        if (settings.callers && settings.control)
+            faults.add(document, "control", "an entry can't be a keeper too", "give each a process of its own");
+        if (settings.control && settings.dataFolder.empty())
+            faults.add(document, "data_folder", "a keeper has no data folder", "name a folder on a disk that lasts");
+    }
+
+} // namespace
+
+Result<FleetSettings> loadFleetSettings(const std::string& path)
+{
+    YamlFaults faults(path);
+    const std::optional<std::string> text = readYamlFile(path, faults);
+    if (!text)
+        return faults.error();
+    return parseFleetSettings(*text, path);
+}
+
+Result<FleetSettings> parseFleetSettings(const std::string& text, const std::string& file)
+{
+    YamlFaults faults(file);
+    const std::optional<YAML::Node> document = parseYaml(text, faults);
+    if (!document)
+        return faults.error();
+    FleetSettings settings = readMapping(*document, "", settingsKeys(), faults);
+    if (faults.empty())
+        checkRoles(*document, settings, faults);
+    if (!faults.empty())
+        return faults.error();
+    return settings;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Base/EffectQueue.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Base/MutexLock.h"
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace trefoilwing {
+
+/// The effects that a shard decided on under its lock, carried out in their order with no lock held.
+///
+/// One thread at a time carries them out; it takes those of the others too, so that their order is kept.
+class EffectQueue {
+public:
+    using Effect = std::function<void()>;
+
+    /// @param mutex the shard's lock, which guards the queue too.
+    explicit EffectQueue(absl::Mutex& mutex)
+        : mutex_(mutex)
+    {
+    }
+
+    /// Takes an effect for the next flush. Call it with the shard's lock held.
+    void add(Effect effect) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { effects_.push_back(std::move(effect)); }
+
+    /// Carries out what waits. Call it without the shard's lock.
+    void flush() ABSL_LOCKS_EXCLUDED(mutex_)
+    {
+        while (true) {
+            std::vector<Effect> effects;
+            {
+                MutexLock lock(mutex_);
+                if (isFlushing_ || effects_.empty())
+                    return;
+                isFlushing_ = true;
+                effects = std::exchange(effects_, {});
+            }
+            for (const Effect& effect : effects)
+                effect();
+            MutexLock lock(mutex_);
+            isFlushing_ = false;
+        }
+    }
+
+private:
+    absl::Mutex& mutex_;
+    std::vector<Effect> effects_ ABSL_GUARDED_BY(mutex_);
+    bool isFlushing_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/FleetRegistry.cpp
@@ -0,0 +1,127 @@
+#include "Control/FleetRegistry.h"
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// News that weren't confirmed by the next signs of life are sent again after this long.
+    constexpr absl::Duration newsRepeat = absl::Milliseconds(500);
+
+    /// A daemon that lacks nothing still hears from the keeper this often, as its sign of life.
+    constexpr absl::Duration signOfLife = absl::Milliseconds(500);
+
+    /// Daemons that were silent for longer are forgotten.
+    constexpr absl::Duration daemonLife = absl::Seconds(5);
+
+    /// Departures kept for daemons that are behind.
+    constexpr size_t maxDepartures = 500;
+
+    bool isSameToOthers(const MinionReport& a, const MinionReport& b)
+    {
+        return a.life == b.life && a.cell == b.cell && a.endpoint == b.endpoint && a.capacity == b.capacity && a.labels == b.labels && a.state == b.state;
+    }
+
+} // namespace
+
+bool FleetRegistry::reported(const MinionReport& report)
+{
+    cells_.insert(report.cell);
+    Entry& entry = minions_[report.life.minion];
+    const MinionReport& known = entry.report;
+    const bool isOlder = known.life.birth > report.life.birth || (known.life == report.life && known.sequence >= report.sequence);
+    if (entry.number > 0 && isOlder)
+        return false;
+    const bool isChange = entry.number == 0 || !isSameToOthers(known, report);
+    entry.report = report;
+    if (isChange)
+        entry.number = ++number_;
+    return isChange;
+}
+
+void FleetRegistry::left(const MinionId& minion)
+{
+    const auto found = minions_.find(minion);
+    if (found == minions_.end())
+        return;
+    departures_.push_back({ found->second.report.life, ++number_ });
+    if (departures_.size() > maxDepartures)
+        departures_.erase(departures_.begin());
+    minions_.erase(found);
+}
+
+void FleetRegistry::heard(const DaemonPulse& pulse, absl::Time now)
+{
+    HeardDaemon& daemon = daemons_[pulse.run.daemon];
+    if (daemon.note.run.incarnation > pulse.run.incarnation)
+        return;
+    const DaemonNote note { pulse.run, pulse.dataCentre, pulse.isEntry, pulse.isDraining };
+    if (daemon.note != note) {
+        if (daemon.note.run != note.run)
+            daemon = {};
+        if (daemon.note.run.daemon.value().empty())
+            daemon.since = now;
+        daemon.note = note;
+        daemonsNumber_ = ++number_;
+    }
+    daemon.heardAt = now;
+    daemon.routing = pulse.routing;
+    daemon.hasNews = pulse.newsFrom == self_.incarnation ? pulse.newsNumber : 0;
+    if (std::erase_if(daemons_, [&](const auto& entry) { return now - entry.second.heardAt > daemonLife; }) > 0)
+        daemonsNumber_ = ++number_;
+}
+
+void FleetRegistry::setRouting(const RoutingDocument& routing)
+{
+    routing_ = routing;
+    ++number_;
+}
+
+void FleetRegistry::setGrants(std::vector<CellGrant> grants)
+{
+    grants_ = std::move(grants);
+    grantsNumber_ = ++number_;
+}
+
+std::vector<std::pair<DaemonId, FleetNews>> FleetRegistry::takeNews(absl::Time now)
+{
+    std::vector<std::pair<DaemonId, FleetNews>> news;
+    for (auto& [id, daemon] : daemons_) {
+        const bool lacksSome = daemon.hasNews < number_ || daemon.routing < routing_.version;
+        const bool isUnderWay = daemon.sentNews == number_ && now - daemon.sentAt < newsRepeat;
+        if ((!lacksSome || isUnderWay) && now - daemon.sentAt < signOfLife)
+            continue;
+        news.emplace_back(id, newsFor(daemon));
+        daemon.sentNews = number_;
+        daemon.sentAt = now;
+    }
+    return news;
+}
+
+FleetNews FleetRegistry::newsFor(const HeardDaemon& daemon) const
+{
+    FleetNews news;
+    news.keeper = self_.incarnation;
+    news.number = number_;
+    if (daemon.routing < routing_.version)
+        news.routing = routing_;
+    if (daemon.hasNews < grantsNumber_)
+        news.grants = grants_;
+    for (const auto& [id, entry] : minions_) {
+        if (entry.number > daemon.hasNews)
+            news.minions.push_back(entry.report);
+    }
+    for (const Departure& departure : departures_) {
+        if (departure.number > daemon.hasNews)
+            news.gone.push_back(departure.life);
+    }
+    if (daemon.hasNews < daemonsNumber_) {
+        news.daemons.emplace();
+        for (const auto& [id, other] : daemons_)
+            news.daemons->push_back(other.note);
+    }
+    return news;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/FleetRegistry.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "Model/FleetMessages.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace trefoilwing {
+
+/// A daemon that a keeper hears.
+struct HeardDaemon {
+    DaemonNote note;
+    absl::Time since;
+    absl::Time heardAt;
+    /// The latest news that the daemon says it has, and that was sent to it.
+    uint64_t hasNews = 0;
+    uint64_t sentNews = 0;
+    absl::Time sentAt = absl::InfinitePast();
+    RoutingVersion routing;
+};
+
+/// What a keeper knows beside the log: the minions that report to it, and the daemons that it hears.
+///
+/// Changes are numbered, so that each daemon is told only what it lacks.
+class FleetRegistry {
+public:
+    explicit FleetRegistry(DaemonRun self)
+        : self_(std::move(self))
+    {
+    }
+
+    /// @return whether the report changes anything that others need to know.
+    bool reported(const MinionReport&);
+    void left(const MinionId&);
+    void heard(const DaemonPulse&, absl::Time now);
+    void setRouting(const RoutingDocument&);
+    void setGrants(std::vector<CellGrant>);
+
+    /// @return the news for each daemon that lacks some, to be sent now.
+    std::vector<std::pair<DaemonId, FleetNews>> takeNews(absl::Time now);
+
+    const std::map<DaemonId, HeardDaemon>& daemons() const { return daemons_; }
+    /// Takes note of cells that other keepers' minions belong to.
+    void noteCell(const CellId& cell) { cells_.insert(cell); }
+    const std::set<CellId>& cells() const { return cells_; }
+    RoutingVersion routingVersion() const { return routing_.version; }
+    size_t minionCount() const { return minions_.size(); }
+
+private:
+    struct Entry {
+        MinionReport report;
+        uint64_t number = 0;
+    };
+
+    FleetNews newsFor(const HeardDaemon&) const;
+
+    DaemonRun self_;
+    uint64_t number_ = 0;
+    absl::flat_hash_map<MinionId, Entry> minions_;
+    struct Departure {
+        MinionLife life;
+        uint64_t number = 0;
+    };
+    std::vector<Departure> departures_;
+    std::map<DaemonId, HeardDaemon> daemons_;
+    std::set<CellId> cells_;
+    RoutingDocument routing_;
+    std::vector<CellGrant> grants_;
+    uint64_t grantsNumber_ = 0;
+    uint64_t daemonsNumber_ = 0;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/FleetState.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "Model/LogRecord.h"
+
+#include <map>
+#include <vector>
+
+namespace trefoilwing {
+
+/// The routing table in force and the owners of the cells, as the keepers' log says.
+class FleetState {
+public:
+    const RoutingDocument& routing() const { return routing_; }
+    const std::map<CellId, CellGrant>& grants() const { return grants_; }
+
+    /// Puts the table in force if its version is the highest so far.
+    /// @return whether it is in force now.
+    bool apply(const RoutingRecord&);
+    /// Grants the cell if nobody else was granted it since the proposer looked.
+    /// @return whether the grant holds.
+    bool apply(const GrantRecord&, LogIndex);
+
+    std::vector<SnapshotPiece> snapshot() const;
+    void restore(const std::vector<SnapshotPiece>&);
+
+private:
+    RoutingDocument routing_;
+    std::map<CellId, CellGrant> grants_;
+};
+
+} // namespace trefoilwing
--- a/Source/Control/LedgerState.h
+++ b/Source/Control/LedgerState.h
@@ -85,6 +85,9 @@
     Keys applyRecord(const NoOperation&) { return {}; }
     Keys applyRecord(const PublishRecord&) { return {}; }
     Keys applyRecord(const MemberRecord&) { return {}; }
+    Keys applyRecord(const RoutingRecord&) { return {}; }
+    Keys applyRecord(const GrantRecord&) { return {}; }
+    Keys applyRecord(const BarrierRecord&) { return {}; }
     Keys applyRecord(const LookUpRecord& record) { return { record.submission }; }
     Keys applyRecord(const FoundingRecord&);
     Keys applyRecord(const ClaimRecord&);
--- /dev/null
+++ b/Source/Control/OwnerAssigner.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "Control/FleetRegistry.h"
+#include "Model/LogRecord.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Decides, at the leading keeper, which entry owns each cell.
+///
+/// A cell keeps its owner as long as that is heard. A data centre of which nothing at all is heard is cut
+/// off rather than dead, so its cells stay as they are: their owners serve on.
+class OwnerAssigner {
+public:
+    /// Takes note that this keeper has begun to lead.
+    void beganLeading(absl::Time now) { leadingSince_ = now; }
+
+    /// @return the grants to propose now.
+    std::vector<GrantRecord> decide(const FleetRegistry&, const std::map<CellId, CellGrant>&, absl::Time now);
+
+private:
+    bool isHeard(const HeardDaemon&, absl::Time now) const;
+    bool isDataCentreHeard(const FleetRegistry&, const DataCentreId&, absl::Time now) const;
+    const HeardDaemon* chooseOwner(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>&, absl::Time now) const;
+
+    absl::Time leadingSince_ = absl::InfinitePast();
+    std::map<CellId, absl::Time> proposedAt_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -0,0 +1,159 @@
+#include "Control/ReplicatedFleet.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// How long an operator's call waits for the group; operators move on to another keeper after 1 s.
+    constexpr absl::Duration callTimeout = absl::Milliseconds(2500);
+
+    Error unavailable(std::string message)
+    {
+        return { ErrorCode::Unavailable, std::move(message), Verdict::MayHaveRun };
+    }
+
+} // namespace
+
+ReplicatedFleet::ReplicatedFleet(DaemonRun self, LogSettings settings, JournalContent content, GroupPorts ports, ChangeListener listener)
+    : ReplicatedGroup(std::move(settings), std::move(content), ports)
+    , run_(std::move(self))
+    , listener_(std::move(listener))
+{
+}
+
+void ReplicatedFleet::publish(RoutingDocument document, PublishCallback done)
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        publishes_.push_back({ document, time + callTimeout, std::move(done) });
+        answerPublishes();
+        if (!publishes_.empty())
+            propose(RoutingRecord { std::move(document) }, time);
+        settle();
+    }
+    flush();
+}
+
+void ReplicatedFleet::readNewest(ReadCallback done)
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        const BarrierRecord barrier { run_, ++barriers_ };
+        reads_.push_back({ barrier, time + callTimeout, std::move(done) });
+        propose(barrier, time);
+        settle();
+    }
+    flush();
+}
+
+void ReplicatedFleet::grant(GrantRecord record)
+{
+    const absl::Time time = now();
+    {
+        MutexLock lock(mutex_);
+        propose(std::move(record), time);
+        settle();
+    }
+    flush();
+}
+
+void ReplicatedFleet::addDaemon(const DaemonId& daemon)
+{
+    MutexLock lock(mutex_);
+    addContact(daemon);
+}
+
+FleetState ReplicatedFleet::state() const
+{
+    MutexLock lock(mutex_);
+    return state_;
+}
+
+void ReplicatedFleet::applyEntry(const LogEntry& entry)
+{
+    if (const auto* routing = std::get_if<RoutingRecord>(&entry.command)) {
+        if (state_.apply(*routing))
+            tellListener();
+        answerPublishes();
+    } else if (const auto* grant = std::get_if<GrantRecord>(&entry.command)) {
+        if (state_.apply(*grant, entry.index))
+            tellListener();
+    } else if (const auto* barrier = std::get_if<BarrierRecord>(&entry.command)) {
+        answerReads(*barrier);
+    }
+}
+
+void ReplicatedFleet::answerPublishes()
+{
+    const RoutingVersion inForce = state_.routing().version;
+    std::erase_if(publishes_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        const bool isKept = pending.document.version <= inForce;
+        if (isKept)
+            later([done = std::move(pending.done), inForce] { done(inForce); });
+        return isKept;
+    });
+}
+
+void ReplicatedFleet::answerReads(const BarrierRecord& barrier)
+{
+    std::erase_if(reads_, [&](PendingRead& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        const bool isThis = pending.barrier == barrier;
+        if (isThis)
+            later([done = std::move(pending.done), document = state_.routing()] { done(document); });
+        return isThis;
+    });
+}
+
+void ReplicatedFleet::tellListener()
+{
+    later([this, state = state_] { listener_(state); });
+}
+
+void ReplicatedFleet::restoreState(const Snapshot& snapshot)
+{
+    state_.restore(snapshot.pieces);
+    tellListener();
+    answerPublishes();
+}
+
+std::vector<SnapshotPiece> ReplicatedFleet::snapshotState() const
+{
+    return state_.snapshot();
+}
+
+void ReplicatedFleet::repeatPending(absl::Time now)
+{
+    std::erase_if(publishes_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        const bool isOld = pending.givenUpAt <= now;
+        if (isOld)
+            later([done = std::move(pending.done)] { done(unavailable("no majority of the keepers answers; send the same again")); });
+        return isOld;
+    });
+    std::erase_if(reads_, [&](PendingRead& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        const bool isOld = pending.givenUpAt <= now;
+        if (isOld)
+            later([done = std::move(pending.done)] { done(unavailable("this keeper can't be sure which version is the newest; ask another")); });
+        return isOld;
+    });
+    for (const PendingPublish& pending : publishes_)
+        propose(RoutingRecord { pending.document }, now);
+    for (const PendingRead& pending : reads_)
+        propose(pending.barrier, now);
+}
+
+void ReplicatedFleet::failPending(const Error& error)
+{
+    const Error failed = unavailable(absl::StrCat("this keeper's journal has failed: ", error.message));
+    for (PendingPublish& pending : publishes_)
+        later([done = std::move(pending.done), failed] { done(failed); });
+    for (PendingRead& pending : reads_)
+        later([done = std::move(pending.done), failed] { done(failed); });
+    publishes_.clear();
+    reads_.clear();
+}
+
+} // namespace trefoilwing
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -79,6 +79,7 @@
     bool propose(Command, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Runs after the lock is released.
     void later(Effect effect) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { effects_.push_back(std::move(effect)); }
+    void addContact(const DaemonId& daemon) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { log_.addDaemon(daemon); }
     bool isLeading(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return !hasFailed_ && log_.isLeader(now); }
     const Member& self() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return log_.self(); }
     /// Applies what has been committed and collects the effects; the last step under the lock.
--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -242,19 +242,15 @@
 void ReplicatedLog::advanceCommit(absl::Time now)
 {
     std::vector<LogIndex> matches;
-    LogIndex syncedIndex;
     for (const Member& member : store_.members()) {
-        if (!member.isVoter)
-            continue;
-        matches.push_back(matchIndexOf(member));
-        if (member.hasDisk)
-            syncedIndex = std::max(syncedIndex, matches.back());
+        if (member.isVoter)
+            matches.push_back(matchIndexOf(member));
     }
     if (matches.empty())
         return;
     std::sort(matches.begin(), matches.end(), std::greater<>());
     // When the voters' disks are all lost only changes of members are taken, so that another can join.
-    const LogIndex index = hasVoterWithDisk() ? std::min(matches[majority() - 1], syncedIndex) : matches[majority() - 1];
+    const LogIndex index = hasVoterWithDisk() ? std::min(matches[majority() - 1], syncedIndex()) : matches[majority() - 1];
     // An entry of an earlier term commits only under one of this term, or a later leader may replace it.
     if (index <= commitIndex_ || store_.termAt(index) != hardState_.term)
         return;
@@ -265,6 +261,19 @@
     maintainMembers(now);
 }
 
+LogIndex ReplicatedLog::syncedIndex() const
+{
+    std::vector<LogIndex> synced;
+    for (const Member& member : store_.members()) {
+        if (member.hasDisk && (member.isVoter || settings_.minSynced > 1))
+            synced.push_back(matchIndexOf(member));
+    }
+    if (synced.size() < settings_.minSynced)
+        return LogIndex(0);
+    std::sort(synced.begin(), synced.end(), std::greater<>());
+    return synced[settings_.minSynced - 1];
+}
+
 // Replication, at a follower.
 
 bool ReplicatedLog::acceptLeader(const LogHeader& header, absl::Time now)
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -37,6 +37,14 @@
     uint64_t maxEntries = 20000;
     /// How long a newly founded ledger answers "may have run"; zero only for a group that never existed.
     absl::Duration claimGuard;
+    /// Whether this member may found the group; false once the system has ever run.
+    bool mayFound = true;
+    /// Disks that must hold an entry before it is committed, beside the majority: one more than may be lost at once.
+    uint32_t minSynced = 1;
+    /// A voter that was silent for so long makes way for a learner that has caught up.
+    absl::Duration voterSilence = absl::InfiniteDuration();
+    /// Whether the number of voters is kept odd, so that a group of four doesn't need three.
+    bool keepsOddVoters = false;
 };
 
 /// What a ReplicatedLog wants done, in the order of the fields' elements.
@@ -87,6 +95,9 @@
     /// repeats until the command is applied.
     bool propose(Command, absl::Time now);
 
+    /// Adds a daemon to those that are asked to let this member join.
+    void addDaemon(const DaemonId&);
+
     /// Removes a daemon that won't come back.
     /// @return false where this isn't the leader, or another change is under way.
     bool removeDaemon(const DaemonId&, absl::Time now);
@@ -185,6 +196,9 @@
     void maintainMembers(absl::Time now);
     bool admitJoining(std::vector<Member>&);
     bool promoteLearner(std::vector<Member>&, absl::Time now) const;
+    bool dropSilentVoter(std::vector<Member>&, absl::Time now) const;
+    bool isCaughtUp(const Member&, absl::Time now) const;
+    size_t wantedVoters() const;
     bool mayChangeMembers() const;
     void changeMembers(std::vector<Member>, absl::Time now);
 
@@ -208,6 +222,7 @@
     bool isSuperseded(const Member&) const;
     bool acceptsProposals(absl::Time now) const;
     size_t majority() const;
+    LogIndex syncedIndex() const;
     void setRole(LogRole);
 
     LogSettings settings_;
--- a/Source/Control/ReplicatedLogMembers.cpp
+++ b/Source/Control/ReplicatedLogMembers.cpp
@@ -74,6 +74,8 @@
 
 void ReplicatedLog::foundIfNobodyElseCan(absl::Time now)
 {
+    if (!settings_.mayFound)
+        return;
     const std::vector<JoinReply> others = standingsOfOthers(now);
     const bool isInSettings = std::find(settings_.daemons.begin(), settings_.daemons.end(), settings_.self.id.daemon) != settings_.daemons.end();
     if (!isInSettings || others.size() + 1 != settings_.daemons.size())
@@ -168,7 +170,7 @@
         return;
     }
     std::vector<Member> members = store_.members();
-    if (admitJoining(members) || promoteLearner(members, now))
+    if (admitJoining(members) || dropSilentVoter(members, now) || promoteLearner(members, now))
         changeMembers(std::move(members), now);
 }
 
@@ -193,26 +195,58 @@
     return false;
 }
 
-bool ReplicatedLog::promoteLearner(std::vector<Member>& members, absl::Time now) const
+bool ReplicatedLog::isCaughtUp(const Member& member, absl::Time now) const
+{
+    auto progress = progress_.find(member.id);
+    return !member.isVoter && !member.staysLearner && progress != progress_.end()
+        && progress->second.matchIndex().value() + maxLagOfVoter >= store_.lastIndex().value()
+        && progress->second.matchIndex() >= termStart_
+        && now - progress->second.heardAt() < settings_.electionTimeout;
+}
+
+size_t ReplicatedLog::wantedVoters() const
 {
-    if (countVoters(members) >= settings_.maxVoters)
+    const size_t members = store_.members().size();
+    const size_t wanted = std::min<size_t>(settings_.maxVoters, members);
+    return settings_.keepsOddVoters && wanted % 2 == 0 ? wanted - 1 : wanted;
+}
+
+bool ReplicatedLog::dropSilentVoter(std::vector<Member>& members, absl::Time now) const
+{
+    if (!std::any_of(members.begin(), members.end(), [&](const Member& member) { return isCaughtUp(member, now); }))
         return false;
-    auto isCaughtUp = [&](const Member& member) {
+    const auto silent = std::find_if(members.begin(), members.end(), [&](const Member& member) {
         auto progress = progress_.find(member.id);
-        return !member.isVoter && !member.staysLearner && progress != progress_.end()
-            && progress->second.matchIndex().value() + maxLagOfVoter >= store_.lastIndex().value()
-            && progress->second.matchIndex() >= termStart_
-            && now - progress->second.heardAt() < settings_.electionTimeout;
-    };
-    auto chosen = std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.hasDisk && isCaughtUp(member); });
+        return member.isVoter && member.id != settings_.self.id
+            && (progress == progress_.end() || now - progress->second.heardAt() > settings_.voterSilence);
+    });
+    if (silent == members.end())
+        return false;
+    members.erase(silent);
+    return true;
+}
+
+bool ReplicatedLog::promoteLearner(std::vector<Member>& members, absl::Time now) const
+{
+    if (countVoters(members) >= wantedVoters())
+        return false;
+    auto chosen = std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.hasDisk && isCaughtUp(member, now); });
     if (chosen == members.end())
-        chosen = std::find_if(members.begin(), members.end(), isCaughtUp);
+        chosen = std::find_if(members.begin(), members.end(), [&](const Member& member) { return isCaughtUp(member, now); });
     if (chosen == members.end())
         return false;
     chosen->isVoter = true;
     return true;
 }
 
+void ReplicatedLog::addDaemon(const DaemonId& daemon)
+{
+    std::vector<DaemonId>& daemons = settings_.daemons;
+    // The founders are those of the settings, so a member that may still found takes no others.
+    if (!settings_.mayFound && std::find(daemons.begin(), daemons.end(), daemon) == daemons.end())
+        daemons.push_back(daemon);
+}
+
 bool ReplicatedLog::removeDaemon(const DaemonId& daemon, absl::Time now)
 {
     if (!isLeader(now) || !mayChangeMembers())
--- a/Source/Ctl/HttpCallerLink.cpp
+++ b/Source/Ctl/HttpCallerLink.cpp
@@ -1,6 +1,6 @@
 #include "Ctl/HttpCallerLink.h"
 
-#include "Adapters/Http/JsonMembers.h"
+#include "Adapters/Json/JsonMembers.h"
 #include "Adapters/Http/OperatorCodec.h"
 
 #include <absl/strings/str_cat.h>
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -36,6 +36,9 @@
         message.group;
     };
 
+    template <typename T>
+    concept FleetMessage = std::is_constructible_v<std::variant<DaemonPulse, FleetNews, CellLoad, JobOffer, JobCancel, JobEnded>, T>;
+
     /// Passes each kind of message to the role that takes it.
     struct Router {
         const DaemonId& from;
@@ -61,6 +64,9 @@
             membership.receive(from, heartbeat);
             control.versionHeard(from, heartbeat.configuration);
         }
+        // Those of a fleet have no meaning here.
+        template <FleetMessage T>
+        void operator()(const T&) const { }
         template <typename T>
         void operator()(const T& message) const { membership.receive(from, message); }
     };
--- a/Source/Daemon/DaemonOptions.cpp
+++ b/Source/Daemon/DaemonOptions.cpp
@@ -15,8 +15,9 @@
     };
 
     /// Every option, with its documentation.
-    const std::array<OptionRow, 3> optionRows { {
-        { { "settings", required_argument, nullptr, 's' }, "FILE   the daemon's settings in YAML (required)" },
+    const std::array<OptionRow, 4> optionRows { {
+        { { "settings", required_argument, nullptr, 's' }, "FILE   the daemon's settings in YAML" },
+        { { "fleet", required_argument, nullptr, 'f' }, "FILE      runs an entry or a keeper of a fleet, by its settings in YAML" },
         { { "help", no_argument, nullptr, 'h' }, "       this text" },
         { { "version", no_argument, nullptr, 'v' }, "       the program's version" },
     } };
@@ -36,11 +37,14 @@
     DaemonOptions options;
     optind = 1;
     int chosen = 0;
-    while ((chosen = getopt_long(argc, argv, "s:hv", table.data(), nullptr)) != -1) {
+    while ((chosen = getopt_long(argc, argv, "s:f:hv", table.data(), nullptr)) != -1) {
         switch (chosen) {
         case 's':
             options.settingsFile = optarg;
             break;
+        case 'f':
+            options.fleetSettingsFile = optarg;
+            break;
         case 'h':
             options.wantsHelp = true;
             break;
@@ -53,14 +57,16 @@
     }
     if (optind < argc)
         return usageError(absl::StrCat("Unexpected argument '", argv[optind], "'; see --help."));
-    if (options.settingsFile.empty() && !options.wantsHelp && !options.wantsVersion)
-        return usageError("No settings were given; use --settings FILE.");
+    if (!options.settingsFile.empty() && !options.fleetSettingsFile.empty())
+        return usageError("--settings and --fleet exclude each other.");
+    if (options.settingsFile.empty() && options.fleetSettingsFile.empty() && !options.wantsHelp && !options.wantsVersion)
+        return usageError("No settings were given; use --settings FILE or --fleet FILE.");
     return options;
 }
 
 std::string daemonHelp()
 {
-    std::string text = "usage: trefoilwing --settings FILE\n\nRuns one daemon of trefoilwing. SIGTERM drains it: it takes nothing new, finishes what it\ntook, and exits. A second signal changes nothing.\n\n";
+    std::string text = "usage: trefoilwing --settings FILE | --fleet FILE\n\nRuns one daemon of trefoilwing. SIGTERM drains it: it takes nothing new, finishes what it\ntook, and exits. A second signal changes nothing.\n\n";
     for (const OptionRow& row : optionRows)
         absl::StrAppend(&text, "  --", row.definition.name, " ", row.help, "\n");
     absl::StrAppend(&text, "\nExit status: 0 drained, 1 work was given up at the drain's limit, 2 usage, 3 bad settings, 4 an address can't be bound,\n5 the data folder can't be used.\n");
--- a/Source/Daemon/DaemonOptions.h
+++ b/Source/Daemon/DaemonOptions.h
@@ -9,6 +9,8 @@
 /// What the daemon's command line says.
 struct DaemonOptions {
     std::string settingsFile;
+    /// Set instead of the other for a process of a fleet.
+    std::string fleetSettingsFile;
     bool wantsHelp = false;
     bool wantsVersion = false;
 };
--- /dev/null
+++ b/Source/Daemon/ExitStatus.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace trefoilwing {
+
+/// The daemon's exit statuses.
+inline constexpr int exitDrained = 0;
+inline constexpr int exitUndrained = 1;
+inline constexpr int exitUsage = 2;
+inline constexpr int exitSettings = 3;
+inline constexpr int exitAddress = 4;
+inline constexpr int exitDataFolder = 5;
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetEntry.cpp
@@ -0,0 +1,459 @@
+#include "Daemon/FleetEntry.h"
+
+#include "Adapters/Histogram/PrometheusText.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <set>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// How often what is due is looked for; deadlines and leases are tens of milliseconds at the least.
+    constexpr absl::Duration pumpInterval = absl::Milliseconds(20);
+    /// Signs of life to the keepers and owners; several fit into the silence that counts as the end.
+    constexpr absl::Duration pulseInterval = absl::Milliseconds(200);
+    /// A cell's load is told again after so long, as the owner's sign of life.
+    constexpr absl::Duration longestLoadInterval = absl::Milliseconds(200);
+    /// And no sooner than this after a change.
+    constexpr absl::Duration shortestLoadInterval = absl::Milliseconds(40);
+    /// Offers for a cell whose grant hasn't reached this entry yet wait so long for it.
+    constexpr absl::Duration earlyOfferLife = absl::Milliseconds(500);
+    /// Keepers that were all silent for longer count as lost.
+    constexpr absl::Duration keeperSilence = absl::Seconds(1);
+    constexpr absl::Duration metricsInterval = absl::Seconds(1);
+
+    /// After SIGTERM the platform sends new connections for about 2 s more, and every request ends within 2 s.
+    constexpr absl::Duration shortestDrain = absl::Milliseconds(3000);
+    /// Below the 6 s after which the platform kills.
+    constexpr absl::Duration longestDrain = absl::Milliseconds(5200);
+    constexpr absl::Duration drainPoll = absl::Milliseconds(50);
+
+    constexpr uint64_t maxCallerBody = 256U << 10U;
+    constexpr size_t maxCallerSessions = 3000;
+    constexpr size_t maxPageSessions = 16;
+
+    bool differsMuch(const CellLoad& a, const CellLoad& b)
+    {
+        return a.freeMilliCores != b.freeMilliCores || a.queuedCoreMs != b.queuedCoreMs || a.totalMilliCores != b.totalMilliCores;
+    }
+
+} // namespace
+
+FleetEntry::FleetEntry(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
+    : settings_(settings)
+    , reader_(reader)
+    , log_(log)
+    , metrics_(metrics)
+    , link_(settings, *this, log)
+    , door_(log)
+    , gateway_(loop_, *this)
+    , callers_(loop_, [this](const HttpExchangePtr& exchange) { door_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions })
+    , readiness_(loop_, [this](const HttpExchangePtr& exchange) { door_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxPageSessions })
+    , metricsPage_(loop_, [this](const HttpExchangePtr& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain" } }, prometheusText(metrics_.snapshot()) }); }, { Bytes(maxCallerBody), maxPageSessions })
+    , desk_({ door_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
+    , view_(seedDaemons(settings))
+    , chooser_(settings.dataCentre)
+{
+    door_.setIntake(*this);
+}
+
+FleetEntry::~FleetEntry()
+{
+    stop();
+}
+
+Result<Done> FleetEntry::start()
+{
+    Result<Done> started = link_.start();
+    if (!errorOf(started))
+        started = callers_.listen(*settings_.callers);
+    if (!errorOf(started) && settings_.readiness)
+        started = readiness_.listen(*settings_.readiness);
+    if (!errorOf(started) && settings_.metricsPort > 0)
+        started = metricsPage_.listen({ settings_.address, static_cast<uint16_t>(settings_.metricsPort) });
+    if (errorOf(started))
+        return started;
+    loop_.start();
+    thread_ = std::make_unique<PumpThread>(static_cast<Pumped&>(*this), link_.clock());
+    return started;
+}
+
+void FleetEntry::reload(const FleetSettings& settings)
+{
+    MutexLock lock(viewMutex_);
+    view_.setSeeds(seedDaemons(settings));
+}
+
+void FleetEntry::drain()
+{
+    isDraining_ = true;
+    callers_.drain();
+    wake();
+    const absl::Time begin = absl::Now();
+    log_.write(Severity::Info, "draining", { { "open_jobs", uint64_t { desk_.openCount() } } });
+    auto isBusy = [this] {
+        size_t jobs = desk_.openCount();
+        for (const CellPtr& cell : allCells())
+            jobs += cell->jobCount();
+        return jobs > 0;
+    };
+    while (absl::Now() < begin + shortestDrain || (isBusy() && absl::Now() < begin + longestDrain))
+        absl::SleepFor(drainPoll);
+    log_.write(Severity::Info, "drained", { { "open_jobs", uint64_t { desk_.openCount() } } });
+}
+
+void FleetEntry::stop()
+{
+    if (thread_)
+        thread_->stop();
+    link_.stop();
+    loop_.stop();
+}
+
+// Callers.
+
+std::shared_ptr<const RoutingTable> FleetEntry::table() const
+{
+    MutexLock lock(viewMutex_);
+    return table_;
+}
+
+RouteStanding FleetEntry::findRoute(const std::string& host, const std::string& path) const
+{
+    const auto routes = table();
+    if (!routes)
+        return RouteStanding::NoTable;
+    return routes->find(host, path) ? RouteStanding::Known : RouteStanding::Unknown;
+}
+
+size_t FleetEntry::prefixLength(const std::string& host, const std::string& path) const
+{
+    const auto routes = table();
+    const Route* route = routes ? routes->find(host, path) : nullptr;
+    return route ? route->pathPrefix.size() : 0;
+}
+
+bool FleetEntry::isReady() const
+{
+    MutexLock lock(viewMutex_);
+    return table_ && !isDraining_ && chooser_.hearsAnyOwner(link_.clock().now());
+}
+
+void FleetEntry::submit(Ticket ticket, const CallerJob& job)
+{
+    std::shared_ptr<const RoutingTable> routes;
+    const Route* route = nullptr;
+    std::optional<CellGrant> grant;
+    {
+        MutexLock lock(viewMutex_);
+        routes = table_;
+        route = routes ? routes->find(job.host, job.path) : nullptr;
+        if (route)
+            grant = chooser_.choose(route->service, job.need, job.taskCount, job.estimate, std::nullopt, link_.clock().now());
+    }
+    if (!route || !grant) {
+        log_.write(Severity::Warning, "job_refused", { { "request", job.key.value() }, { "reason", route ? std::string("no owner of a cell is heard") : std::string("unknown route") } });
+        door_.reply(ticket, { route ? AnswerKind::Unavailable : AnswerKind::UnknownRoute, {} });
+        return;
+    }
+    desk_.open(ticket, job, *route, *grant);
+}
+
+void FleetEntry::abandon(Ticket ticket)
+{
+    desk_.abandoned(ticket);
+}
+
+// Peers.
+
+void FleetEntry::messageReceived(const DaemonId& from, PeerMessage message)
+{
+    std::visit([&](const auto& typed) {
+        if constexpr (requires { this->receive(from, typed); })
+            receive(from, typed);
+    },
+        message);
+}
+
+void FleetEntry::receive(const DaemonId& from, const FleetNews& news)
+{
+    FleetChange change;
+    {
+        MutexLock lock(viewMutex_);
+        change = view_.receive(from, news, link_.clock().now());
+        for (const CellGrant& grant : change.grants)
+            chooser_.granted(grant);
+    }
+    if (change.routing)
+        takeRouting(*change.routing);
+    for (const MinionReport& report : change.gone) {
+        if (const CellPtr cell = findCell(report.cell))
+            cell->minionLeft(report.life);
+    }
+    for (const MinionReport& report : change.minions) {
+        if (const CellPtr cell = findCell(report.cell))
+            cell->minionReported(report);
+    }
+    for (const CellGrant& grant : change.grants)
+        takeGrant(grant);
+}
+
+void FleetEntry::takeRouting(const RoutingDocument& document)
+{
+    Result<RoutingTable> table = reader_.read(document.text);
+    if (const Error* error = errorOf(table)) {
+        log_.write(Severity::Error, "configuration_unreadable", { { "version", document.version.value() }, { "reason", error->message } });
+        return;
+    }
+    auto routes = std::make_shared<const RoutingTable>(std::move(std::get<RoutingTable>(table)));
+    {
+        MutexLock lock(viewMutex_);
+        if (table_ && table_->version >= routes->version)
+            return;
+        table_ = routes;
+    }
+    log_.write(Severity::Info, "configuration_in_force", { { "version", routes->version.value() }, { "routes", uint64_t { routes->routes.size() } } });
+}
+
+void FleetEntry::takeGrant(const CellGrant& grant)
+{
+    log_.write(Severity::Info, "cell_granted", { { "service", grant.cell.service.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+    std::vector<EarlyOffer> offers;
+    CellPtr cell;
+    {
+        MutexLock lock(cellsMutex_);
+        const auto held = cells_.find(grant.cell);
+        if (held != cells_.end() && held->second->epoch() >= grant.epoch)
+            return;
+        if (held != cells_.end())
+            cells_.erase(held);
+        if (grant.owner == link_.self()) {
+            randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
+            cell = std::make_shared<CellShard>(grant.cell, grant.epoch, policy_, order_, CellPorts { gateway_, link_.peers(), link_.clock(), *randoms_.back(), log_ });
+            cells_[grant.cell] = cell;
+            std::erase_if(earlyOffers_, [&](EarlyOffer& early) {
+                const bool isForThis = early.offer.cell == grant.cell;
+                if (isForThis)
+                    offers.push_back(std::move(early));
+                return isForThis;
+            });
+        }
+    }
+    if (cell) {
+        std::vector<MinionReport> reports;
+        {
+            MutexLock lock(viewMutex_);
+            reports = view_.minionsOf(grant.cell);
+        }
+        for (const MinionReport& report : reports)
+            cell->minionReported(report);
+        for (const EarlyOffer& early : offers)
+            cell->offered(early.offer, early.from);
+    }
+    desk_.moved(grant);
+}
+
+void FleetEntry::receive(const DaemonId&, const CellLoad& load)
+{
+    MutexLock lock(viewMutex_);
+    chooser_.loadHeard(load, link_.clock().now());
+}
+
+void FleetEntry::receive(const DaemonId& from, const JobOffer& offer)
+{
+    CellPtr cell;
+    {
+        MutexLock lock(cellsMutex_);
+        const auto found = cells_.find(offer.cell);
+        if (found != cells_.end())
+            cell = found->second;
+        else
+            earlyOffers_.push_back({ offer, from, link_.clock().now() });
+    }
+    if (cell)
+        cell->offered(offer, from);
+}
+
+void FleetEntry::receive(const DaemonId& from, const JobCancel& cancel)
+{
+    {
+        MutexLock lock(cellsMutex_);
+        std::erase_if(earlyOffers_, [&](const EarlyOffer& early) { return early.from == from && early.offer.job == cancel.job && early.offer.life == cancel.life; });
+    }
+    if (const CellPtr cell = findCell(cancel.cell))
+        cell->cancelled(cancel, from);
+}
+
+void FleetEntry::receive(const DaemonId& from, const JobEnded& ended)
+{
+    desk_.ended(from, ended);
+}
+
+void FleetEntry::receive(const DaemonId& from, const DaemonPulse&)
+{
+    for (const CellPtr& cell : allCells())
+        cell->entryHeard(from);
+}
+
+void FleetEntry::refuseEarlyOffers(absl::Time now)
+{
+    std::vector<EarlyOffer> expired;
+    {
+        MutexLock lock(cellsMutex_);
+        std::erase_if(earlyOffers_, [&](EarlyOffer& early) {
+            const bool isExpired = now > early.at + earlyOfferLife;
+            if (isExpired)
+                expired.push_back(std::move(early));
+            return isExpired;
+        });
+    }
+    for (const EarlyOffer& early : expired) {
+        const JobEnd end = early.offer.isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown;
+        link_.peers().send(early.from, JobEnded { early.offer.job, early.offer.life, end, {}, now - early.at });
+    }
+}
+
+// Minions.
+
+FleetEntry::CellPtr FleetEntry::findCell(const CellId& id) const
+{
+    MutexLock lock(cellsMutex_);
+    const auto found = cells_.find(id);
+    return found == cells_.end() ? nullptr : found->second;
+}
+
+std::vector<FleetEntry::CellPtr> FleetEntry::allCells() const
+{
+    MutexLock lock(cellsMutex_);
+    std::vector<CellPtr> cells;
+    for (const auto& [id, cell] : cells_)
+        cells.push_back(cell);
+    return cells;
+}
+
+void FleetEntry::answered(const CellId& id, const StartResult& result)
+{
+    if (const CellPtr cell = findCell(id))
+        cell->answered(result);
+}
+
+void FleetEntry::answered(const CellId& id, const StopResult& result)
+{
+    if (const CellPtr cell = findCell(id))
+        cell->answered(result);
+}
+
+void FleetEntry::answered(const CellId& id, const HoldResult& result)
+{
+    if (const CellPtr cell = findCell(id))
+        cell->answered(result);
+}
+
+// What is due.
+
+absl::Time FleetEntry::pump(absl::Time now)
+{
+    for (const CellPtr& cell : allCells())
+        cell->tick();
+    desk_.tick();
+    refuseEarlyOffers(now);
+    tellLoads(now);
+    if (now >= pulseDue_) {
+        pulseDue_ = now + pulseInterval;
+        pulse(now);
+        watchKeepers(now);
+    }
+    if (now >= metricsDue_) {
+        metricsDue_ = now + metricsInterval;
+        publishMetrics();
+    }
+    return now + pumpInterval;
+}
+
+void FleetEntry::waitForWork(absl::Time until)
+{
+    signal_.wait(absl::Now() + (until - link_.clock().now()));
+}
+
+void FleetEntry::pulse(absl::Time)
+{
+    std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
+    {
+        MutexLock lock(viewMutex_);
+        const DaemonPulse own { link_.self(), settings_.dataCentre, true, isDraining_, {}, {}, 0 };
+        std::set<DaemonId> owners;
+        for (const auto& [cell, grant] : chooser_.grants())
+            owners.insert(grant.owner.daemon);
+        for (const DaemonId& keeper : view_.keepers()) {
+            pulses.emplace_back(keeper, own);
+            view_.describe(keeper, pulses.back().second);
+        }
+        for (const DaemonId& owner : owners)
+            pulses.emplace_back(owner, own);
+    }
+    for (const auto& [to, message] : pulses)
+        link_.peers().send(to, message);
+}
+
+void FleetEntry::tellLoads(absl::Time now)
+{
+    for (const CellPtr& cell : allCells()) {
+        auto& [told, toldAt] = toldLoads_[cell->cell()];
+        const CellLoad load = cell->load();
+        const bool isDue = now >= toldAt + longestLoadInterval || (differsMuch(told, load) && now >= toldAt + shortestLoadInterval);
+        if (!isDue)
+            continue;
+        told = load;
+        toldAt = now;
+        std::set<DaemonId> entries { link_.self().daemon };
+        {
+            MutexLock lock(viewMutex_);
+            for (const DaemonId& entry : view_.entries())
+                entries.insert(entry);
+        }
+        for (const DaemonId& entry : entries)
+            link_.peers().send(entry, load);
+    }
+}
+
+void FleetEntry::watchKeepers(absl::Time now)
+{
+    bool isHeard = false;
+    RoutingVersion version;
+    {
+        MutexLock lock(viewMutex_);
+        isHeard = view_.silence(now) < keeperSilence;
+        version = view_.routingVersion();
+    }
+    if (isHeard == hearsKeepers_)
+        return;
+    hearsKeepers_ = isHeard;
+    log_.write(isHeard ? Severity::Info : Severity::Warning, isHeard ? "keepers_heard" : "keepers_lost", { { "configuration", version.value() } });
+}
+
+void FleetEntry::publishMetrics()
+{
+    for (const CellPtr& cell : allCells()) {
+        const MetricLabels labels { cell->cell().service, {}, TaskKindId(cell->cell().dataCentre.value()) };
+        const CellTotals totals = cell->totals();
+        metrics_.set("cell_epoch", labels, static_cast<double>(cell->epoch().value()));
+        metrics_.set("cell_minions", labels, static_cast<double>(cell->minionCount()));
+        metrics_.set("cell_jobs", labels, static_cast<double>(cell->jobCount()));
+        metrics_.set("cell_starts", labels, static_cast<double>(totals.starts));
+        metrics_.set("cell_runs_done", labels, static_cast<double>(totals.done));
+        metrics_.set("cell_runs_failed", labels, static_cast<double>(totals.failed));
+        metrics_.set("cell_runs_stopped", labels, static_cast<double>(totals.stopped));
+        metrics_.set("cell_runs_lapsed", labels, static_cast<double>(totals.lapsed));
+        metrics_.set("cell_starts_without_room", labels, static_cast<double>(totals.rejectedForRoom));
+        metrics_.set("cell_holds", labels, static_cast<double>(totals.holds));
+        metrics_.set("cell_jobs_turned_down", labels, static_cast<double>(totals.turnedDown));
+    }
+    MutexLock lock(viewMutex_);
+    metrics_.set("configuration_version", {}, static_cast<double>(view_.routingVersion().value()));
+    metrics_.set("minions_known", {}, static_cast<double>(view_.minionCount()));
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetEntry.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "Adapters/Beast/HttpListener.h"
+#include "Adapters/Histogram/HistogramMetrics.h"
+#include "Daemon/FleetDaemon.h"
+#include "Daemon/FleetLink.h"
+#include "Daemon/PumpThread.h"
+#include "Dispatch/WorkSignal.h"
+#include "Intake/CellChooser.h"
+#include "Intake/FleetView.h"
+#include "Intake/JobDesk.h"
+#include "Placement/CellShard.h"
+#include "Ports/JobIntake.h"
+#include "Ports/RoutingReader.h"
+#include "platform/FrontDoor.h"
+#include "platform/MinionGateway.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+
+namespace trefoilwing {
+
+/// An entry of a fleet: takes callers' jobs, and owns the cells that the keepers grant it.
+class FleetEntry : public FleetDaemon, public JobIntake, private PeerEvents, private MinionAnswers, private Pumped {
+public:
+    /// @param reader, log, metrics must outlive the entry.
+    FleetEntry(const FleetSettings&, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics);
+    ~FleetEntry() override;
+
+    Result<Done> start() override;
+    void reload(const FleetSettings&) override;
+    void drain() override;
+    void stop() override;
+
+    void submit(Ticket, const CallerJob&) override;
+    void abandon(Ticket) override;
+    RouteStanding findRoute(const std::string& host, const std::string& path) const override;
+    size_t prefixLength(const std::string& host, const std::string& path) const override;
+    bool isReady() const override;
+
+private:
+    using CellPtr = std::shared_ptr<CellShard>;
+    struct EarlyOffer {
+        JobOffer offer;
+        DaemonId from;
+        absl::Time at;
+    };
+
+    void messageReceived(const DaemonId& from, PeerMessage) override;
+    void receive(const DaemonId& from, const FleetNews&);
+    void receive(const DaemonId& from, const CellLoad&);
+    void receive(const DaemonId& from, const JobOffer&);
+    void receive(const DaemonId& from, const JobCancel&);
+    void receive(const DaemonId& from, const JobEnded&);
+    void receive(const DaemonId& from, const DaemonPulse&);
+
+    void answered(const CellId&, const StartResult&) override;
+    void answered(const CellId&, const StopResult&) override;
+    void answered(const CellId&, const HoldResult&) override;
+
+    absl::Time pump(absl::Time now) override;
+    void waitForWork(absl::Time until) override;
+    void wake() override { signal_.raise(); }
+
+    void takeRouting(const RoutingDocument&);
+    void takeGrant(const CellGrant&);
+    void pulse(absl::Time now);
+    void tellLoads(absl::Time now);
+    void refuseEarlyOffers(absl::Time now);
+    void watchKeepers(absl::Time now);
+    void publishMetrics();
+    CellPtr findCell(const CellId&) const;
+    std::vector<CellPtr> allCells() const;
+    std::shared_ptr<const RoutingTable> table() const;
+
+    const FleetSettings settings_;
+    const RoutingReader& reader_;
+    EventLog& log_;
+    HistogramMetrics& metrics_;
+    FleetLink link_;
+    const DispatchPolicy policy_;
+    LatestStartFirst order_;
+    HttpLoop loop_;
+    platform::FrontDoor door_;
+    platform::MinionGateway gateway_;
+    HttpListener callers_;
+    HttpListener readiness_;
+    HttpListener metricsPage_;
+    JobDesk desk_;
+
+    mutable absl::Mutex viewMutex_;
+    FleetView view_ ABSL_GUARDED_BY(viewMutex_);
+    CellChooser chooser_ ABSL_GUARDED_BY(viewMutex_);
+    std::shared_ptr<const RoutingTable> table_ ABSL_GUARDED_BY(viewMutex_);
+
+    mutable absl::Mutex cellsMutex_;
+    std::map<CellId, CellPtr> cells_ ABSL_GUARDED_BY(cellsMutex_);
+    /// One source for each cell, so that draws need no lock of their own.
+    std::vector<std::unique_ptr<SeededRandom>> randoms_ ABSL_GUARDED_BY(cellsMutex_);
+    std::vector<EarlyOffer> earlyOffers_ ABSL_GUARDED_BY(cellsMutex_);
+
+    std::atomic<bool> isDraining_ { false };
+    /// The rest is used by the pump's thread only.
+    absl::Time pulseDue_ = absl::InfinitePast();
+    absl::Time metricsDue_ = absl::InfinitePast();
+    bool hearsKeepers_ = false;
+    std::map<CellId, std::pair<CellLoad, absl::Time>> toldLoads_;
+    WorkSignal signal_;
+    std::unique_ptr<PumpThread> thread_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -0,0 +1,313 @@
+#include "Daemon/FleetKeeper.h"
+
+#include "Adapters/Histogram/PrometheusText.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// How often what is due is looked for; the log's heartbeats are 100 ms apart.
+    constexpr absl::Duration pumpInterval = absl::Milliseconds(25);
+    constexpr absl::Duration pulseInterval = absl::Milliseconds(200);
+    constexpr absl::Duration metricsInterval = absl::Seconds(1);
+
+    /// Several heartbeats and a slow sync fit in.
+    constexpr absl::Duration electionTimeout = absl::Milliseconds(500);
+    /// Configurations may be large, so few are kept beside the snapshot.
+    constexpr uint64_t maxLogEntries = 64;
+    /// A voter that is gone for so long makes way; longer than a restart or a freeze takes.
+    constexpr absl::Duration voterSilence = absl::Seconds(6);
+    /// A keeper that is told to stop lets calls that are under way end.
+    constexpr absl::Duration drainTime = absl::Milliseconds(700);
+
+    constexpr uint64_t maxControlBody = 16U << 20U;
+    constexpr size_t maxControlSessions = 2000;
+    constexpr size_t maxPageSessions = 16;
+    constexpr uint64_t maxSegmentBytes = 4U << 20U;
+
+    const GroupId fleetGroup("fleet");
+
+} // namespace
+
+Result<std::unique_ptr<FleetKeeper>> FleetKeeper::create(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
+{
+    std::unique_ptr<FleetKeeper> keeper(new FleetKeeper(settings, reader, log, metrics));
+    const Result<Done> opened = keeper->openJournal();
+    if (const Error* error = errorOf(opened))
+        return *error;
+    return keeper;
+}
+
+FleetKeeper::FleetKeeper(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
+    : settings_(settings)
+    , log_(log)
+    , metrics_(metrics)
+    , link_(settings, *this, log)
+    , logRandom_(SeededRandom::freshSeed())
+    , door_(reader, log)
+    , control_(loop_, [this](const HttpExchangePtr& exchange) { door_.handle(exchange); }, { Bytes(maxControlBody), maxControlSessions })
+    , metricsPage_(loop_, [this](const HttpExchangePtr& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain" } }, prometheusText(metrics_.snapshot()) }); }, { Bytes(maxControlBody), maxPageSessions })
+    , registry_(link_.self())
+    , others_(seedDaemons(settings))
+{
+    door_.setOperations(*this);
+}
+
+FleetKeeper::~FleetKeeper()
+{
+    stop();
+}
+
+Result<Done> FleetKeeper::openJournal()
+{
+    auto opened = DiskJournal::open(files_, settings_.dataFolder + "/fleet", link_.self().incarnation, { maxSegmentBytes });
+    if (const Error* error = errorOf(opened))
+        return *error;
+    journal_ = std::get<std::unique_ptr<DiskJournal>>(std::move(opened));
+    LogSettings settings;
+    settings.group = fleetGroup;
+    settings.self = Member { MemberId { link_.self().daemon, journal_->storage() }, false, true, false };
+    settings.daemons = seedDaemons(settings_);
+    settings.electionTimeout = electionTimeout;
+    settings.maxEntries = maxLogEntries;
+    settings.mayFound = settings_.isFounding;
+    settings.minSynced = settings_.lostDisks + 1;
+    settings.voterSilence = voterSilence;
+    settings.keepsOddVoters = true;
+    group_ = std::make_unique<ReplicatedFleet>(link_.self(), std::move(settings), journal_->takeContent(),
+        GroupPorts { link_.peers(), link_.clock(), logRandom_, journal_.get() }, [this](const FleetState& state) { stateChanged(state); });
+    stateChanged(group_->state());
+    return Done {};
+}
+
+Result<Done> FleetKeeper::start()
+{
+    Result<Done> started = link_.start();
+    if (!errorOf(started))
+        started = control_.listen(*settings_.control);
+    if (!errorOf(started) && settings_.metricsPort > 0)
+        started = metricsPage_.listen({ settings_.address, static_cast<uint16_t>(settings_.metricsPort) });
+    if (errorOf(started))
+        return started;
+    journal_->start(*group_);
+    loop_.start();
+    thread_ = std::make_unique<PumpThread>(static_cast<Pumped&>(*this), link_.clock());
+    return started;
+}
+
+void FleetKeeper::reload(const FleetSettings& settings)
+{
+    for (const DaemonId& daemon : seedDaemons(settings))
+        group_->addDaemon(daemon);
+    MutexLock lock(mutex_);
+    others_.setSeeds(seedDaemons(settings));
+}
+
+void FleetKeeper::drain()
+{
+    isDraining_ = true;
+    control_.drain();
+    absl::SleepFor(drainTime);
+}
+
+void FleetKeeper::stop()
+{
+    if (thread_)
+        thread_->stop();
+    link_.stop();
+    if (journal_)
+        journal_->stop();
+    loop_.stop();
+}
+
+// Minions and operators.
+
+void FleetKeeper::minionReported(const MinionReport& report)
+{
+    bool isChange = false;
+    {
+        MutexLock lock(mutex_);
+        isChange = registry_.reported(report);
+    }
+    if (!isChange)
+        return;
+    log_.write(Severity::Info, "minion_reported", { { "minion", report.life.minion.value() }, { "birth", report.life.birth.value() }, { "sequence", report.sequence }, { "service", report.cell.service.value() }, { "cell", report.cell.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
+    sendNews();
+}
+
+void FleetKeeper::minionLeft(const MinionId& minion)
+{
+    {
+        MutexLock lock(mutex_);
+        registry_.left(minion);
+    }
+    log_.write(Severity::Info, "minion_left", { { "minion", minion.value() } });
+    sendNews();
+}
+
+void FleetKeeper::publish(RoutingDocument document, std::function<void(Result<RoutingVersion>)> done)
+{
+    group_->publish(std::move(document), std::move(done));
+}
+
+void FleetKeeper::readNewest(std::function<void(Result<RoutingDocument>)> done)
+{
+    group_->readNewest(std::move(done));
+}
+
+void FleetKeeper::stateChanged(const FleetState& state)
+{
+    bool isNewRouting = false;
+    {
+        MutexLock lock(mutex_);
+        isNewRouting = state.routing().version > registry_.routingVersion();
+        if (isNewRouting)
+            registry_.setRouting(state.routing());
+        if (state.grants() != grants_) {
+            grants_ = state.grants();
+            std::vector<CellGrant> grants;
+            for (const auto& [cell, grant] : grants_) {
+                registry_.noteCell(cell);
+                grants.push_back(grant);
+            }
+            registry_.setGrants(std::move(grants));
+        }
+    }
+    if (isNewRouting)
+        log_.write(Severity::Info, "configuration_in_force", { { "version", state.routing().version.value() } });
+    sendNews();
+}
+
+// Peers.
+
+void FleetKeeper::messageReceived(const DaemonId& from, PeerMessage message)
+{
+    std::visit([&](auto& typed) {
+        using Message = std::decay_t<decltype(typed)>;
+        if constexpr (requires { this->receive(from, typed); })
+            receive(from, typed);
+        else if constexpr (std::is_constructible_v<LogMessage, Message>)
+            group_->receive(LogMessage(std::move(typed)));
+    },
+        message);
+}
+
+void FleetKeeper::receive(const DaemonId& from, const DaemonPulse& pulse)
+{
+    if (!pulse.isEntry)
+        group_->addDaemon(from);
+    {
+        MutexLock lock(mutex_);
+        registry_.heard(pulse, link_.clock().now());
+    }
+    sendNews();
+}
+
+void FleetKeeper::receive(const DaemonId& from, const FleetNews& news)
+{
+    MutexLock lock(mutex_);
+    const FleetChange change = others_.receive(from, news, link_.clock().now());
+    for (const MinionReport& report : change.minions)
+        registry_.noteCell(report.cell);
+}
+
+void FleetKeeper::sendNews()
+{
+    std::vector<std::pair<DaemonId, FleetNews>> news;
+    {
+        MutexLock lock(mutex_);
+        news = registry_.takeNews(link_.clock().now());
+    }
+    for (auto& [to, message] : news)
+        link_.peers().send(to, std::move(message));
+}
+
+// What is due.
+
+absl::Time FleetKeeper::pump(absl::Time now)
+{
+    if (group_->nextWakeup() <= now)
+        group_->wake();
+    if (now >= pulseDue_) {
+        pulseDue_ = now + pulseInterval;
+        noteRole();
+        pulse();
+    }
+    if (isLeading_)
+        assignOwners(now);
+    if (now >= metricsDue_) {
+        metricsDue_ = now + metricsInterval;
+        publishMetrics();
+    }
+    return now + pumpInterval;
+}
+
+void FleetKeeper::waitForWork(absl::Time until)
+{
+    signal_.wait(absl::Now() + (until - link_.clock().now()));
+}
+
+void FleetKeeper::noteRole()
+{
+    const GroupState state = group_->status();
+    if (state.isLeading != isLeading_) {
+        isLeading_ = state.isLeading;
+        if (isLeading_) {
+            MutexLock lock(mutex_);
+            assigner_.beganLeading(link_.clock().now());
+        }
+    }
+    if (state.leader != leader_) {
+        leader_ = state.leader;
+        log_.write(Severity::Info, leader_ ? "leader_known" : "leader_lost", { { "leader", leader_ ? leader_->daemon.value() : std::string() }, { "term", state.term.value() }, { "members", uint64_t { state.members.size() } }, { "commit", state.commitIndex.value() } });
+    }
+}
+
+void FleetKeeper::pulse()
+{
+    std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
+    {
+        MutexLock lock(mutex_);
+        for (const DaemonId& keeper : others_.keepers()) {
+            DaemonPulse message { link_.self(), settings_.dataCentre, false, isDraining_, {}, {}, 0 };
+            others_.describe(keeper, message);
+            // Its own copy of the table comes through the log, not through news.
+            message.routing = registry_.routingVersion();
+            pulses.emplace_back(keeper, message);
+        }
+        pulses.emplace_back(link_.self().daemon, DaemonPulse { link_.self(), settings_.dataCentre, false, isDraining_, registry_.routingVersion(), {}, 0 });
+    }
+    for (const auto& [to, message] : pulses)
+        link_.peers().send(to, message);
+}
+
+void FleetKeeper::assignOwners(absl::Time now)
+{
+    std::vector<GrantRecord> proposals;
+    {
+        MutexLock lock(mutex_);
+        proposals = assigner_.decide(registry_, grants_, now);
+    }
+    for (const GrantRecord& proposal : proposals) {
+        log_.write(Severity::Info, "grant_proposed", { { "service", proposal.cell.service.value() }, { "cell", proposal.cell.dataCentre.value() }, { "owner", proposal.owner.daemon.value() }, { "previous_epoch", proposal.previous.value() } });
+        group_->grant(proposal);
+    }
+}
+
+void FleetKeeper::publishMetrics()
+{
+    const GroupState state = group_->status();
+    metrics_.set("log_commit_index", {}, static_cast<double>(state.commitIndex.value()));
+    metrics_.set("log_term", {}, static_cast<double>(state.term.value()));
+    metrics_.set("log_members", {}, static_cast<double>(state.members.size()));
+    metrics_.set("log_is_leader", {}, state.isLeading ? 1 : 0);
+    MutexLock lock(mutex_);
+    metrics_.set("configuration_version", {}, static_cast<double>(registry_.routingVersion().value()));
+    metrics_.set("minions_reporting", {}, static_cast<double>(registry_.minionCount()));
+    metrics_.set("daemons_heard", {}, static_cast<double>(registry_.daemons().size()));
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetKeeper.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "Adapters/Beast/HttpListener.h"
+#include "Adapters/Disk/DiskJournal.h"
+#include "Adapters/Disk/PosixFileSystem.h"
+#include "Adapters/Histogram/HistogramMetrics.h"
+#include "Control/FleetRegistry.h"
+#include "Control/OwnerAssigner.h"
+#include "Control/ReplicatedFleet.h"
+#include "Daemon/FleetDaemon.h"
+#include "Daemon/FleetLink.h"
+#include "Daemon/PumpThread.h"
+#include "Dispatch/WorkSignal.h"
+#include "Intake/FleetView.h"
+#include "Ports/FleetOperations.h"
+#include "Ports/RoutingReader.h"
+#include "platform/ControlDoor.h"
+
+#include <memory>
+
+namespace trefoilwing {
+
+/// A keeper of a fleet: keeps the routing table and the owners of the cells durably, hears minions and
+/// daemons, and tells each what it lacks.
+class FleetKeeper : public FleetDaemon, private FleetOperations, private PeerEvents, private Pumped {
+public:
+    /// @return the keeper, or an error that names what is wrong with the data folder.
+    static Result<std::unique_ptr<FleetKeeper>> create(const FleetSettings&, const RoutingReader&, EventLog&, HistogramMetrics&);
+    ~FleetKeeper() override;
+
+    Result<Done> start() override;
+    void reload(const FleetSettings&) override;
+    void drain() override;
+    void stop() override;
+
+private:
+    FleetKeeper(const FleetSettings&, const RoutingReader&, EventLog&, HistogramMetrics&);
+
+    Result<Done> openJournal();
+
+    void minionReported(const MinionReport&) override;
+    void minionLeft(const MinionId&) override;
+    void publish(RoutingDocument, std::function<void(Result<RoutingVersion>)> done) override;
+    void readNewest(std::function<void(Result<RoutingDocument>)> done) override;
+
+    void messageReceived(const DaemonId& from, PeerMessage) override;
+    void receive(const DaemonId& from, const DaemonPulse&);
+    void receive(const DaemonId& from, const FleetNews&);
+
+    absl::Time pump(absl::Time now) override;
+    void waitForWork(absl::Time until) override;
+    void wake() override { signal_.raise(); }
+
+    void stateChanged(const FleetState&);
+    void assignOwners(absl::Time now);
+    void sendNews();
+    void pulse();
+    void noteRole();
+    void publishMetrics();
+
+    const FleetSettings settings_;
+    EventLog& log_;
+    HistogramMetrics& metrics_;
+    PosixFileSystem files_;
+    FleetLink link_;
+    SeededRandom logRandom_;
+    HttpLoop loop_;
+    platform::ControlDoor door_;
+    HttpListener control_;
+    HttpListener metricsPage_;
+    std::unique_ptr<DiskJournal> journal_;
+    std::unique_ptr<ReplicatedFleet> group_;
+
+    mutable absl::Mutex mutex_;
+    FleetRegistry registry_ ABSL_GUARDED_BY(mutex_);
+    FleetView others_ ABSL_GUARDED_BY(mutex_);
+    std::map<CellId, CellGrant> grants_ ABSL_GUARDED_BY(mutex_);
+    OwnerAssigner assigner_ ABSL_GUARDED_BY(mutex_);
+
+    std::atomic<bool> isDraining_ { false };
+    /// The rest is used by the pump's thread only.
+    absl::Time pulseDue_ = absl::InfinitePast();
+    absl::Time metricsDue_ = absl::InfinitePast();
+    bool isLeading_ = false;
+    std::optional<MemberId> leader_;
+    WorkSignal signal_;
+    std::unique_ptr<PumpThread> thread_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetLink.cpp
@@ -0,0 +1,49 @@
+#include "Daemon/FleetLink.h"
+
+#include <absl/time/clock.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// Limits for daemons that give signs of life several times a second: a connection that has gone silent
+    /// must end well before its daemon is taken for gone.
+    WireOptions fleetWireOptions()
+    {
+        WireOptions options;
+        options.maxQueueAge = absl::Seconds(1);
+        options.handshakeTimeout = absl::Milliseconds(500);
+        options.sendTimeout = absl::Milliseconds(600);
+        options.pingInterval = absl::Milliseconds(1000);
+        options.receiveTimeout = absl::Milliseconds(3000);
+        options.firstBackoff = absl::Milliseconds(50);
+        options.maxBackoff = absl::Milliseconds(500);
+        return options;
+    }
+
+    Incarnation nextIncarnation()
+    {
+        return Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())));
+    }
+
+} // namespace
+
+FleetLink::FleetLink(const FleetSettings& settings, PeerEvents& events, EventLog& log)
+    : events_(events)
+    , self_ { DaemonId(settings.address), nextIncarnation() }
+    , random_(SeededRandom::freshSeed())
+    , resolver_(settings.peerPort)
+    , others_(self_, Endpoint { settings.address, static_cast<uint16_t>(settings.peerPort) }, resolver_, clock_, random_, log, fleetWireOptions())
+    , peers_(self_.daemon, others_, events)
+{
+}
+
+std::vector<DaemonId> seedDaemons(const FleetSettings& settings)
+{
+    std::vector<DaemonId> daemons;
+    for (const Endpoint& seed : settings.seeds)
+        daemons.emplace_back(seed.address);
+    return daemons;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetLink.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Adapters/Clock/SeededRandom.h"
+#include "Adapters/Clock/SteadyClock.h"
+#include "Adapters/Wire/TcpPeerLink.h"
+#include "Daemon/AddressResolver.h"
+#include "Daemon/LoopbackLink.h"
+#include "Model/FleetSettings.h"
+
+namespace trefoilwing {
+
+/// How a daemon of a fleet reaches the others, itself included.
+class FleetLink {
+public:
+    /// @param events, log must outlive the link.
+    FleetLink(const FleetSettings&, PeerEvents& events, EventLog& log);
+
+    Result<Done> start() { return others_.start(events_); }
+    void stop() { others_.stop(); }
+
+    const DaemonRun& self() const { return self_; }
+    PeerLink& peers() { return peers_; }
+    SteadyClock& clock() { return clock_; }
+    const SteadyClock& clock() const { return clock_; }
+
+private:
+    PeerEvents& events_;
+    const DaemonRun self_;
+    SteadyClock clock_;
+    SeededRandom random_;
+    AddressResolver resolver_;
+    TcpPeerLink others_;
+    LoopbackLink peers_;
+};
+
+/// @return the ids of the daemons that the settings name as seeds.
+std::vector<DaemonId> seedDaemons(const FleetSettings&);
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Daemon/FleetMain.cpp
@@ -0,0 +1,98 @@
+#include "Daemon/FleetMain.h"
+
+#include "Adapters/Clock/SystemClock.h"
+#include "Adapters/LineLog/LineLog.h"
+#include "Adapters/Yaml/FleetSettingsLoader.h"
+#include "Daemon/ExitStatus.h"
+#include "Daemon/FleetEntry.h"
+#include "Daemon/FleetKeeper.h"
+#include "platform/RoutingCodec.h"
+
+#include <csignal>
+#include <ctime>
+#include <iostream>
+#include <unistd.h>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// How often the settings file is read, as it may change without a signal.
+    constexpr timespec settingsCheck { 1, 0 };
+
+    sigset_t blockSignals()
+    {
+        sigset_t signals;
+        sigemptyset(&signals);
+        for (const int number : { SIGTERM, SIGINT, SIGHUP })
+            sigaddset(&signals, number);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        // A peer or a minion that closes its connection must not end the process.
+        std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler,cert-err33-c): SIG_IGN can't fail here.
+        return signals;
+    }
+
+    Result<std::unique_ptr<FleetDaemon>> makeDaemon(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
+    {
+        if (settings.callers)
+            return std::unique_ptr<FleetDaemon>(std::make_unique<FleetEntry>(settings, reader, log, metrics));
+        auto keeper = FleetKeeper::create(settings, reader, log, metrics);
+        if (const Error* error = errorOf(keeper))
+            return *error;
+        return std::unique_ptr<FleetDaemon>(std::get<std::unique_ptr<FleetKeeper>>(std::move(keeper)));
+    }
+
+    /// Takes over changes of the settings until a signal ends the process.
+    int waitForEnd(const sigset_t& signals, const std::string& file, FleetSettings settings, FleetDaemon& daemon, EventLog& log)
+    {
+        while (true) {
+            const int signal = sigtimedwait(&signals, nullptr, &settingsCheck);
+            if (signal == SIGTERM || signal == SIGINT)
+                return signal;
+            const Result<FleetSettings> read = loadFleetSettings(file);
+            if (const Error* error = errorOf(read)) {
+                log.write(Severity::Error, "settings_unreadable", { { "reason", error->message } });
+            } else if (signal == SIGHUP || *valueOf(read) != settings) {
+                settings = *valueOf(read);
+                daemon.reload(settings);
+                log.write(Severity::Info, "settings_reloaded", { { "signal", signal == SIGHUP ? std::string("yes") : std::string("no") }, { "seeds", uint64_t { settings.seeds.size() } } });
+            }
+        }
+    }
+
+} // namespace
+
+int runFleet(const std::string& settingsFile)
+{
+    const Result<FleetSettings> loaded = loadFleetSettings(settingsFile);
+    if (const Error* error = errorOf(loaded)) {
+        std::cerr << error->message << "\n";
+        return exitSettings;
+    }
+    const FleetSettings& settings = *valueOf(loaded);
+    const sigset_t signals = blockSignals();
+    LineLog log(settings.node, STDOUT_FILENO);
+    const SystemClock clock;
+    HistogramMetrics metrics(clock);
+    const platform::RoutingCodec reader;
+    const Result<std::unique_ptr<FleetDaemon>> made = makeDaemon(settings, reader, log, metrics);
+    if (const Error* error = errorOf(made)) {
+        log.write(Severity::Error, "start_failed", { { "reason", error->message } });
+        return exitDataFolder;
+    }
+    FleetDaemon& daemon = **valueOf(made);
+    const Result<Done> started = daemon.start();
+    if (const Error* error = errorOf(started)) {
+        log.write(Severity::Error, "start_failed", { { "reason", error->message } });
+        return exitAddress;
+    }
+    log.write(Severity::Info, "started", { { "address", settings.address }, { "data_centre", settings.dataCentre.value() }, { "role", settings.callers ? std::string("entry") : std::string("keeper") }, { "founding", settings.isFounding ? std::string("yes") : std::string("no") } });
+    const int signal = waitForEnd(signals, settingsFile, settings, daemon, log);
+    log.write(Severity::Info, "signal", { { "number", static_cast<uint64_t>(signal) } });
+    daemon.drain();
+    daemon.stop();
+    log.write(Severity::Info, "stopped", {});
+    return exitDrained;
+}
+
+} // namespace trefoilwing
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -2,6 +2,8 @@
 #include "Adapters/Yaml/SettingsLoader.h"
 #include "Daemon/Daemon.h"
 #include "Daemon/DaemonOptions.h"
+#include "Daemon/ExitStatus.h"
+#include "Daemon/FleetMain.h"
 
 #include <csignal>
 #include <iostream>
@@ -10,11 +12,6 @@
 
 namespace {
 
-    constexpr int exitUndrained = 1;
-    constexpr int exitUsage = 2;
-    constexpr int exitSettings = 3;
-    constexpr int exitAddress = 4;
-    constexpr int exitDataFolder = 5;
     constexpr char version[] = "0.1";
     constexpr absl::Duration drainLimit = absl::Minutes(5);
 
@@ -67,6 +64,8 @@
             std::cout << (valueOf(options)->wantsHelp ? daemonHelp() : std::string("trefoilwing ") + version + "\n");
             return 0;
         }
+        if (!valueOf(options)->fleetSettingsFile.empty())
+            return runFleet(valueOf(options)->fleetSettingsFile);
         const Result<DaemonSettings> settings = loadSettings(valueOf(options)->settingsFile);
         if (const Error* error = errorOf(settings)) {
             std::cerr << error->message << "\n";
--- /dev/null
+++ b/Source/Intake/CellChooser.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Model/FleetMessages.h"
+
+#include <absl/time/time.h>
+
+#include <map>
+#include <optional>
+
+namespace trefoilwing {
+
+/// Decides which cell a job goes to: the one that would begin it first, by what the owners last told.
+///
+/// What this entry has sent since an owner's last word is added to that word.
+class CellChooser {
+public:
+    explicit CellChooser(DataCentreId home)
+        : home_(std::move(home))
+    {
+    }
+
+    void granted(const CellGrant&);
+    void loadHeard(const CellLoad&, absl::Time now);
+
+    /// @param excluded a cell that has turned the job down.
+    /// @return the grant of the chosen cell, or nothing where no owner is heard.
+    std::optional<CellGrant> choose(const ServiceId&, const Room& need, uint32_t taskCount, absl::Duration estimate,
+        const std::optional<CellId>& excluded, absl::Time now);
+
+    const std::map<CellId, CellGrant>& grants() const { return grants_; }
+    /// @return whether an owner of any cell is heard.
+    bool hearsAnyOwner(absl::Time now) const;
+
+private:
+    struct Standing {
+        CellLoad load;
+        absl::Time heardAt = absl::InfinitePast();
+        int64_t sentMilliCores = 0;
+        int64_t sentCoreMs = 0;
+    };
+
+    absl::Duration expectedWait(const Standing&, int64_t milliCores, int64_t coreMs) const;
+
+    const DataCentreId home_;
+    std::map<CellId, CellGrant> grants_;
+    std::map<CellId, Standing> standings_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Intake/FleetView.cpp
@@ -0,0 +1,135 @@
+#include "Intake/FleetView.h"
+
+#include <algorithm>
+#include <set>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// The notes of a keeper that was silent for longer don't count any more.
+    constexpr absl::Duration noteLife = absl::Seconds(5);
+
+} // namespace
+
+FleetView::FleetView(std::vector<DaemonId> seeds)
+    : seeds_(std::move(seeds))
+{
+}
+
+FleetChange FleetView::receive(const DaemonId& keeper, const FleetNews& news, absl::Time now)
+{
+    FleetChange change;
+    heardAt_ = now;
+    KeeperNews& known = news_[keeper];
+    if (known.run > news.keeper)
+        return change;
+    if (known.run != news.keeper)
+        known = {};
+    known.run = news.keeper;
+    known.number = std::max(known.number, news.number);
+    if (news.daemons)
+        known.daemons = *news.daemons;
+    known.heardAt = now;
+    for (const MinionLife& life : news.gone)
+        dropMinion(life, change);
+    for (const MinionReport& report : news.minions)
+        takeMinion(report, change);
+    for (const CellGrant& grant : news.grants) {
+        CellGrant& held = grants_[grant.cell];
+        if (grant.epoch > held.epoch) {
+            held = grant;
+            change.grants.push_back(grant);
+        }
+    }
+    if (news.routing && news.routing->version > routing_) {
+        routing_ = news.routing->version;
+        change.routing = news.routing;
+    }
+    return change;
+}
+
+bool FleetView::takeMinion(const MinionReport& report, FleetChange& change)
+{
+    const auto left = left_.find(report.life.minion);
+    if (left != left_.end() && report.life.birth <= left->second)
+        return false;
+    const auto known = minions_.find(report.life.minion);
+    if (known != minions_.end()) {
+        const MinionReport& held = known->second;
+        if (held.life.birth > report.life.birth || (held.life == report.life && held.sequence >= report.sequence))
+            return false;
+    }
+    // Only the newest life can be at an address.
+    std::vector<MinionLife> replaced;
+    for (const auto& [id, other] : minions_) {
+        if (id != report.life.minion && other.endpoint == report.endpoint) {
+            if (other.life.birth > report.life.birth)
+                return false;
+            replaced.push_back(other.life);
+        }
+    }
+    for (const MinionLife& life : replaced)
+        dropMinion(life, change);
+    minions_[report.life.minion] = report;
+    change.minions.push_back(report);
+    return true;
+}
+
+void FleetView::dropMinion(const MinionLife& life, FleetChange& change)
+{
+    MinionBirth& left = left_[life.minion];
+    left = std::max(left, life.birth);
+    const auto known = minions_.find(life.minion);
+    if (known == minions_.end() || known->second.life != life)
+        return;
+    change.gone.push_back(known->second);
+    minions_.erase(known);
+}
+
+void FleetView::describe(const DaemonId& keeper, DaemonPulse& pulse) const
+{
+    const auto known = news_.find(keeper);
+    pulse.routing = routing_;
+    pulse.newsFrom = known == news_.end() ? Incarnation(0) : known->second.run;
+    pulse.newsNumber = known == news_.end() ? 0 : known->second.number;
+}
+
+std::vector<DaemonId> FleetView::keepers() const
+{
+    std::set<DaemonId> keepers(seeds_.begin(), seeds_.end());
+    for (const auto& [keeper, news] : news_) {
+        keepers.insert(keeper);
+        for (const DaemonNote& note : news.daemons) {
+            if (!note.isEntry)
+                keepers.insert(note.run.daemon);
+        }
+    }
+    return { keepers.begin(), keepers.end() };
+}
+
+std::vector<DaemonId> FleetView::entries() const
+{
+    std::set<DaemonId> entries;
+    for (const auto& [keeper, news] : news_) {
+        if (news.heardAt + noteLife < heardAt_)
+            continue;
+        for (const DaemonNote& note : news.daemons) {
+            if (note.isEntry)
+                entries.insert(note.run.daemon);
+        }
+    }
+    return { entries.begin(), entries.end() };
+}
+
+std::vector<MinionReport> FleetView::minionsOf(const CellId& cell) const
+{
+    std::vector<MinionReport> reports;
+    for (const auto& [id, report] : minions_) {
+        if (report.cell == cell)
+            reports.push_back(report);
+    }
+    return reports;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Intake/FleetView.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "Model/FleetMessages.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace trefoilwing {
+
+/// What a piece of news changed for its receiver.
+struct FleetChange {
+    std::optional<RoutingDocument> routing;
+    std::vector<CellGrant> grants;
+    std::vector<MinionReport> minions;
+    std::vector<MinionReport> gone;
+};
+
+/// What a daemon knows of the fleet, merged from the news of all keepers that it hears.
+///
+/// Nothing is forgotten when the keepers fall silent, and nothing older takes the place of what is newer,
+/// whichever keeper tells it.
+class FleetView {
+public:
+    /// @param seeds the keepers that the settings name.
+    explicit FleetView(std::vector<DaemonId> seeds);
+
+    void setSeeds(std::vector<DaemonId> seeds) { seeds_ = std::move(seeds); }
+
+    FleetChange receive(const DaemonId& keeper, const FleetNews&, absl::Time now);
+
+    /// @return what this daemon has of a keeper's news, for its next pulse.
+    void describe(const DaemonId& keeper, DaemonPulse&) const;
+
+    /// @return the keepers to tell signs of life to.
+    std::vector<DaemonId> keepers() const;
+    /// @return the entries that some keeper hears.
+    std::vector<DaemonId> entries() const;
+    std::vector<MinionReport> minionsOf(const CellId&) const;
+    RoutingVersion routingVersion() const { return routing_; }
+    /// @return how long no keeper has been heard.
+    absl::Duration silence(absl::Time now) const { return now - heardAt_; }
+    size_t minionCount() const { return minions_.size(); }
+
+private:
+    struct KeeperNews {
+        Incarnation run;
+        uint64_t number = 0;
+        std::vector<DaemonNote> daemons;
+        absl::Time heardAt;
+    };
+
+    bool takeMinion(const MinionReport&, FleetChange&);
+    void dropMinion(const MinionLife&, FleetChange&);
+
+    std::vector<DaemonId> seeds_;
+    std::map<DaemonId, KeeperNews> news_;
+    absl::flat_hash_map<MinionId, MinionReport> minions_;
+    /// Lives that have left, so that a late report doesn't bring them back.
+    absl::flat_hash_map<MinionId, MinionBirth> left_;
+    std::map<CellId, CellGrant> grants_;
+    RoutingVersion routing_;
+    absl::Time heardAt_ = absl::InfinitePast();
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Model/FleetMessages.h
@@ -0,0 +1,134 @@
+#pragma once
+
+#include "Model/Routing.h"
+#include "Model/Runs.h"
+
+#include <absl/time/time.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Who may give orders in a cell, as the keepers' log granted it.
+struct CellGrant {
+    CellId cell;
+    DaemonRun owner;
+    OwnerEpoch epoch;
+
+    friend bool operator==(const CellGrant&, const CellGrant&) = default;
+};
+
+/// A daemon's regular sign of life, to the keepers and to the owners of cells.
+struct DaemonPulse {
+    DaemonRun run;
+    DataCentreId dataCentre;
+    bool isEntry = false;
+    bool isDraining = false;
+    RoutingVersion routing;
+    /// What the sender has of the receiver's news: the receiver's run and the number of its latest news.
+    Incarnation newsFrom;
+    uint64_t newsNumber = 0;
+
+    friend bool operator==(const DaemonPulse&, const DaemonPulse&) = default;
+};
+
+/// Another daemon as a keeper knows it.
+struct DaemonNote {
+    DaemonRun run;
+    DataCentreId dataCentre;
+    bool isEntry = false;
+    bool isDraining = false;
+
+    friend bool operator==(const DaemonNote&, const DaemonNote&) = default;
+};
+
+/// What a keeper knows and the receiver doesn't yet.
+struct FleetNews {
+    Incarnation keeper;
+    /// Numbers the keeper's changes, so that the receiver can say what it has.
+    uint64_t number = 0;
+    std::optional<RoutingDocument> routing;
+    std::vector<CellGrant> grants;
+    std::vector<MinionReport> minions;
+    /// Lives that have left or were replaced.
+    std::vector<MinionLife> gone;
+    /// All daemons that the keeper hears, where that has changed.
+    std::optional<std::vector<DaemonNote>> daemons;
+
+    friend bool operator==(const FleetNews&, const FleetNews&) = default;
+};
+
+/// How busy a cell is, told by its owner to all entries.
+struct CellLoad {
+    CellId cell;
+    OwnerEpoch epoch;
+    /// Of the minions in use.
+    int64_t totalMilliCores = 0;
+    int64_t freeMilliCores = 0;
+    /// Queued work ahead of a new job, in core-milliseconds.
+    int64_t queuedCoreMs = 0;
+
+    friend bool operator==(const CellLoad&, const CellLoad&) = default;
+};
+
+/// Asks the owner of a cell to run a job.
+struct JobOffer {
+    CellId cell;
+    JobKey job;
+    /// Numbers the offers of the sender, so that an answer finds the life of the job that it is for.
+    uint64_t life = 0;
+    RouteName route;
+    uint32_t taskCount = 0;
+    Room need;
+    /// The caller's rough estimate of one task's run time.
+    absl::Duration estimate;
+    std::string spec;
+    /// Time left until the job is late.
+    absl::Duration untilLate;
+    /// Time left until nobody waits for the answer.
+    absl::Duration untilGivenUp;
+    uint32_t priority = 0;
+    uint32_t maxAttempts = 1;
+    /// Whether an earlier owner may have started tasks of this life.
+    bool isTakeover = false;
+
+    friend bool operator==(const JobOffer&, const JobOffer&) = default;
+};
+
+/// Nobody waits for the job any more.
+struct JobCancel {
+    CellId cell;
+    JobKey job;
+    uint64_t life = 0;
+
+    friend bool operator==(const JobCancel&, const JobCancel&) = default;
+};
+
+enum class JobEnd {
+    Completed,
+    /// A task failed as often as the route allows.
+    Failed,
+    /// Nothing of it ran or will run; there is no time left for it.
+    TurnedDown,
+    /// No minion could ever hold its tasks; nothing of it ran.
+    Impossible,
+    /// It began and can't end in time; its runs are stopped.
+    GivenUp,
+};
+
+/// The owner's last word on a job.
+struct JobEnded {
+    JobKey job;
+    uint64_t life = 0;
+    JobEnd end = JobEnd::Completed;
+    /// When it may be worth coming back, for TurnedDown.
+    absl::Duration retryAfter;
+    /// For the log: how long the job waited for its first start.
+    absl::Duration queued;
+
+    friend bool operator==(const JobEnded&, const JobEnded&) = default;
+};
+
+} // namespace trefoilwing
--- a/Source/Model/LogRecord.h
+++ b/Source/Model/LogRecord.h
@@ -2,6 +2,7 @@
 
 #include "Base/Error.h"
 #include "Model/Declaration.h"
+#include "Model/FleetMessages.h"
 #include "Model/Identifiers.h"
 #include "Model/Units.h"
 
@@ -119,8 +120,34 @@
     friend bool operator==(const LookUpRecord&, const LookUpRecord&) = default;
 };
 
-/// What an entry of a replicated log holds.
-using Command = std::variant<NoOperation, FoundingRecord, ClaimRecord, OutcomeRecord, OwnerGoneRecord, PublishRecord, MemberRecord, LookUpRecord>;
+/// Puts a routing table in force, if its version is the highest so far.
+struct RoutingRecord {
+    RoutingDocument document;
+
+    friend bool operator==(const RoutingRecord&, const RoutingRecord&) = default;
+};
+
+/// Grants a cell to an owner, if the cell's epoch is still the one that the proposer saw.
+/// The new epoch is the index of the record's entry, so it is unique and rises.
+struct GrantRecord {
+    CellId cell;
+    DaemonRun owner;
+    OwnerEpoch previous;
+
+    friend bool operator==(const GrantRecord&, const GrantRecord&) = default;
+};
+
+/// Marks a point in the log after all that was committed before; changes nothing.
+struct BarrierRecord {
+    DaemonRun proposer;
+    uint64_t number = 0;
+
+    friend bool operator==(const BarrierRecord&, const BarrierRecord&) = default;
+};
+
+/// What an entry of a replicated log holds, new kinds last: the place is the number on disk.
+using Command = std::variant<NoOperation, FoundingRecord, ClaimRecord, OutcomeRecord, OwnerGoneRecord, PublishRecord, MemberRecord, LookUpRecord,
+    RoutingRecord, GrantRecord, BarrierRecord>;
 
 /// One entry of a replicated log.
 struct LogEntry {
@@ -185,8 +212,16 @@
     friend bool operator==(const ConfigurationPiece&, const ConfigurationPiece&) = default;
 };
 
+/// The fleet's state in a snapshot.
+struct FleetPiece {
+    RoutingDocument routing;
+    std::vector<CellGrant> grants;
+
+    friend bool operator==(const FleetPiece&, const FleetPiece&) = default;
+};
+
 /// A part of a state machine's state, small enough for one message.
-using SnapshotPiece = std::variant<LedgerPiece, ConfigurationPiece>;
+using SnapshotPiece = std::variant<LedgerPiece, ConfigurationPiece, FleetPiece>;
 
 /// A state machine's state after an entry, in place of the log up to it.
 struct Snapshot {
--- a/Source/Model/PeerMessage.h
+++ b/Source/Model/PeerMessage.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Model/BrokerMessages.h"
+#include "Model/FleetMessages.h"
 #include "Model/ForwardMessages.h"
 #include "Model/LogMessages.h"
 #include "Model/MembershipMessages.h"
@@ -31,6 +32,12 @@
     RosterQuery,
     MinionVouch,
     MinionQuery,
-    MinionDelta>;
+    MinionDelta,
+    DaemonPulse,
+    FleetNews,
+    CellLoad,
+    JobOffer,
+    JobCancel,
+    JobEnded>;
 
 } // namespace trefoilwing
--- /dev/null
+++ b/Source/Model/Room.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+namespace trefoilwing {
+
+/// What a task needs of a minion, or a minion offers, in each dimension.
+struct Room {
+    /// Thousandths of a core.
+    int64_t milliCores = 0;
+    int64_t memoryMb = 0;
+    int64_t accelerators = 0;
+
+    /// @return whether a task that needs so much fits in.
+    bool holds(const Room& need) const
+    {
+        return milliCores >= need.milliCores && memoryMb >= need.memoryMb && accelerators >= need.accelerators;
+    }
+
+    Room& operator+=(const Room& other)
+    {
+        milliCores += other.milliCores;
+        memoryMb += other.memoryMb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    Room& operator-=(const Room& other)
+    {
+        milliCores -= other.milliCores;
+        memoryMb -= other.memoryMb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    friend bool operator==(const Room&, const Room&) = default;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Placement/CellShard.cpp
@@ -0,0 +1,116 @@
+#include "Placement/CellShard.h"
+
+namespace trefoilwing {
+
+CellShard::CellShard(CellId cell, OwnerEpoch epoch, const DispatchPolicy& policy, const JobOrder& order, CellPorts ports)
+    : cell_(std::move(cell))
+    , epoch_(epoch)
+    , ports_(ports)
+    , dispatcher_(cell_, epoch, policy, order, ports.random, ports.clock.now())
+    , effects_(mutex_)
+{
+}
+
+template <typename Decide>
+void CellShard::run(const Decide& decide)
+{
+    const absl::Time now = ports_.clock.now();
+    {
+        MutexLock lock(mutex_);
+        decide(dispatcher_, now);
+        queueEffects(dispatcher_.takeOutbox());
+    }
+    effects_.flush();
+}
+
+void CellShard::queueEffects(CellOutbox outbox)
+{
+    if (outbox.orders.empty() && outbox.messages.empty() && outbox.events.empty())
+        return;
+    effects_.add([this, outbox = std::move(outbox)] {
+        // Stops go out before the answers that let a caller hand the job in again.
+        for (const auto& order : outbox.orders)
+            std::visit([this](const auto& typed) { ports_.minions.send(cell_, typed); }, order);
+        for (const EntryMessage& message : outbox.messages)
+            ports_.peers.send(message.entry, message.ended);
+        for (const CellEvent& event : outbox.events)
+            ports_.log.write(Severity::Info, event.name, { { "request", event.job.value() }, { "minion", event.minion.value() }, { "cell", cell_.dataCentre.value() }, { "epoch", epoch_.value() }, { "why", event.detail } });
+    });
+}
+
+void CellShard::minionReported(const MinionReport& report)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionReported(report, now); });
+}
+
+void CellShard::minionLeft(const MinionLife& life)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionLeft(life, now); });
+}
+
+void CellShard::offered(const JobOffer& offer, const DaemonId& entry)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.offered(offer, entry, now); });
+}
+
+void CellShard::cancelled(const JobCancel& cancel, const DaemonId& entry)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.cancelled(cancel, entry, now); });
+}
+
+void CellShard::entryHeard(const DaemonId& entry)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.entryHeard(entry, now); });
+}
+
+void CellShard::answered(const StartResult& result)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.answered(result, now); });
+}
+
+void CellShard::answered(const StopResult& result)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.answered(result, now); });
+}
+
+void CellShard::answered(const HoldResult& result)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.answered(result, now); });
+}
+
+void CellShard::tick()
+{
+    run([](CellDispatcher& dispatcher, absl::Time now) { dispatcher.tick(now); });
+}
+
+CellLoad CellShard::load() const
+{
+    MutexLock lock(mutex_);
+    return dispatcher_.load(ports_.clock.now());
+}
+
+CellTotals CellShard::totals() const
+{
+    MutexLock lock(mutex_);
+    return dispatcher_.totals();
+}
+
+bool CellShard::isSuperseded() const
+{
+    MutexLock lock(mutex_);
+    return dispatcher_.isSuperseded();
+}
+
+size_t CellShard::jobCount() const
+{
+    MutexLock lock(mutex_);
+    return dispatcher_.jobCount();
+}
+
+size_t CellShard::minionCount() const
+{
+    MutexLock lock(mutex_);
+    return dispatcher_.minionCount();
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Placement/CellShard.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Base/EffectQueue.h"
+#include "Placement/CellDispatcher.h"
+#include "Ports/Clock.h"
+#include "Ports/EventLog.h"
+#include "Ports/MinionOrders.h"
+#include "Ports/PeerLink.h"
+
+#include <memory>
+
+namespace trefoilwing {
+
+/// The ports that a cell's owner works through; all outlive it.
+struct CellPorts {
+    MinionOrders& minions;
+    PeerLink& peers;
+    Clock& clock;
+    Random& random;
+    EventLog& log;
+};
+
+/// One owned cell as a shard under its own lock.
+class CellShard {
+public:
+    CellShard(CellId, OwnerEpoch, const DispatchPolicy&, const JobOrder&, CellPorts);
+
+    void minionReported(const MinionReport&);
+    void minionLeft(const MinionLife&);
+    void offered(const JobOffer&, const DaemonId& entry);
+    void cancelled(const JobCancel&, const DaemonId& entry);
+    void entryHeard(const DaemonId& entry);
+    void answered(const StartResult&);
+    void answered(const StopResult&);
+    void answered(const HoldResult&);
+    void tick();
+
+    CellLoad load() const;
+    CellTotals totals() const;
+    bool isSuperseded() const;
+    size_t jobCount() const;
+    size_t minionCount() const;
+    const CellId& cell() const { return cell_; }
+    OwnerEpoch epoch() const { return epoch_; }
+
+private:
+    template <typename Decide>
+    void run(const Decide&);
+    void queueEffects(CellOutbox) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
+    const CellId cell_;
+    const OwnerEpoch epoch_;
+    CellPorts ports_;
+    mutable absl::Mutex mutex_;
+    CellDispatcher dispatcher_ ABSL_GUARDED_BY(mutex_);
+    EffectQueue effects_;
+};
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Placement/LeasedMinion.cpp
@@ -0,0 +1,77 @@
+#include "Placement/LeasedMinion.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace trefoilwing {
+
+namespace {
+
+    /// One run counts as at most so many times slower or faster: a few tasks are far longer than estimated
+    /// for reasons of their own.
+    constexpr double maxRatio = 4;
+
+} // namespace
+
+LeasedMinion::LeasedMinion(MinionReport report, const DispatchPolicy& policy)
+    : health(policy)
+    , report_(std::move(report))
+    , policy_(policy)
+    , free_(report_.capacity)
+{
+}
+
+void LeasedMinion::noteClock(int64_t clockMs, absl::Time now)
+{
+    if (clockMs <= 0)
+        return;
+    clockMs_ = clockMs;
+    clockAt_ = now;
+}
+
+int64_t LeasedMinion::extendLease(absl::Time now)
+{
+    // The slowest clock that the minion may have, so that the lease never lasts longer than meant.
+    const auto elapsed = absl::ToInt64Milliseconds((now - clockAt_) * (1 - policy_.clockDrift));
+    leaseOverAt_ = std::max(leaseOverAt_, now + policy_.lease / (1 - policy_.clockDrift) + policy_.clockSlack);
+    return clockMs_ + elapsed + absl::ToInt64Milliseconds(policy_.lease);
+}
+
+bool LeasedMinion::isUsable(absl::Time now) const
+{
+    return isFenced && !isFull && report_.state == MinionState::Serving && health.isReachable() && !health.isEjected(now)
+        && (!health.isOnTrial() || runs_.empty());
+}
+
+Run& LeasedMinion::addRun(Run run)
+{
+    free_ -= run.need;
+    const RunId id = run.id;
+    return runs_[id] = std::move(run);
+}
+
+Run* LeasedMinion::findRun(const RunId& id)
+{
+    const auto found = runs_.find(id);
+    return found == runs_.end() ? nullptr : &found->second;
+}
+
+void LeasedMinion::removeRun(const RunId& id)
+{
+    const auto found = runs_.find(id);
+    if (found == runs_.end())
+        return;
+    free_ += found->second.need;
+    runs_.erase(found);
+}
+
+void LeasedMinion::noteRunTime(absl::Duration estimate, absl::Duration taken)
+{
+    if (estimate <= absl::ZeroDuration())
+        return;
+    const double ratio = std::clamp(absl::FDivDuration(taken, estimate), 1 / maxRatio, maxRatio);
+    // The mean of logarithms, so that twice as slow and twice as fast weigh the same.
+    slowness_ = std::exp((1 - policy_.speedWeight) * std::log(slowness_) + policy_.speedWeight * std::log(ratio));
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Source/Ports/JobIntake.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Model/CallerJob.h"
+
+#include <string>
+
+namespace trefoilwing {
+
+/// What an entry knows of a route that a caller names.
+enum class RouteStanding {
+    Known,
+    Unknown,
+    /// This entry has no routing table yet.
+    NoTable,
+};
+
+/// Takes callers' jobs. Calls come from the server's thread and must not wait.
+class JobIntake {
+public:
+    virtual ~JobIntake() = default;
+
+    /// Takes a job; its answer comes through CallerReplies, maybe before the call returns.
+    virtual void submit(Ticket, const CallerJob&) = 0;
+
+    /// The caller went away before its answer.
+    virtual void abandon(Ticket) = 0;
+
+    virtual RouteStanding findRoute(const std::string& host, const std::string& path) const = 0;
+
+    /// @return how long the path's prefix is that the route has; 0 where there is none.
+    virtual size_t prefixLength(const std::string& host, const std::string& path) const = 0;
+
+    /// @return whether new callers should come to this entry.
+    virtual bool isReady() const = 0;
+};
+
+} // namespace trefoilwing
--- a/Utilities/CMake/Packages.cmake
+++ b/Utilities/CMake/Packages.cmake
@@ -8,7 +8,7 @@
 #   adapter   anything.
 
 set(TREFOILWING_CORE_PACKAGES Base Model Ports)
-set(TREFOILWING_DECISION_PACKAGES Dispatch Broker Control)
+set(TREFOILWING_DECISION_PACKAGES Dispatch Broker Control Placement Intake)
 
 function(trefoilwing_check_layer name layer)
   if(layer STREQUAL "adapter")
