--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -33,6 +33,11 @@
         { JobEnd::GivenUp, AnswerKind::GaveUp, "given_up" },
     } };
 
+    uint64_t milliseconds(absl::Duration duration)
+    {
+        return static_cast<uint64_t>(std::max<int64_t>(0, absl::ToInt64Milliseconds(duration)));
+    }
+
     const EndRow& rowOf(JobEnd end)
     {
         return *std::find_if(endRows.begin(), endRows.end(), [&](const EndRow& row) { return row.end == end; });
@@ -64,12 +69,12 @@
         open.owner = grant.owner.daemon;
         open.openedAt = now;
         open.lateAt = now + job.estimate * route.stretch + route.latencyTarget;
-        open.givenUpAt = now + std::min(route.timeout, job.patience) - answerWay;
+        open.givenUpAt = now + (job.patience < absl::InfiniteDuration() ? job.patience : route.timeout) - answerWay;
         open.offer = JobOffer { grant.cell, job.key, ++lastLife_, route.name, job.taskCount, job.need, job.estimate, job.spec,
             open.lateAt - now, open.givenUpAt - now, route.priority, route.maxAttempts, false };
         offer(open);
-        effects_.add([this, key = job.key, grant, route = route.name, count = job.taskCount] {
-            ports_.log.write(Severity::Info, "job_offered", { { "request", key.value() }, { "route", route.value() }, { "tasks", uint64_t { count } }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+        effects_.add([this, key = job.key, grant, route = route.name, count = job.taskCount, estimate = job.estimate, untilGivenUp = open.offer.untilGivenUp, patience = job.patience] {
+            ports_.log.write(Severity::Info, "job_offered", { { "request", key.value() }, { "route", route.value() }, { "tasks", uint64_t { count } }, { "estimate_ms", milliseconds(estimate) }, { "patience_ms", milliseconds(patience) }, { "until_given_up_ms", milliseconds(untilGivenUp) }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
         });
         jobs_.emplace(job.key, std::move(open));
     }
@@ -132,7 +137,7 @@
     effects_.add([this, key, answer, outcome = std::string(outcome), tickets = job.tickets, taken, queued, owner = job.owner, cell = job.offer.cell.dataCentre, service = job.offer.cell.service, route = job.offer.route, isLate = now > job.lateAt] {
         for (const Ticket& ticket : tickets)
             ports_.replies.reply(ticket, answer);
-        ports_.log.write(Severity::Info, "job_answered", { { "request", key.value() }, { "outcome", outcome }, { "cell", cell.value() }, { "owner", owner.value() }, { "taken_ms", static_cast<uint64_t>(std::max<int64_t>(0, absl::ToInt64Milliseconds(taken))) }, { "queued_ms", static_cast<uint64_t>(std::max<int64_t>(0, absl::ToInt64Milliseconds(queued))) }, { "late", isLate ? std::string("yes") : std::string("no") } });
+        ports_.log.write(Severity::Info, "job_answered", { { "request", key.value() }, { "outcome", outcome }, { "cell", cell.value() }, { "owner", owner.value() }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
         const MetricLabels labels { service, {}, TaskKindId(route.value()) };
         ports_.metrics.count(absl::StrCat("jobs_", outcome), labels, 1);
         ports_.metrics.observe(metric::requestLatency, labels, taken);
--- a/Source/Model/Routing.h
+++ b/Source/Model/Routing.h
@@ -25,7 +25,7 @@
     std::string host;
     std::string pathPrefix;
     ServiceId service;
-    /// The longest that a caller of this route waits for an answer.
+    /// How long a caller waits for an answer that doesn't say so itself.
     absl::Duration timeout;
     /// A job is on time within `stretch` times its longest task and this much more.
     absl::Duration latencyTarget;
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -173,14 +173,15 @@
         adoptRuns(*job, now);
     if (job->isOver)
         return;
-    if (!minions_.empty() && !couldEverHold(offer.need)) {
+    // What an earlier owner may have begun can't be refused as not run any more.
+    if (!offer.isTakeover && !minions_.empty() && !couldEverHold(offer.need)) {
         note("job_impossible", offer.job, {}, absl::StrCat("cpu=", offer.need.milliCores, " memory_mb=", offer.need.memoryMb));
         finish(*job, JobEnd::Impossible, now);
         return;
     }
     const absl::Duration wait = expectedWait(*job, now);
     // With room at hand the estimate alone is no reason to refuse.
-    if (!job->hasStarted && wait > absl::ZeroDuration() && isHopeless(*job, now + wait)) {
+    if (!offer.isTakeover && wait > absl::ZeroDuration() && isHopeless(*job, now + wait)) {
         note("job_turned_down", offer.job, {}, absl::StrCat("reason=expected_wait wait_ms=", absl::ToInt64Milliseconds(wait), " estimate_ms=", absl::ToInt64Milliseconds(offer.estimate), " queued_jobs=", jobs_.size()));
         finish(*job, JobEnd::TurnedDown, now, retryAfter(wait));
         return;
