--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -51,7 +51,7 @@
 
 void visitFields(auto&& visit, Fields<FleetNews> auto& value)
 {
-    visit(value.keeper, value.isLeading, value.number, value.routing, value.grants, value.minions, value.gone, value.daemons);
+    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons);
 }
 
 void visitFields(auto&& visit, Fields<CellLoad> auto& value)
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -111,6 +111,7 @@
     news.keeper = self_.incarnation;
     news.isLeading = isLeading_;
     news.number = number_;
+    news.since = daemon.hasNews;
     if (daemon.routing < routing_.version)
         news.routing = routing_;
     if (daemon.hasNews < grantsNumber_)
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -197,9 +197,11 @@
 void FleetEntry::receive(const DaemonId& from, const FleetNews& news)
 {
     FleetChange change;
+    bool areMinionsKnown = false;
     {
         MutexLock lock(viewMutex_);
         change = view_.receive(from, news, link_.clock().now());
+        areMinionsKnown = view_.isComplete();
         for (const CellGrant& grant : change.grants)
             chooser_.granted(grant);
     }
@@ -215,6 +217,10 @@
     }
     for (const CellGrant& grant : change.grants)
         takeGrant(grant);
+    if (areMinionsKnown) {
+        for (const CellPtr& cell : allCells())
+            cell->minionsKnown(true);
+    }
 }
 
 void FleetEntry::takeRouting(const RoutingDocument& document)
@@ -260,10 +266,13 @@
     }
     if (cell) {
         std::vector<MinionReport> reports;
+        bool areAllKnown = false;
         {
             MutexLock lock(viewMutex_);
             reports = view_.minionsOf(grant.cell);
+            areAllKnown = view_.isComplete();
         }
+        cell->minionsKnown(areAllKnown);
         for (const MinionReport& report : reports)
             cell->minionReported(report);
         for (const EarlyOffer& early : offers)
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -28,7 +28,9 @@
         known = {};
     known.run = news.keeper;
     known.isLeading = news.isLeading;
-    known.number = std::max(known.number, news.number);
+    // News that were meant for an earlier run of this daemon leave out what this run lacks.
+    if (news.since <= known.number)
+        known.number = std::max(known.number, news.number);
     if (news.daemons)
         known.daemons = *news.daemons;
     known.heardAt = now;
@@ -115,6 +117,15 @@
     return { keepers.begin(), keepers.end() };
 }
 
+bool FleetView::isComplete() const
+{
+    const std::vector<DaemonId> all = keepers();
+    return std::all_of(all.begin(), all.end(), [this](const DaemonId& keeper) {
+        const auto known = news_.find(keeper);
+        return known != news_.end() && known->second.number > 0;
+    });
+}
+
 std::vector<DaemonId> FleetView::entries() const
 {
     std::set<DaemonId> entries;
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -44,6 +44,8 @@
     std::vector<DaemonId> entries() const;
     std::vector<MinionReport> minionsOf(const CellId&) const;
     RoutingVersion routingVersion() const { return routing_; }
+    /// @return whether all that the known keepers had to tell has come.
+    bool isComplete() const;
     /// @return how long no keeper has been heard.
     absl::Duration silence(absl::Time now) const { return now - heardAt_; }
     size_t minionCount() const { return minions_.size(); }
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -51,6 +51,8 @@
     bool isLeading = false;
     /// Numbers the keeper's changes, so that the receiver can say what it has.
     uint64_t number = 0;
+    /// The changes up to this number are left out, as the receiver said that it has them.
+    uint64_t since = 0;
     std::optional<RoutingDocument> routing;
     std::vector<CellGrant> grants;
     std::vector<MinionReport> minions;
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -96,7 +96,7 @@
 bool CellDispatcher::isAllFenced(absl::Time now) const
 {
     return now >= ownedSince_ + policy_.takeoverLimit
-        || std::all_of(minions_.begin(), minions_.end(), [](const auto& entry) { return entry.second->isFenced; });
+        || (areMinionsKnown_ && std::all_of(minions_.begin(), minions_.end(), [](const auto& entry) { return entry.second->isFenced; }));
 }
 
 bool CellDispatcher::isHoldDue(const LeasedMinion& minion, absl::Time now) const
@@ -112,7 +112,8 @@
 {
     const bool isBusy = !minion.runs().empty();
     HoldOrder order { headerTo(minion), 0, minion.lastEnd, absl::ZeroDuration() };
-    if (minion.knowsClock() && isBusy)
+    // The runs of a minion that doesn't answer are left to their leases, so that they can start elsewhere.
+    if (minion.knowsClock() && isBusy && minion.health.isReachable())
         order.leaseEndMs = minion.extendLease(now);
     if (isBusy && minion.isFenced && minion.health.isReachable())
         order.wait = policy_.holdWait;
@@ -383,11 +384,29 @@
         ids.push_back(id);
     for (const RunId& id : ids) {
         note(std::string(reason), id.job, minion.life().minion, describe(id));
-        requeue(minion, id);
+        const Run& run = *minion.findRun(id);
+        // A start that was meant for this life may have been taken by the next one, if this one never listed it.
+        if (run.listedAt == absl::InfinitePast() && run.job) {
+            strayStarts_.push_back({ run.job, id.task, minion.leaseOverAt() });
+            minion.removeRun(id);
+        } else {
+            requeue(minion, id);
+        }
         ++totals_.lapsed;
     }
 }
 
+void CellDispatcher::sweepStrayStarts(absl::Time now)
+{
+    std::erase_if(strayStarts_, [&](const StrayStart& stray) {
+        if (now <= stray.overAt)
+            return false;
+        if (!stray.job->isOver)
+            stray.job->task(stray.task).state = TaskState::Queued;
+        return true;
+    });
+}
+
 void CellDispatcher::taskFailed(LeasedMinion& minion, CellJob& job, CellTask& task, absl::Time now)
 {
     ++task.failures;
@@ -529,7 +548,7 @@
         }
         if (!run)
             continue;
-        run->confirmedAt = now;
+        run->confirmedAt = run->listedAt = now;
         if (run->state == RunState::Starting || run->state == RunState::Doubtful)
             run->state = RunState::Running;
         if (progress != run->progress) {
@@ -668,6 +687,7 @@
 
 void CellDispatcher::tick(absl::Time now)
 {
+    sweepStrayStarts(now);
     for (const auto& [id, minion] : minions_)
         sweepRuns(*minion, now);
     giveUpEntries(now);
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -62,6 +62,8 @@
     CellDispatcher(const CellDispatcher&) = delete;
     CellDispatcher& operator=(const CellDispatcher&) = delete;
 
+    /// Whether all minions of the cell have been reported. Until then a run of an earlier owner may go on unseen.
+    void minionsKnown(bool areAllKnown) { areMinionsKnown_ = areAllKnown; }
     void minionReported(const MinionReport&, absl::Time now);
     void minionLeft(const MinionLife&, absl::Time now);
 
@@ -90,6 +92,14 @@
     bool isSuperseded() const { return isSuperseded_; }
 
 private:
+    /// A start that may go on in a life of its minion that this owner doesn't know yet.
+    struct StrayStart {
+        CellJobPtr job;
+        TaskIndex task;
+        /// Its lease is over by then.
+        absl::Time overAt;
+    };
+
     using JobList = boost::intrusive::list<CellJob>;
 
     // Jobs.
@@ -116,7 +126,9 @@
     void taskFailed(LeasedMinion&, CellJob&, CellTask&, absl::Time now);
     void stopRun(LeasedMinion&, Run&, absl::Time now);
     void sweepRuns(LeasedMinion&, absl::Time now);
+    /// Gives up the runs of a life that is over or out of reach.
     void dropAllRuns(LeasedMinion&, std::string_view reason);
+    void sweepStrayStarts(absl::Time now);
     void takeRunning(LeasedMinion&, const HoldResult&, absl::Time sentAt, absl::Time now);
     void takeEnded(LeasedMinion&, const HoldResult&, absl::Time now);
     void noteEarlyEnd(const EndedRow&);
@@ -138,6 +150,7 @@
     Random& random_;
     const absl::Time ownedSince_;
     bool isSuperseded_ = false;
+    bool areMinionsKnown_ = false;
     uint64_t runCounter_ = 0;
     /// By id: one life of a minion at a time.
     std::map<MinionId, std::unique_ptr<LeasedMinion>> minions_;
@@ -147,6 +160,7 @@
     absl::flat_hash_map<DaemonId, absl::Time> entriesHeard_;
     /// Ends of an earlier owner's runs whose jobs haven't been offered again.
     absl::flat_hash_map<JobKey, std::vector<EndedRow>> earlyEnds_;
+    std::vector<StrayStart> strayStarts_;
     CellTotals totals_;
     CellOutbox outbox_;
 };
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -38,6 +38,11 @@
     });
 }
 
+void CellShard::minionsKnown(bool areAllKnown)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time) { dispatcher.minionsKnown(areAllKnown); });
+}
+
 void CellShard::minionReported(const MinionReport& report)
 {
     run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionReported(report, now); });
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -25,6 +25,7 @@
 public:
     CellShard(CellId, OwnerEpoch, const DispatchPolicy&, const JobOrder&, CellPorts);
 
+    void minionsKnown(bool areAllKnown);
     void minionReported(const MinionReport&);
     void minionLeft(const MinionLife&);
     void offered(const JobOffer&, const DaemonId& entry);
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -30,6 +30,8 @@
     absl::Time startedAt;
     /// When the minion was last known to have it; infinite past before the start was answered.
     absl::Time confirmedAt = absl::InfinitePast();
+    /// When the minion last listed it among its runs.
+    absl::Time listedAt = absl::InfinitePast();
     uint32_t progress = 0;
     absl::Time progressAt;
     /// After this it has surely ended; set once a stop was answered.
--- /dev/null
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -0,0 +1,117 @@
+#include "Control/FleetRegistry.h"
+#include "Intake/FleetView.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+const DaemonId keeperId("10.0.0.1");
+const CellId cell { ServiceId("service"), DataCentreId("centre") };
+
+MinionReport minion(const std::string& id, uint64_t sequence = 1, uint64_t birth = 1)
+{
+    return { { MinionId(id), MinionBirth(birth) }, sequence, cell, { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving };
+}
+
+} // namespace
+
+TEST_GROUP(FleetView)
+{
+    absl::Time now = absl::FromUnixSeconds(1000);
+    FleetRegistry registry { { keeperId, Incarnation(3) } };
+    FleetView view { { keeperId } };
+
+    /// Lets the entry's view say what it has, and gives it what the keeper then sends.
+    void exchange(FleetView& receiver, uint64_t incarnation)
+    {
+        registry.heard(pulseOf(receiver, incarnation), now);
+        for (const auto& [to, news] : registry.takeNews(now))
+            receiver.receive(keeperId, news, now);
+    }
+
+    DaemonPulse pulseOf(const FleetView& receiver, uint64_t incarnation)
+    {
+        DaemonPulse pulse;
+        pulse.run = { DaemonId("10.0.0.9"), Incarnation(incarnation) };
+        pulse.dataCentre = DataCentreId("centre");
+        pulse.isEntry = true;
+        receiver.describe(keeperId, pulse);
+        return pulse;
+    }
+};
+
+TEST(FleetView, ANewEntryIsToldOfAllMinions)
+{
+    registry.reported(minion("a"));
+    registry.reported(minion("b"));
+    exchange(view, 1);
+    LONGS_EQUAL(2, view.minionsOf(cell).size());
+    CHECK(view.isComplete());
+}
+
+// Pattern: entries that are restarted one after the other. News for the run before reached the new run, which then
+// told the keepers that it had all of it.
+TEST(FleetView, NewsForAnEarlierRunDoesntHideWhatTheNewRunLacks)
+{
+    registry.reported(minion("a"));
+    exchange(view, 1);
+    exchange(view, 1);
+    registry.reported(minion("b"));
+    registry.heard(pulseOf(view, 1), now);
+    const auto forEarlierRun = registry.takeNews(now);
+    LONGS_EQUAL(1, forEarlierRun.size());
+
+    FleetView restarted { { keeperId } };
+    restarted.receive(keeperId, forEarlierRun.front().second, now);
+    CHECK_FALSE(restarted.isComplete());
+    now += absl::Seconds(2);
+    exchange(restarted, 2);
+    LONGS_EQUAL(2, restarted.minionsOf(cell).size());
+    CHECK(restarted.isComplete());
+}
+
+TEST(FleetView, AnOlderReportFromAnotherKeeperChangesNothing)
+{
+    MinionReport leaving = minion("a", 5);
+    leaving.state = MinionState::Leaving;
+    FleetNews news;
+    news.keeper = Incarnation(3);
+    news.number = 1;
+    news.minions = { leaving };
+    view.receive(keeperId, news, now);
+    FleetNews late;
+    late.keeper = Incarnation(4);
+    late.number = 1;
+    late.minions = { minion("a", 4) };
+    const FleetChange change = view.receive(DaemonId("10.0.0.2"), late, now);
+    LONGS_EQUAL(0, change.minions.size());
+    CHECK(view.minionsOf(cell).front().state == MinionState::Leaving);
+}
+
+TEST(FleetView, AMinionThatLeftIsNotBroughtBackByALateReport)
+{
+    FleetNews news;
+    news.keeper = Incarnation(3);
+    news.number = 1;
+    news.gone = { minion("a").life };
+    view.receive(keeperId, news, now);
+    FleetNews late;
+    late.keeper = Incarnation(4);
+    late.minions = { minion("a", 9) };
+    view.receive(DaemonId("10.0.0.2"), late, now);
+    LONGS_EQUAL(0, view.minionsOf(cell).size());
+}
+
+TEST(FleetView, TheRoutingVersionNeverFalls)
+{
+    FleetNews news;
+    news.keeper = Incarnation(3);
+    news.routing = RoutingDocument { RoutingVersion(7), "seven" };
+    CHECK(view.receive(keeperId, news, now).routing.has_value());
+    news.keeper = Incarnation(4);
+    news.routing = RoutingDocument { RoutingVersion(6), "six" };
+    CHECK_FALSE(view.receive(keeperId, news, now).routing.has_value());
+    LONGS_EQUAL(7, view.routingVersion().value());
+}
--- /dev/null
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -0,0 +1,163 @@
+#include "Intake/JobDesk.h"
+#include "Support/RecordingEventLog.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+class FakeClock : public Clock {
+public:
+    absl::Time now() const override { return time; }
+    absl::Time time = absl::FromUnixSeconds(1000);
+};
+
+class RecordingReplies : public CallerReplies {
+public:
+    void reply(Ticket ticket, const CallerAnswer& answer) override { answers.emplace_back(ticket, answer); }
+    std::vector<std::pair<Ticket, CallerAnswer>> answers;
+};
+
+class RecordingPeers : public PeerLink {
+public:
+    void send(const DaemonId& to, PeerMessage message) override { sent.emplace_back(to, std::move(message)); }
+
+    template <typename T>
+    std::vector<std::pair<DaemonId, T>> take()
+    {
+        std::vector<std::pair<DaemonId, T>> found;
+        for (const auto& [to, message] : sent) {
+            if (const auto* typed = std::get_if<T>(&message))
+                found.emplace_back(to, *typed);
+        }
+        return found;
+    }
+    std::vector<std::pair<DaemonId, PeerMessage>> sent;
+};
+
+class NoMetrics : public Metrics {
+public:
+    void count(std::string_view, const MetricLabels&, uint64_t) override { }
+    void observe(std::string_view, const MetricLabels&, absl::Duration) override { }
+    void set(std::string_view, const MetricLabels&, double) override { }
+};
+
+} // namespace
+
+TEST_GROUP(JobDesk)
+{
+    FakeClock clock;
+    RecordingReplies replies;
+    RecordingPeers peers;
+    RecordingEventLog log;
+    NoMetrics metrics;
+    JobDesk desk { { replies, peers, clock, log, metrics }, 100 };
+    const CellGrant grant { { ServiceId("service"), DataCentreId("home") }, { DaemonId("owner"), Incarnation(1) }, OwnerEpoch(3) };
+
+    void open(uint64_t ticket, const std::string& key)
+    {
+        CallerJob job;
+        job.key = JobKey(key);
+        job.taskCount = 2;
+        job.estimate = absl::Milliseconds(100);
+        job.patience = absl::Seconds(4);
+        Route route;
+        route.timeout = absl::Seconds(1);
+        route.stretch = 2;
+        route.latencyTarget = absl::Milliseconds(60);
+        desk.open(Ticket(ticket), job, route, grant);
+    }
+
+    void end(const std::string& from, const std::string& key, uint64_t life, JobEnd how)
+    {
+        desk.ended(DaemonId(from), { JobKey(key), life, how, absl::Seconds(2), {} });
+    }
+};
+
+TEST(JobDesk, AJobIsOfferedWithTheTimeThatItsCallerHas)
+{
+    open(1, "job");
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(1, offers.size());
+    CHECK(offers.front().first == DaemonId("owner"));
+    CHECK(offers.front().second.untilLate == absl::Milliseconds(260));
+    // The caller waits longer than the route's own timeout.
+    CHECK(offers.front().second.untilGivenUp > absl::Milliseconds(3900));
+}
+
+TEST(JobDesk, EachLastWordHasItsAnswer)
+{
+    const std::vector<std::pair<JobEnd, AnswerKind>> rows {
+        { JobEnd::Completed, AnswerKind::Completed },
+        { JobEnd::Failed, AnswerKind::Failed },
+        { JobEnd::TurnedDown, AnswerKind::Overloaded },
+        { JobEnd::Impossible, AnswerKind::Unavailable },
+        { JobEnd::GivenUp, AnswerKind::GaveUp },
+    };
+    uint64_t number = 0;
+    for (const auto& [end, kind] : rows) {
+        ++number;
+        open(number, std::to_string(number));
+        this->end("owner", std::to_string(number), 100 + number, end);
+        CHECK(replies.answers.back().first == Ticket(number));
+        CHECK(replies.answers.back().second.kind == kind);
+    }
+    LONGS_EQUAL(0, desk.openCount());
+}
+
+TEST(JobDesk, AnAnswerForAnotherLifeIsDropped)
+{
+    open(1, "job");
+    end("owner", "job", 99, JobEnd::Completed);
+    LONGS_EQUAL(0, replies.answers.size());
+}
+
+TEST(JobDesk, ACallerThatComesBackJoinsItsJob)
+{
+    open(1, "job");
+    open(2, "job");
+    LONGS_EQUAL(1, peers.take<JobOffer>().size());
+    end("owner", "job", 101, JobEnd::Completed);
+    LONGS_EQUAL(2, replies.answers.size());
+}
+
+TEST(JobDesk, ACallerThatLeavesCancelsItsJob)
+{
+    open(1, "job");
+    desk.abandoned(Ticket(1));
+    const auto cancels = peers.take<JobCancel>();
+    LONGS_EQUAL(1, cancels.size());
+    LONGS_EQUAL(101, cancels.front().second.life);
+    LONGS_EQUAL(0, desk.openCount());
+}
+
+// Pattern: the owner's machine goes while callers wait.
+TEST(JobDesk, ANewOwnerIsOfferedTheJobsAsATakeover)
+{
+    open(1, "job");
+    clock.time += absl::Milliseconds(500);
+    CellGrant next = grant;
+    next.owner.daemon = DaemonId("next");
+    next.epoch = OwnerEpoch(8);
+    desk.moved(next);
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(2, offers.size());
+    CHECK(offers.back().first == DaemonId("next"));
+    CHECK(offers.back().second.isTakeover);
+    LONGS_EQUAL(101, offers.back().second.life);
+    // The earlier owner's last word comes too late.
+    end("owner", "job", 101, JobEnd::TurnedDown);
+    LONGS_EQUAL(0, replies.answers.size());
+    end("next", "job", 101, JobEnd::Completed);
+    CHECK(replies.answers.front().second.kind == AnswerKind::Completed);
+}
+
+TEST(JobDesk, ASilentOwnersJobMayHaveRun)
+{
+    open(1, "job");
+    clock.time += absl::Seconds(5);
+    desk.tick();
+    CHECK(replies.answers.front().second.kind == AnswerKind::GaveUp);
+    LONGS_EQUAL(1, peers.take<JobCancel>().size());
+}
--- /dev/null
+++ b/Tests/Placement/AdmissionTest.cpp
@@ -0,0 +1,71 @@
+#include "Placement/CellFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+// Pattern: more jobs come than the cell can serve in time.
+TEST_GROUP(CellAdmission)
+{
+    CellFixture fixture;
+
+    void setup() override { fixture.addMinion("m1"); }
+};
+
+TEST(CellAdmission, WithRoomAtHandEvenALongEstimateIsBegun)
+{
+    JobOffer offer = fixture.makeOffer("job", 2);
+    offer.estimate = absl::Seconds(5);
+    fixture.offer(offer);
+    LONGS_EQUAL(2, fixture.takeStarts().size());
+    LONGS_EQUAL(0, fixture.takeEnded().size());
+}
+
+TEST(CellAdmission, AJobThatWouldBeTooLateIsTurnedDownAtOnceAndNeverRuns)
+{
+    for (int i = 0; i < 20; ++i)
+        fixture.offer("job-" + std::to_string(i), 2);
+    fixture.takeStarts();
+    const std::vector<JobEnded> ended = fixture.takeEnded();
+    CHECK(ended.size() >= 10);
+    for (const JobEnded& each : ended) {
+        CHECK(each.end == JobEnd::TurnedDown);
+        CHECK(each.retryAfter >= absl::Seconds(1));
+    }
+}
+
+TEST(CellAdmission, AQueuedJobIsTurnedDownAsSoonAsItCantEndInTime)
+{
+    fixture.offer("first", 2);
+    fixture.offer("second", 1);
+    const std::vector<StartOrder> starts = fixture.takeStarts();
+    LONGS_EQUAL(2, starts.size());
+    for (const StartOrder& start : starts)
+        fixture.answerStart(start);
+    LONGS_EQUAL(0, fixture.takeEnded().size());
+    fixture.answerHold("m1", { { starts[0].run, 1 }, { starts[1].run, 1 } });
+    fixture.pass(absl::Milliseconds(380));
+    const std::vector<JobEnded> ended = fixture.takeEnded();
+    LONGS_EQUAL(1, ended.size());
+    CHECK(ended.front().job == JobKey("second"));
+    CHECK(ended.front().end == JobEnd::TurnedDown);
+}
+
+TEST(CellAdmission, AJobThatNoMinionCouldEverHoldIsRefusedAtOnce)
+{
+    JobOffer offer = fixture.makeOffer("job", 1);
+    offer.need.milliCores = 20000;
+    fixture.offer(offer);
+    CHECK(fixture.takeEnded().front().end == JobEnd::Impossible);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+}
+
+TEST(CellAdmission, ACancelStopsWhatRunsBeforeTheEntryHearsOfTheEnd)
+{
+    fixture.offer("job", 2);
+    const std::vector<StartOrder> starts = fixture.takeStarts();
+    fixture.answerStart(starts[0]);
+    fixture.cell().cancelled({ starts[0].header.life.minion == MinionId("m1") ? CellId { ServiceId("service"), DataCentreId("centre") } : CellId {}, JobKey("job"), 1 }, DaemonId("entry-1"), fixture.now());
+    fixture.pass(absl::Milliseconds(20));
+    LONGS_EQUAL(2, fixture.takeStops().size());
+}
