--- a/Source/Adapters/Msgpack/LogFields.h
+++ b/Source/Adapters/Msgpack/LogFields.h
@@ -73,9 +73,19 @@
     visit(value.proposer, value.number);
 }
 
+void visitFields(auto&& visit, Fields<MinionRecord> auto& value)
+{
+    visit(value.report);
+}
+
+void visitFields(auto&& visit, Fields<MinionGoneRecord> auto& value)
+{
+    visit(value.life);
+}
+
 void visitFields(auto&& visit, Fields<FleetPiece> auto& value)
 {
-    visit(value.routing, value.grants);
+    visit(value.routing, value.grants, value.minions);
 }
 
 void visitFields(auto&& visit, Fields<LogEntry> auto& value)
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -40,15 +40,17 @@
     return isChange;
 }
 
-void FleetRegistry::left(const MinionId& minion)
+std::optional<MinionLife> FleetRegistry::left(const MinionId& minion)
 {
     const auto found = minions_.find(minion);
     if (found == minions_.end())
-        return;
-    departures_.push_back({ found->second.report.life, ++number_ });
+        return std::nullopt;
+    const MinionLife life = found->second.report.life;
+    departures_.push_back({ life, ++number_ });
     if (departures_.size() > maxDepartures)
         departures_.erase(departures_.begin());
     minions_.erase(found);
+    return life;
 }
 
 void FleetRegistry::heard(const DaemonPulse& pulse, absl::Time now)
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -35,7 +36,8 @@
 
     /// @return whether the report changes anything that others need to know.
     bool reported(const MinionReport&);
-    void left(const MinionId&);
+    /// @return the life that left, if the minion was known.
+    std::optional<MinionLife> left(const MinionId&);
     void heard(const DaemonPulse&, absl::Time now);
     /// Takes note whether this keeper leads; all daemons are told.
     void setLeading(bool isLeading);
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -19,9 +19,35 @@
     return true;
 }
 
+bool FleetState::apply(const MinionRecord& record)
+{
+    MinionReport& known = minions_[record.report.life.minion];
+    const bool isOlder = known.life.birth > record.report.life.birth || (known.life == record.report.life && known.sequence >= record.report.sequence);
+    if (isOlder)
+        return false;
+    known = record.report;
+    // An address belongs to the newest life that reported from it.
+    std::erase_if(minions_, [&](const auto& entry) {
+        const MinionReport& other = entry.second;
+        return other.endpoint == record.report.endpoint && other.life.minion != record.report.life.minion && other.life.birth <= record.report.life.birth;
+    });
+    return true;
+}
+
+bool FleetState::apply(const MinionGoneRecord& record)
+{
+    const auto known = minions_.find(record.life.minion);
+    if (known == minions_.end() || known->second.life != record.life)
+        return false;
+    minions_.erase(known);
+    return true;
+}
+
 std::vector<SnapshotPiece> FleetState::snapshot() const
 {
-    FleetPiece piece { routing_, {} };
+    FleetPiece piece { routing_, {}, {} };
+    for (const auto& [id, report] : minions_)
+        piece.minions.push_back(report);
     for (const auto& [cell, grant] : grants_)
         piece.grants.push_back(grant);
     return { piece };
@@ -31,6 +57,7 @@
 {
     routing_ = {};
     grants_.clear();
+    minions_.clear();
     for (const SnapshotPiece& piece : pieces) {
         const auto* fleet = std::get_if<FleetPiece>(&piece);
         if (!fleet)
@@ -38,6 +65,8 @@
         routing_ = fleet->routing;
         for (const CellGrant& grant : fleet->grants)
             grants_[grant.cell] = grant;
+        for (const MinionReport& report : fleet->minions)
+            minions_[report.life.minion] = report;
     }
 }
 
--- a/Source/Control/FleetState.h
+++ b/Source/Control/FleetState.h
@@ -20,12 +20,19 @@
     /// @return whether the grant holds.
     bool apply(const GrantRecord&, LogIndex);
 
+    /// Remembers the minion, unless a newer report is known.
+    /// @return whether it was news.
+    bool apply(const MinionRecord&);
+    bool apply(const MinionGoneRecord&);
+    const std::map<MinionId, MinionReport>& minions() const { return minions_; }
+
     std::vector<SnapshotPiece> snapshot() const;
     void restore(const std::vector<SnapshotPiece>&);
 
 private:
     RoutingDocument routing_;
     std::map<CellId, CellGrant> grants_;
+    std::map<MinionId, MinionReport> minions_;
 };
 
 } // namespace trefoilwing
--- a/Source/Control/LedgerState.h
+++ b/Source/Control/LedgerState.h
@@ -88,6 +88,8 @@
     Keys applyRecord(const RoutingRecord&) { return {}; }
     Keys applyRecord(const GrantRecord&) { return {}; }
     Keys applyRecord(const BarrierRecord&) { return {}; }
+    Keys applyRecord(const MinionRecord&) { return {}; }
+    Keys applyRecord(const MinionGoneRecord&) { return {}; }
     Keys applyRecord(const LookUpRecord& record) { return { record.submission }; }
     Keys applyRecord(const FoundingRecord&);
     Keys applyRecord(const ClaimRecord&);
--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -60,8 +60,6 @@
     for (const CellId& cell : registry.cells()) {
         const auto grant = grants.find(cell);
         const bool isGranted = grant != grants.end();
-        if (isGranted && now < leadingSince_ + leaderGrace)
-            continue;
         if (const auto proposed = proposedAt_.find(cell); proposed != proposedAt_.end() && now < proposed->second + proposalRepeat)
             continue;
         const HeardDaemon* candidate = chooseOwner(registry, cell, grants, now);
@@ -75,6 +73,11 @@
                 && candidate->note.dataCentre == cell.dataCentre && now > candidate->since + settledAfter;
             if (isOwnerHeard && !isMoveHome)
                 continue;
+            // An owner that is heard under another run, or says that it leaves, is gone for certain.
+            const bool isSurelyGone = owner != registry.daemons().end() && isHeard(owner->second, now)
+                && (owner->second.note.run != grant->second.owner || owner->second.note.isDraining);
+            if (!isSurelyGone && now < leadingSince_ + leaderGrace)
+                continue;
             if (!isOwnerHeard && !isDataCentreHeard(registry, cell.dataCentre, now))
                 continue;
         }
--- a/Source/Control/ReplicatedFleet.cpp
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -50,17 +50,32 @@
     flush();
 }
 
-void ReplicatedFleet::grant(GrantRecord record)
+void ReplicatedFleet::proposeNow(Command command)
 {
     const absl::Time time = now();
     {
         MutexLock lock(mutex_);
-        propose(std::move(record), time);
+        propose(std::move(command), time);
         settle();
     }
     flush();
 }
 
+void ReplicatedFleet::grant(GrantRecord record)
+{
+    proposeNow(std::move(record));
+}
+
+void ReplicatedFleet::remember(const MinionReport& report)
+{
+    proposeNow(MinionRecord { report });
+}
+
+void ReplicatedFleet::forget(const MinionLife& life)
+{
+    proposeNow(MinionGoneRecord { life });
+}
+
 void ReplicatedFleet::addDaemon(const DaemonId& daemon)
 {
     MutexLock lock(mutex_);
@@ -82,6 +97,12 @@
     } else if (const auto* grant = std::get_if<GrantRecord>(&entry.command)) {
         if (state_.apply(*grant, entry.index))
             tellListener();
+    } else if (const auto* minion = std::get_if<MinionRecord>(&entry.command)) {
+        if (state_.apply(*minion))
+            tellListener();
+    } else if (const auto* gone = std::get_if<MinionGoneRecord>(&entry.command)) {
+        if (state_.apply(*gone))
+            tellListener();
     } else if (const auto* barrier = std::get_if<BarrierRecord>(&entry.command)) {
         answerReads(*barrier);
     }
@@ -110,7 +131,18 @@
 
 void ReplicatedFleet::tellListener()
 {
-    later([this, state = state_] { listener_(state); });
+    // One call tells of all changes that come together.
+    if (std::exchange(willTell_, true))
+        return;
+    later([this] {
+        FleetState state;
+        {
+            MutexLock lock(mutex_);
+            willTell_ = false;
+            state = state_;
+        }
+        listener_(state);
+    });
 }
 
 void ReplicatedFleet::restoreState(const Snapshot& snapshot)
--- a/Source/Control/ReplicatedFleet.h
+++ b/Source/Control/ReplicatedFleet.h
@@ -30,6 +30,10 @@
     /// Proposes an owner for a cell; the outcome shows in the state.
     void grant(GrantRecord);
 
+    /// Remembers a minion or forgets one, as far as a majority is there: the minions report again anyway.
+    void remember(const MinionReport&);
+    void forget(const MinionLife&);
+
     /// Adds a daemon to those that are asked to let this member join.
     void addDaemon(const DaemonId&);
 
@@ -54,6 +58,7 @@
     void failPending(const Error&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answerPublishes() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answerReads(const BarrierRecord&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void proposeNow(Command) ABSL_LOCKS_EXCLUDED(mutex_);
     void tellListener() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     const DaemonRun run_;
@@ -62,6 +67,7 @@
     std::vector<PendingPublish> publishes_ ABSL_GUARDED_BY(mutex_);
     std::vector<PendingRead> reads_ ABSL_GUARDED_BY(mutex_);
     uint64_t barriers_ ABSL_GUARDED_BY(mutex_) = 0;
+    bool willTell_ ABSL_GUARDED_BY(mutex_) = false;
 };
 
 } // namespace trefoilwing
--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -28,6 +28,8 @@
         commitIndex_ = appliedIndex_ = store_.snapshot()->lastIndex;
     }
     resetElection(now);
+    if (settings_.firstElection < absl::InfiniteDuration())
+        electionDue_ = now + settings_.firstElection * (0.25 + 0.75 * random_.unit());
 }
 
 void ReplicatedLog::receive(const LogMessage& message, absl::Time now)
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -31,6 +31,8 @@
     absl::Duration heartbeat = absl::Milliseconds(100);
     /// The least time without a leader before an election; the random part is as long again.
     absl::Duration electionTimeout = absl::Milliseconds(500);
+    /// The longest time from a member's start to its first election; the pre-vote keeps it from disturbing a leader.
+    absl::Duration firstElection = absl::InfiniteDuration();
     /// How often a member without a group asks the others.
     absl::Duration joinInterval = absl::Milliseconds(500);
     /// Entries kept before a snapshot takes their place.
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -20,7 +20,7 @@
     /// Signs of life to the leading keeper and the owners; several fit into the silence that counts as the end.
     constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
     /// Signs of life to the other keepers come with every so many of these.
-    constexpr uint64_t pulsesToFollowers = 4;
+    constexpr uint64_t pulsesToFollowers = 2;
     /// A cell's load is told again after so long, as the owner's sign of life.
     constexpr absl::Duration longestLoadInterval = absl::Milliseconds(250);
     /// And no sooner than this after a change that may send jobs elsewhere.
@@ -36,7 +36,7 @@
     /// After SIGTERM the platform sends new connections for about 2 s more, and every request ends within 2 s.
     constexpr absl::Duration shortestDrain = absl::Milliseconds(3000);
     /// Below the 6 s after which the platform kills.
-    constexpr absl::Duration longestDrain = absl::Milliseconds(5200);
+    constexpr absl::Duration longestDrain = absl::Milliseconds(5600);
     constexpr absl::Duration drainPoll = absl::Milliseconds(50);
 
     constexpr uint64_t maxCallerBody = 256U << 10U;
@@ -115,8 +115,13 @@
             jobs += cell->jobCount();
         return jobs > 0;
     };
-    while (absl::Now() < begin + shortestDrain || (isBusy() && absl::Now() < begin + longestDrain))
+    absl::SleepFor(shortestDrain);
+    // Callers that still come by a connection of theirs are sent elsewhere, as their jobs might not end in time.
+    refusesJobs_ = true;
+    while (isBusy() && absl::Now() < begin + longestDrain)
         absl::SleepFor(drainPoll);
+    desk_.giveUpAll();
+    absl::SleepFor(drainPoll);
     log_.write(Severity::Info, "drained", { { "open_jobs", uint64_t { desk_.openCount() } } });
 }
 
@@ -169,8 +174,10 @@
         if (route)
             grant = chooser_.choose(route->service, job.need, job.taskCount, job.estimate, std::nullopt, link_.clock().now());
     }
-    if (!route || !grant) {
-        log_.write(Severity::Warning, "job_refused", { { "request", job.key.value() }, { "reason", route ? std::string("no owner of a cell is heard") : std::string("unknown route") } });
+    if (!route || !grant || refusesJobs_) {
+        const std::string reason = !route ? "unknown route" : refusesJobs_ ? "this entry stops"
+                                                                           : "no owner of a cell is heard";
+        log_.write(Severity::Warning, "job_refused", { { "request", job.key.value() }, { "reason", reason } });
         door_.reply(ticket, { route ? AnswerKind::Unavailable : AnswerKind::UnknownRoute, {} });
         return;
     }
@@ -318,10 +325,10 @@
     desk_.ended(from, ended);
 }
 
-void FleetEntry::receive(const DaemonId& from, const DaemonPulse&)
+void FleetEntry::receive(const DaemonId&, const DaemonPulse& pulse)
 {
     for (const CellPtr& cell : allCells())
-        cell->entryHeard(from);
+        cell->entryHeard(pulse.run);
 }
 
 void FleetEntry::refuseEarlyOffers(absl::Time now)
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -102,6 +102,8 @@
     std::vector<EarlyOffer> earlyOffers_ ABSL_GUARDED_BY(cellsMutex_);
 
     std::atomic<bool> isDraining_ { false };
+    /// Whether the drain has come so far that new jobs might not end in time.
+    std::atomic<bool> refusesJobs_ { false };
     /// Whether the pump sleeps long, as nothing is under way.
     std::atomic<bool> isIdle_ { false };
     /// The rest is used by the pump's thread only.
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -14,12 +14,14 @@
     constexpr absl::Duration pumpInterval = absl::Milliseconds(100);
     constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
     /// Signs of life to keepers that don't lead come with every so many of the others.
-    constexpr uint64_t pulsesToFollowers = 4;
+    constexpr uint64_t pulsesToFollowers = 2;
     constexpr absl::Duration metricsInterval = absl::Seconds(1);
 
     /// Several heartbeats and a slow sync fit in.
     constexpr absl::Duration electionTimeout = absl::Milliseconds(700);
     constexpr absl::Duration logHeartbeat = absl::Milliseconds(200);
+    /// Connections to the other keepers are made by then.
+    constexpr absl::Duration firstElection = absl::Milliseconds(400);
     /// Configurations may be large, so few are kept beside the snapshot.
     constexpr uint64_t maxLogEntries = 64;
     /// A voter that is gone for so long makes way; longer than a restart or a freeze takes.
@@ -77,6 +79,7 @@
     settings.daemons = seedDaemons(settings_);
     settings.electionTimeout = electionTimeout;
     settings.heartbeat = logHeartbeat;
+    settings.firstElection = firstElection;
     settings.maxEntries = maxLogEntries;
     settings.mayFound = settings_.isFounding;
     settings.minSynced = settings_.lostDisks + 1;
@@ -141,14 +144,18 @@
         return;
     log_.write(Severity::Info, "minion_reported", { { "minion", report.life.minion.value() }, { "birth", report.life.birth.value() }, { "sequence", report.sequence }, { "service", report.cell.service.value() }, { "cell", report.cell.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
     sendNews();
+    group_->remember(report);
 }
 
 void FleetKeeper::minionLeft(const MinionId& minion)
 {
+    std::optional<MinionLife> life;
     {
         MutexLock lock(mutex_);
-        registry_.left(minion);
+        life = registry_.left(minion);
     }
+    if (life)
+        group_->forget(*life);
     log_.write(Severity::Info, "minion_left", { { "minion", minion.value() } });
     sendNews();
 }
@@ -180,6 +187,8 @@
             }
             registry_.setGrants(std::move(grants));
         }
+        for (const auto& [id, report] : state.minions())
+            registry_.reported(report);
     }
     if (isNewRouting)
         log_.write(Severity::Info, "configuration_in_force", { { "version", state.routing().version.value() } });
--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -17,7 +17,7 @@
         options.pingInterval = absl::Milliseconds(1000);
         options.receiveTimeout = absl::Milliseconds(3000);
         options.firstBackoff = absl::Milliseconds(50);
-        options.maxBackoff = absl::Milliseconds(500);
+        options.maxBackoff = absl::Milliseconds(300);
         return options;
     }
 
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -101,7 +101,8 @@
 bool FleetView::isLeading(const DaemonId& keeper) const
 {
     const auto known = news_.find(keeper);
-    return known != news_.end() && known->second.isLeading;
+    // One that hasn't been heard may lead.
+    return known == news_.end() || known->second.isLeading;
 }
 
 std::vector<DaemonId> FleetView::keepers() const
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -36,7 +36,7 @@
     /// @return what this daemon has of a keeper's news, for its next pulse.
     void describe(const DaemonId& keeper, DaemonPulse&) const;
 
-    /// @return whether the keeper said last that it assigns owners.
+    /// @return whether the keeper assigns owners, as far as is known.
     bool isLeading(const DaemonId& keeper) const;
     /// @return the keepers to tell signs of life to.
     std::vector<DaemonId> keepers() const;
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -185,6 +185,21 @@
     effects_.flush();
 }
 
+void JobDesk::giveUpAll()
+{
+    {
+        MutexLock lock(mutex_);
+        std::vector<JobKey> open;
+        for (const auto& [key, job] : jobs_)
+            open.push_back(key);
+        for (const JobKey& key : open) {
+            cancel(jobs_.at(key));
+            answer(key, { AnswerKind::GaveUp, {} }, "entry_stops", nullptr);
+        }
+    }
+    effects_.flush();
+}
+
 size_t JobDesk::openCount() const
 {
     MutexLock lock(mutex_);
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -44,6 +44,9 @@
     /// Answers what has waited too long for its owner.
     void tick();
 
+    /// Answers all that is open, as this process ends.
+    void giveUpAll();
+
     size_t openCount() const;
 
 private:
--- a/Source/Model/LogRecord.h
+++ b/Source/Model/LogRecord.h
@@ -145,9 +145,23 @@
     friend bool operator==(const BarrierRecord&, const BarrierRecord&) = default;
 };
 
+/// Remembers a minion, so that an owner finds it at once after all keepers have restarted.
+struct MinionRecord {
+    MinionReport report;
+
+    friend bool operator==(const MinionRecord&, const MinionRecord&) = default;
+};
+
+/// Forgets a life of a minion.
+struct MinionGoneRecord {
+    MinionLife life;
+
+    friend bool operator==(const MinionGoneRecord&, const MinionGoneRecord&) = default;
+};
+
 /// What an entry of a replicated log holds, new kinds last: the place is the number on disk.
 using Command = std::variant<NoOperation, FoundingRecord, ClaimRecord, OutcomeRecord, OwnerGoneRecord, PublishRecord, MemberRecord, LookUpRecord,
-    RoutingRecord, GrantRecord, BarrierRecord>;
+    RoutingRecord, GrantRecord, BarrierRecord, MinionRecord, MinionGoneRecord>;
 
 /// One entry of a replicated log.
 struct LogEntry {
@@ -216,6 +230,7 @@
 struct FleetPiece {
     RoutingDocument routing;
     std::vector<CellGrant> grants;
+    std::vector<MinionReport> minions;
 
     friend bool operator==(const FleetPiece&, const FleetPiece&) = default;
 };
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -151,14 +151,24 @@
     return found == jobsByKey_.end() ? nullptr : found->second;
 }
 
-void CellDispatcher::entryHeard(const DaemonId& entry, absl::Time now)
+void CellDispatcher::entryHeard(const DaemonRun& entry, absl::Time now)
 {
-    entriesHeard_[entry] = now;
+    entriesHeard_[entry.daemon] = now;
+    // Lives are numbered from the run's own number, so lower ones belong to a run that has ended.
+    std::vector<CellJobPtr> ended;
+    for (CellJob& job : jobs_) {
+        if (job.entry() == entry.daemon && job.offer().life < entry.incarnation.value())
+            ended.emplace_back(&job);
+    }
+    for (const CellJobPtr& job : ended) {
+        note("job_orphaned", job->offer().job, {}, absl::StrCat("restarted_entry=", entry.daemon.value()));
+        finish(*job, JobEnd::GivenUp, now);
+    }
 }
 
 void CellDispatcher::offered(const JobOffer& offer, const DaemonId& entry, absl::Time now)
 {
-    entryHeard(entry, now);
+    entriesHeard_[entry] = now;
     if (CellJob* earlier = findJob(offer.job)) {
         if (earlier->entry() == entry && earlier->offer().life == offer.life)
             return;
@@ -167,6 +177,7 @@
         finish(*earlier, JobEnd::GivenUp, now);
     }
     CellJobPtr job(new CellJob(offer, entry, now, policy_.lateTolerance));
+    job->hasEarlierRuns = !offer.isTakeover && hasRunsOf(offer.job);
     intrusive_ptr_add_ref(job.get());
     jobs_.push_back(*job);
     jobsByKey_[offer.job] = job.get();
@@ -294,7 +305,15 @@
 bool CellDispatcher::mayStart(const CellJob& job, absl::Time now) const
 {
     // A run of an earlier owner may still go on at a minion that isn't fenced.
-    return !job.offer().isTakeover || isAllFenced(now);
+    return (!job.offer().isTakeover || isAllFenced(now)) && !job.hasEarlierRuns;
+}
+
+bool CellDispatcher::hasRunsOf(const JobKey& key) const
+{
+    return std::any_of(minions_.begin(), minions_.end(), [&](const auto& entry) {
+        const auto& runs = entry.second->runs();
+        return std::any_of(runs.begin(), runs.end(), [&](const auto& run) { return run.first.job == key; });
+    }) || std::any_of(strayStarts_.begin(), strayStarts_.end(), [&](const StrayStart& stray) { return stray.job->offer().job == key; });
 }
 
 void CellDispatcher::place(absl::Time now)
@@ -303,6 +322,8 @@
         return;
     std::vector<std::pair<double, CellJob*>> queued;
     for (CellJob& job : jobs_) {
+        if (job.hasEarlierRuns)
+            job.hasEarlierRuns = hasRunsOf(job.offer().job);
         if (job.queuedCount() > 0 && mayStart(job, now))
             queued.emplace_back(order_.rank(job, now), &job);
     }
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -70,7 +70,7 @@
     void offered(const JobOffer&, const DaemonId& entry, absl::Time now);
     void cancelled(const JobCancel&, const DaemonId& entry, absl::Time now);
     /// The entry gave a sign of life.
-    void entryHeard(const DaemonId& entry, absl::Time now);
+    void entryHeard(const DaemonRun& entry, absl::Time now);
 
     void answered(const StartResult&, absl::Time now);
     void answered(const StopResult&, absl::Time now);
@@ -119,6 +119,7 @@
     bool placeTask(CellJob&, TaskIndex, absl::Time now);
     LeasedMinion* chooseMinion(const CellJob&, const CellTask&, absl::Time now);
     bool mayStart(const CellJob&, absl::Time now) const;
+    bool hasRunsOf(const JobKey&) const;
 
     // Runs.
     void runEnded(LeasedMinion&, const RunId&, RunEnd, absl::Time now);
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -51,6 +51,8 @@
     /// Whether a start of any task may have been sent.
     bool hasStarted = false;
     absl::Time firstStart = absl::InfiniteFuture();
+    /// Whether runs of an earlier life of the job may go on; nothing starts before they are gone.
+    bool hasEarlierRuns = false;
     /// Whether the entry has had the last word; runs that still end change nothing.
     bool isOver = false;
 
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -63,7 +63,7 @@
     run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.cancelled(cancel, entry, now); });
 }
 
-void CellShard::entryHeard(const DaemonId& entry)
+void CellShard::entryHeard(const DaemonRun& entry)
 {
     run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.entryHeard(entry, now); });
 }
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -30,7 +30,7 @@
     void minionLeft(const MinionLife&);
     void offered(const JobOffer&, const DaemonId& entry);
     void cancelled(const JobCancel&, const DaemonId& entry);
-    void entryHeard(const DaemonId& entry);
+    void entryHeard(const DaemonRun& entry);
     void answered(const StartResult&);
     void answered(const StopResult&);
     void answered(const HoldResult&);
--- /dev/null
+++ b/Tests/Control/FleetStateTest.cpp
@@ -0,0 +1,58 @@
+#include "Control/FleetState.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+TEST_GROUP(FleetState)
+{
+    FleetState state;
+    const CellId cell { ServiceId("service"), DataCentreId("home") };
+
+    static RoutingRecord routing(uint64_t version, const std::string& text) { return { { RoutingVersion(version), text } }; }
+
+    static MinionRecord minion(const std::string& id, uint64_t birth, uint64_t sequence, const std::string& address)
+    {
+        return { { { MinionId(id), MinionBirth(birth) }, sequence, { ServiceId("service"), DataCentreId("home") }, { address, 80 }, {}, {}, MinionState::Serving } };
+    }
+};
+
+// Pattern: operators race each other, send again, and are overtaken.
+TEST(FleetState, TheHighestVersionIsInForceWhateverTheOrder)
+{
+    CHECK(state.apply(routing(5, "five")));
+    CHECK_FALSE(state.apply(routing(3, "three")));
+    CHECK_FALSE(state.apply(routing(5, "other five")));
+    STRCMP_EQUAL("five", state.routing().text.c_str());
+}
+
+TEST(FleetState, OfTwoGrantsOnTheSameEpochOneHolds)
+{
+    CHECK(state.apply(GrantRecord { cell, { DaemonId("a"), Incarnation(1) }, OwnerEpoch(0) }, LogIndex(7)));
+    CHECK_FALSE(state.apply(GrantRecord { cell, { DaemonId("b"), Incarnation(1) }, OwnerEpoch(0) }, LogIndex(8)));
+    CHECK(state.apply(GrantRecord { cell, { DaemonId("b"), Incarnation(1) }, OwnerEpoch(7) }, LogIndex(9)));
+    LONGS_EQUAL(9, state.grants().at(cell).epoch.value());
+}
+
+TEST(FleetState, TheNewestLifeAtAnAddressIsRemembered)
+{
+    CHECK(state.apply(minion("a", 1, 1, "10.0.0.1")));
+    CHECK_FALSE(state.apply(minion("a", 1, 1, "10.0.0.1")));
+    CHECK(state.apply(minion("b", 2, 1, "10.0.0.1")));
+    LONGS_EQUAL(1, state.minions().size());
+    CHECK_FALSE(state.apply(MinionGoneRecord { { MinionId("b"), MinionBirth(1) } }));
+    CHECK(state.apply(MinionGoneRecord { { MinionId("b"), MinionBirth(2) } }));
+    LONGS_EQUAL(0, state.minions().size());
+}
+
+TEST(FleetState, ASnapshotHoldsAll)
+{
+    state.apply(routing(5, "five"));
+    state.apply(GrantRecord { cell, { DaemonId("a"), Incarnation(1) }, OwnerEpoch(0) }, LogIndex(7));
+    state.apply(minion("a", 1, 1, "10.0.0.1"));
+    FleetState restored;
+    restored.restore(state.snapshot());
+    CHECK(restored.routing() == state.routing());
+    CHECK(restored.grants() == state.grants());
+    CHECK(restored.minions() == state.minions());
+}
--- /dev/null
+++ b/Tests/Control/OwnerAssignerTest.cpp
@@ -0,0 +1,119 @@
+#include "Control/OwnerAssigner.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+// Pattern: entries are killed, frozen, rolled or cut off, and keepers restart.
+TEST_GROUP(OwnerAssigner)
+{
+    absl::Time now = absl::FromUnixSeconds(1000);
+    FleetRegistry registry { { DaemonId("keeper"), Incarnation(1) } };
+    OwnerAssigner assigner;
+    std::map<CellId, CellGrant> grants;
+    const CellId cell { ServiceId("service"), DataCentreId("home") };
+
+    void setup() override
+    {
+        assigner.beganLeading(now);
+        registry.noteCell(cell);
+    }
+
+    void hear(const std::string& daemon, uint64_t run, const std::string& dataCentre, bool isEntry = true, bool isDraining = false)
+    {
+        registry.heard({ { DaemonId(daemon), Incarnation(run) }, DataCentreId(dataCentre), isEntry, isDraining, {}, {}, 0 }, now);
+    }
+
+    void grantTo(const std::string& daemon, uint64_t run)
+    {
+        grants[cell] = { cell, { DaemonId(daemon), Incarnation(run) }, OwnerEpoch(5) };
+    }
+
+    /// @return the daemon that the cell is to be granted, or "none".
+    std::string decide()
+    {
+        const std::vector<GrantRecord> records = assigner.decide(registry, grants, now);
+        return records.empty() ? "none" : records.front().owner.daemon.value();
+    }
+};
+
+TEST(OwnerAssigner, ACellWithoutAnOwnerGetsOneOfItsDataCentreAtOnce)
+{
+    hear("a-far", 1, "far");
+    hear("home-1", 1, "home");
+    STRCMP_EQUAL("home-1", decide().c_str());
+}
+
+TEST(OwnerAssigner, AHeardOwnerKeepsItsCell)
+{
+    hear("home-1", 1, "home");
+    hear("home-2", 1, "home");
+    grantTo("home-2", 1);
+    now += absl::Seconds(5);
+    hear("home-1", 1, "home");
+    hear("home-2", 1, "home");
+    STRCMP_EQUAL("none", decide().c_str());
+}
+
+TEST(OwnerAssigner, ASilentOwnerLosesItsCellWithinASecond)
+{
+    now += absl::Seconds(2);
+    hear("home-2", 1, "home");
+    grantTo("home-2", 1);
+    now += absl::Milliseconds(900);
+    hear("home-1", 1, "home");
+    STRCMP_EQUAL("home-1", decide().c_str());
+}
+
+TEST(OwnerAssigner, AnOwnerThatRestartedIsReplacedWithoutWaiting)
+{
+    hear("home-1", 2, "home");
+    grantTo("home-1", 1);
+    STRCMP_EQUAL("home-1", decide().c_str());
+}
+
+TEST(OwnerAssigner, ANewLeaderDoesntJudgeASilentOwnerAtOnce)
+{
+    hear("home-1", 1, "home");
+    grantTo("home-2", 1);
+    STRCMP_EQUAL("none", decide().c_str());
+}
+
+TEST(OwnerAssigner, ADrainingOwnerPassesItsCellOn)
+{
+    hear("home-1", 1, "home", true, true);
+    hear("home-2", 1, "home");
+    grantTo("home-1", 1);
+    STRCMP_EQUAL("home-2", decide().c_str());
+}
+
+TEST(OwnerAssigner, ACellOfADataCentreThatIsCutOffStaysAsItIs)
+{
+    grantTo("home-1", 1);
+    now += absl::Seconds(3);
+    hear("far-1", 1, "far");
+    STRCMP_EQUAL("none", decide().c_str());
+}
+
+TEST(OwnerAssigner, AnotherDataCentreTakesOverWhereOnlyTheEntryIsGone)
+{
+    grantTo("home-1", 1);
+    now += absl::Seconds(3);
+    hear("far-1", 1, "far");
+    hear("home-keeper", 1, "home", false);
+    STRCMP_EQUAL("far-1", decide().c_str());
+}
+
+TEST(OwnerAssigner, AReturnedEntryTakesItsDataCentresCellBackOnlyAfterAWhile)
+{
+    grantTo("far-1", 1);
+    hear("far-1", 1, "far");
+    hear("home-1", 2, "home");
+    STRCMP_EQUAL("none", decide().c_str());
+    for (int i = 0; i < 10; ++i) {
+        now += absl::Milliseconds(500);
+        hear("far-1", 1, "far");
+        hear("home-1", 2, "home");
+    }
+    STRCMP_EQUAL("home-1", decide().c_str());
+}
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -77,7 +77,7 @@
     const absl::Time until = now_ + duration;
     while (now_ < until) {
         now_ = std::min(until, now_ + absl::Milliseconds(20));
-        cell_.entryHeard(entry, now_);
+        cell_.entryHeard({ entry, Incarnation(0) }, now_);
         cell_.tick(now_);
         collect();
     }
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -111,3 +111,37 @@
     LONGS_EQUAL(0, fixture.takeStarts().size());
     LONGS_EQUAL(0, fixture.takeHolds().size());
 }
+
+// Pattern: an entry is killed and is back within a second; its callers' jobs come again, to it or to another entry.
+TEST_GROUP(RestartedEntry)
+{
+    CellFixture fixture;
+
+    void setup() override { fixture.addMinion("m1", 32000); }
+};
+
+TEST(RestartedEntry, TheJobsOfItsEarlierRunAreStopped)
+{
+    fixture.offer("job", 1);
+    fixture.answerStart(fixture.takeStarts().front());
+    fixture.cell().entryHeard({ DaemonId("entry-1"), Incarnation(500) }, fixture.now());
+    fixture.pass(absl::Milliseconds(20));
+    LONGS_EQUAL(1, fixture.takeStops().size());
+    LONGS_EQUAL(0, fixture.cell().jobCount());
+}
+
+TEST(RestartedEntry, AJobThatComesAgainStartsOnlyWhenItsEarlierRunsAreGone)
+{
+    fixture.offer("job", 1);
+    const StartOrder first = fixture.takeStarts().front();
+    fixture.answerStart(first);
+    JobOffer again = fixture.makeOffer("job", 1);
+    again.life = 700;
+    fixture.offer(again);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    const std::vector<StopOrder> stops = fixture.takeStops();
+    LONGS_EQUAL(1, stops.size());
+    fixture.answerStop(stops.front());
+    fixture.endRun(first, RunEnd::Stopped);
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
