--- a/Source/Adapters/Beast/HttpListener.cpp
+++ b/Source/Adapters/Beast/HttpListener.cpp
@@ -73,7 +73,7 @@
         http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, size_t) { self->readDone(error); });
     }
 
-    void answer(WebResponse response)
+    void answer(const WebResponse& response)
     {
         abandoned_ = nullptr;
         if (isClosed_)
@@ -177,7 +177,7 @@
 {
     if (isAnswered_.exchange(true))
         return;
-    loop_.run([session = session_, response = std::move(response)]() mutable { session->answer(std::move(response)); });
+    loop_.run([session = session_, response = std::move(response)] { session->answer(response); });
 }
 
 void HttpExchange::onAbandoned(std::function<void()> abandoned)
@@ -186,8 +186,7 @@
 }
 
 HttpListener::HttpListener(HttpLoop& loop, Handler handler, HttpListenerOptions options)
-    : loop_(loop)
-    , acceptor_(loop.context())
+    : acceptor_(loop.context())
     , shared_(std::make_shared<Shared>(loop, std::move(handler), options))
 {
 }
--- a/Source/Adapters/Beast/HttpListener.h
+++ b/Source/Adapters/Beast/HttpListener.h
@@ -76,7 +76,6 @@
 
     void accept();
 
-    HttpLoop& loop_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::shared_ptr<Shared> shared_;
 };
--- a/Source/Ctl/HttpCallerLink.cpp
+++ b/Source/Ctl/HttpCallerLink.cpp
@@ -1,7 +1,7 @@
 #include "Ctl/HttpCallerLink.h"
 
-#include "Adapters/Json/JsonMembers.h"
 #include "Adapters/Http/OperatorCodec.h"
+#include "Adapters/Json/JsonMembers.h"
 
 #include <absl/strings/str_cat.h>
 
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -9,7 +9,10 @@
     FleetState state;
     const CellId cell { ServiceId("service"), DataCentreId("home") };
 
-    static RoutingRecord routing(uint64_t version, const std::string& text) { return { { RoutingVersion(version), text } }; }
+    static RoutingRecord routing(uint64_t version, const std::string& text)
+    {
+        return { { RoutingVersion(version), text } };
+    }
 
     static MinionRecord minion(const std::string& id, uint64_t birth, uint64_t sequence, const std::string& address)
     {
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -11,7 +11,10 @@
     CellChooser chooser { DataCentreId("home") };
     const ServiceId service { "service" };
 
-    CellId cell(const std::string& dataCentre) { return { service, DataCentreId(dataCentre) }; }
+    CellId cell(const std::string& dataCentre)
+    {
+        return { service, DataCentreId(dataCentre) };
+    }
 
     void setup() override
     {
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -1,5 +1,5 @@
-#include "Control/FleetRegistry.h"
 #include "Intake/FleetView.h"
+#include "Control/FleetRegistry.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -24,7 +24,7 @@
     FleetView view { { keeperId } };
 
     /// Lets the entry's view say what it has, and gives it what the keeper then sends.
-    void exchange(FleetView& receiver, uint64_t incarnation)
+    void exchange(FleetView & receiver, uint64_t incarnation)
     {
         registry.heard(pulseOf(receiver, incarnation), now);
         for (const auto& [to, news] : registry.takeNews(now))
--- a/Tests/Placement/AdmissionTest.cpp
+++ b/Tests/Placement/AdmissionTest.cpp
@@ -9,7 +9,10 @@
 {
     CellFixture fixture;
 
-    void setup() override { fixture.addMinion("m1"); }
+    void setup() override
+    {
+        fixture.addMinion("m1");
+    }
 };
 
 TEST(CellAdmission, WithRoomAtHandEvenALongEstimateIsBegun)
--- a/Tests/Placement/FaultyMinionTest.cpp
+++ b/Tests/Placement/FaultyMinionTest.cpp
@@ -98,7 +98,7 @@
         fixture.answerHold("m1", { { first.run, 0 } });
     }
     const std::vector<StopOrder> stops = fixture.takeStops();
-    CHECK(stops.size() >= 1);
+    CHECK_FALSE(stops.empty());
     fixture.answerStop(stops.front());
     fixture.pass(absl::Milliseconds(80));
     const std::vector<StartOrder> second = fixture.takeStarts();
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -96,7 +96,7 @@
     fixture.pass(absl::Milliseconds(500));
     LONGS_EQUAL(0, fixture.takeStops().size());
     fixture.pass(absl::Milliseconds(200));
-    CHECK(fixture.takeStops().size() >= 1);
+    CHECK_FALSE(fixture.takeStops().empty());
 }
 
 TEST(Takeover, AnOwnerThatIsFencedOrdersNothingMore)
@@ -117,7 +117,10 @@
 {
     CellFixture fixture;
 
-    void setup() override { fixture.addMinion("m1", 32000); }
+    void setup() override
+    {
+        fixture.addMinion("m1", 32000);
+    }
 };
 
 TEST(RestartedEntry, TheJobsOfItsEarlierRunAreStopped)
