--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -177,7 +177,7 @@
     if (!route || !grant || refusesJobs_) {
         const std::string reason = !route ? "unknown route" : refusesJobs_ ? "this entry stops"
                                                                            : "no owner of a cell is heard";
-        log_.write(Severity::Warning, "job_refused", { { "request", job.key.value() }, { "reason", reason } });
+        log_.write(Severity::Warning, "job_refused", { { "request", job.requestId }, { "job", job.key.value() }, { "reason", reason } });
         door_.reply(ticket, { route ? AnswerKind::Unavailable : AnswerKind::UnknownRoute, {} });
         return;
     }
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -54,33 +54,45 @@
 
 void JobDesk::open(Ticket ticket, const IncomingJob& job, const Route& route, const CellGrant& grant)
 {
-    const absl::Time now = ports_.clock.now();
     {
         MutexLock lock(mutex_);
         tickets_[ticket] = job.key;
         const auto known = jobs_.find(job.key);
-        if (known != jobs_.end()) {
-            // The caller came back while its job runs: both requests get the one answer.
-            known->second.tickets.push_back(ticket);
-            return;
-        }
-        OpenJob open;
-        open.tickets = { ticket };
-        open.owner = grant.owner.daemon;
-        open.openedAt = now;
-        open.lateAt = now + job.estimate * route.stretch + route.latencyTarget;
-        open.givenUpAt = now + (job.patience < absl::InfiniteDuration() ? job.patience : route.timeout) - answerWay;
-        open.offer = JobOffer { grant.cell, job.key, ++lastLife_, route.name, job.taskCount, job.need, job.estimate, job.spec,
-            open.lateAt - now, open.givenUpAt - now, route.priority, route.maxAttempts, false };
-        offer(open);
-        effects_.add([this, key = job.key, grant, route = route.name, count = job.taskCount, estimate = job.estimate, untilGivenUp = open.offer.untilGivenUp, patience = job.patience] {
-            ports_.log.write(Severity::Info, "job_offered", { { "request", key.value() }, { "route", route.value() }, { "tasks", uint64_t { count } }, { "estimate_ms", milliseconds(estimate) }, { "patience_ms", milliseconds(patience) }, { "until_given_up_ms", milliseconds(untilGivenUp) }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
-        });
-        jobs_.emplace(job.key, std::move(open));
+        if (known != jobs_.end())
+            join(known->second, ticket, job);
+        else
+            openNew(ticket, job, route, grant);
     }
     effects_.flush();
 }
 
+void JobDesk::join(OpenJob& open, Ticket ticket, const IncomingJob& job)
+{
+    // The caller came back while its job runs: both requests get the one answer.
+    open.tickets.push_back(ticket);
+    effects_.add([this, key = job.key, request = job.requestId, first = open.offer.requestId] {
+        ports_.log.write(Severity::Info, "job_joined", { { "request", request }, { "job", key.value() }, { "first_request", first } });
+    });
+}
+
+void JobDesk::openNew(Ticket ticket, const IncomingJob& job, const Route& route, const CellGrant& grant)
+{
+    const absl::Time now = ports_.clock.now();
+    OpenJob open;
+    open.tickets = { ticket };
+    open.owner = grant.owner.daemon;
+    open.openedAt = now;
+    open.lateAt = now + job.estimate * route.stretch + route.latencyTarget;
+    open.givenUpAt = now + (job.patience < absl::InfiniteDuration() ? job.patience : route.timeout) - answerWay;
+    open.offer = JobOffer { grant.cell, job.key, job.requestId, ++lastLife_, route.name, job.taskCount, job.need, job.estimate, job.spec,
+        open.lateAt - now, open.givenUpAt - now, route.priority, route.maxAttempts, false };
+    offer(open);
+    effects_.add([this, offer = open.offer, grant] {
+        ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "route", offer.route.value() }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilGivenUp) }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+    });
+    jobs_.emplace(job.key, std::move(open));
+}
+
 void JobDesk::offer(const OpenJob& job)
 {
     effects_.add([this, owner = job.owner, offer = job.offer] { ports_.peers.send(owner, offer); });
@@ -105,7 +117,7 @@
         if (!job.tickets.empty())
             return;
         cancel(job);
-        effects_.add([this, key] { ports_.log.write(Severity::Info, "job_abandoned", { { "request", key.value() } }); });
+        effects_.add([this, key, request = job.offer.requestId] { ports_.log.write(Severity::Info, "job_abandoned", { { "request", request }, { "job", key.value() } }); });
         jobs_.erase(key);
     }
     effects_.flush();
@@ -134,10 +146,10 @@
         tickets_.erase(ticket);
     const absl::Duration taken = now - job.openedAt;
     const absl::Duration queued = ended ? ended->queued : taken;
-    effects_.add([this, key, answer, outcome = std::string(outcome), tickets = job.tickets, taken, queued, owner = job.owner, cell = job.offer.cell.dataCentre, service = job.offer.cell.service, route = job.offer.route, isLate = now > job.lateAt] {
+    effects_.add([this, key, request = job.offer.requestId, answer, outcome = std::string(outcome), tickets = job.tickets, taken, queued, owner = job.owner, cell = job.offer.cell.dataCentre, service = job.offer.cell.service, route = job.offer.route, isLate = now > job.lateAt] {
         for (const Ticket& ticket : tickets)
             ports_.replies.reply(ticket, answer);
-        ports_.log.write(Severity::Info, "job_answered", { { "request", key.value() }, { "outcome", outcome }, { "cell", cell.value() }, { "owner", owner.value() }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
+        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome }, { "cell", cell.value() }, { "owner", owner.value() }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
         const MetricLabels labels { service, {}, TaskKindId(route.value()) };
         ports_.metrics.count(absl::StrCat("jobs_", outcome), labels, 1);
         ports_.metrics.observe(metric::requestLatency, labels, taken);
@@ -159,8 +171,8 @@
             job.offer.untilLate = job.lateAt - now;
             job.offer.untilGivenUp = job.givenUpAt - now;
             offer(job);
-            effects_.add([this, key = key, grant] {
-                ports_.log.write(Severity::Info, "job_moved", { { "request", key.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+            effects_.add([this, key = key, request = job.offer.requestId, grant] {
+                ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
             });
         }
     }
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -59,6 +59,8 @@
         absl::Time givenUpAt;
     };
 
+    void join(OpenJob&, Ticket, const IncomingJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void openNew(Ticket, const IncomingJob&, const Route&, const CellGrant&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answer(const JobKey&, const CallerAnswer&, std::string_view outcome, const JobEnded*) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void offer(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancel(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -81,6 +81,8 @@
 struct JobOffer {
     CellId cell;
     JobKey job;
+    /// For the log.
+    std::string requestId;
     /// Numbers the offers of the sender, so that an answer finds the life of the job that it is for.
     uint64_t life = 0;
     RouteName route;
--- a/Source/Model/IncomingJob.h
+++ b/Source/Model/IncomingJob.h
@@ -15,6 +15,8 @@
 /// A job as a caller hands it in: equal tasks without an order among them.
 struct IncomingJob {
     JobKey key;
+    /// The caller's id of this request, for the log; a job that is sent again has another one.
+    std::string requestId;
     std::string host;
     std::string path;
     uint32_t taskCount = 0;
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -748,7 +748,8 @@
 
 void CellDispatcher::note(std::string name, const JobKey& job, const MinionId& minion, std::string detail)
 {
-    outbox_.events.push_back({ std::move(name), job, minion, std::move(detail) });
+    const CellJob* known = findJob(job);
+    outbox_.events.push_back({ std::move(name), job, known ? known->offer().requestId : std::string(), minion, std::move(detail) });
 }
 
 } // namespace trefoilwing
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -26,8 +26,9 @@
 /// A decision about a run or a minion, for the log.
 struct CellEvent {
     std::string name;
-    /// The job concerned; empty where none is.
+    /// The job concerned and the request that brought it; empty where none is.
     JobKey job;
+    std::string requestId;
     MinionId minion;
     std::string detail;
 };
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -34,7 +34,7 @@
         for (const EntryMessage& message : outbox.messages)
             ports_.peers.send(message.entry, message.ended);
         for (const CellEvent& event : outbox.events)
-            ports_.log.write(Severity::Info, event.name, { { "request", event.job.value() }, { "minion", event.minion.value() }, { "cell", cell_.dataCentre.value() }, { "epoch", epoch_.value() }, { "why", event.detail } });
+            ports_.log.write(Severity::Info, event.name, { { "request", event.requestId }, { "job", event.job.value() }, { "minion", event.minion.value() }, { "cell", cell_.dataCentre.value() }, { "epoch", epoch_.value() }, { "why", event.detail } });
     });
 }
 
