--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -14,7 +14,7 @@
 
     /// How often what is due is looked for while there are jobs; deadlines and leases are tens of milliseconds
     /// at the least.
-    constexpr absl::Duration pumpInterval = absl::Milliseconds(40);
+    constexpr absl::Duration pumpInterval = absl::Milliseconds(30);
     /// And while there are none.
     constexpr absl::Duration idleInterval = absl::Milliseconds(200);
     /// Signs of life to the leading keeper and the owners; several fit into the silence that counts as the end.
@@ -24,9 +24,9 @@
     /// A cell's load is told again after so long, as the owner's sign of life.
     constexpr absl::Duration longestLoadInterval = absl::Milliseconds(250);
     /// And no sooner than this after a change that may send jobs elsewhere.
-    constexpr absl::Duration shortestLoadInterval = absl::Milliseconds(40);
+    constexpr absl::Duration shortestLoadInterval = absl::Milliseconds(30);
     /// A cell with this share of its room free takes whatever comes, so how much exactly doesn't matter.
-    constexpr double ampleShare = 0.4;
+    constexpr double ampleShare = 0.6;
     /// Offers for a cell whose grant hasn't reached this entry yet wait so long for it.
     constexpr absl::Duration earlyOfferLife = absl::Milliseconds(500);
     /// Keepers that were all silent for longer count as lost.
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -81,7 +81,7 @@
     HistogramMetrics& metrics_;
     FleetLink link_;
     const DispatchPolicy policy_;
-    LatestStartFirst order_;
+    PriorityFirst order_;
     HttpLoop loop_;
     platform::FrontDoor door_;
     platform::MinionGateway gateway_;
--- a/Source/Daemon/FleetMain.cpp
+++ b/Source/Daemon/FleetMain.cpp
@@ -8,9 +8,13 @@
 #include "Daemon/FleetKeeper.h"
 #include "platform/RoutingCodec.h"
 
+#include <absl/synchronization/mutex.h>
+
 #include <csignal>
 #include <ctime>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <unistd.h>
 
 namespace trefoilwing {
@@ -42,13 +46,28 @@
         return std::unique_ptr<FleetDaemon>(std::get<std::unique_ptr<FleetKeeper>>(std::move(keeper)));
     }
 
+    /// @return the file's bytes; empty where it can't be read, which the loader then explains.
+    std::string readBytes(const std::string& file)
+    {
+        const std::ifstream stream(file);
+        std::stringstream bytes;
+        bytes << stream.rdbuf();
+        return bytes.str();
+    }
+
     /// Takes over changes of the settings until a signal ends the process.
     int waitForEnd(const sigset_t& signals, const std::string& file, FleetSettings settings, FleetDaemon& daemon, EventLog& log)
     {
+        std::string lastBytes = readBytes(file);
         while (true) {
             const int signal = sigtimedwait(&signals, nullptr, &settingsCheck);
             if (signal == SIGTERM || signal == SIGINT)
                 return signal;
+            // Parsing costs far more than comparing, and the file hardly ever changes.
+            std::string bytes = readBytes(file);
+            if (signal != SIGHUP && bytes == lastBytes)
+                continue;
+            lastBytes = std::move(bytes);
             const Result<FleetSettings> read = loadFleetSettings(file);
             if (const Error* error = errorOf(read)) {
                 log.write(Severity::Error, "settings_unreadable", { { "reason", error->message } });
@@ -70,6 +89,8 @@
         return exitSettings;
     }
     const FleetSettings& settings = *valueOf(loaded);
+    // Debian's Abseil looks for cycles of locks at each lock; the tests do that, a serving process needn't.
+    absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     const sigset_t signals = blockSignals();
     LineLog log(settings.node, STDOUT_FILENO);
     const SystemClock clock;
