Answer callers whose owner fell silent, well before their own deadlines

The desk now answers 504 after 1.5 s of the owner's silence: by then the runs are stopped, and a new owner would have taken over. Two tests in Tests/Intake/JobDeskTest.cpp name the pattern.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -288,8 +288,9 @@
     desk_.moved(grant);
 }
 
-void FleetEntry::receive(const DaemonId&, const CellLoad& load)
+void FleetEntry::receive(const DaemonId& from, const CellLoad& load)
 {
+    desk_.ownerHeard(from);
     MutexLock lock(viewMutex_);
     chooser_.loadHeard(load, link_.clock().now());
 }
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -18,6 +18,10 @@
     /// The way of the answer to the caller, which its patience includes.
     constexpr absl::Duration answerWay = absl::Milliseconds(20);
 
+    /// An owner that is silent for longer has stopped this entry's jobs (after 0.8 s), and has been replaced
+    /// (within about 1 s) unless it is cut off.
+    constexpr absl::Duration ownerSilence = absl::Milliseconds(1500);
+
     struct EndRow {
         JobEnd end;
         AnswerKind kind;
@@ -81,7 +85,7 @@
     OpenJob open;
     open.tickets = { ticket };
     open.owner = grant.owner.daemon;
-    open.openedAt = now;
+    open.openedAt = open.offeredAt = now;
     open.lateAt = now + job.estimate * route.stretch + route.latencyTarget;
     open.givenUpAt = now + (job.patience < absl::InfiniteDuration() ? job.patience : route.timeout) - answerWay;
     open.offer = JobOffer { grant.cell, job.key, job.requestId, ++lastLife_, route.name, job.taskCount, job.need, job.estimate, job.spec,
@@ -167,6 +171,7 @@
             cancel(job);
             const absl::Time now = ports_.clock.now();
             job.owner = grant.owner.daemon;
+            job.offeredAt = now;
             job.offer.isTakeover = true;
             job.offer.untilLate = job.lateAt - now;
             job.offer.untilGivenUp = job.givenUpAt - now;
@@ -179,6 +184,19 @@
     effects_.flush();
 }
 
+void JobDesk::ownerHeard(const DaemonId& owner)
+{
+    MutexLock lock(mutex_);
+    ownersHeard_[owner] = ports_.clock.now();
+}
+
+bool JobDesk::isOwnerSilent(const OpenJob& job, absl::Time now) const
+{
+    const auto heard = ownersHeard_.find(job.owner);
+    const absl::Time last = heard == ownersHeard_.end() ? job.offeredAt : std::max(heard->second, job.offeredAt);
+    return now - last > ownerSilence;
+}
+
 void JobDesk::tick()
 {
     const absl::Time now = ports_.clock.now();
@@ -186,7 +204,7 @@
         MutexLock lock(mutex_);
         std::vector<JobKey> late;
         for (const auto& [key, job] : jobs_) {
-            if (now > job.givenUpAt + ownerGrace)
+            if (now > job.givenUpAt + ownerGrace || isOwnerSilent(job, now))
                 late.push_back(key);
         }
         for (const JobKey& key : late) {
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -41,6 +41,8 @@
     void ended(const DaemonId& from, const JobEnded&);
     /// A cell has a new owner.
     void moved(const CellGrant&);
+    /// The owner of a cell gave a sign of life.
+    void ownerHeard(const DaemonId&);
     /// Answers what has waited too long for its owner.
     void tick();
 
@@ -54,11 +56,14 @@
         std::vector<Ticket> tickets;
         JobOffer offer;
         DaemonId owner;
+        /// When the job was offered to this owner.
+        absl::Time offeredAt;
         absl::Time openedAt;
         absl::Time lateAt;
         absl::Time givenUpAt;
     };
 
+    bool isOwnerSilent(const OpenJob&, absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void join(OpenJob&, Ticket, const IncomingJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void openNew(Ticket, const IncomingJob&, const Route&, const CellGrant&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answer(const JobKey&, const CallerAnswer&, std::string_view outcome, const JobEnded*) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -71,6 +76,7 @@
     uint64_t lastLife_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<JobKey, OpenJob> jobs_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<Ticket, JobKey> tickets_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<DaemonId, absl::Time> ownersHeard_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace trefoilwing
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -153,10 +153,36 @@
     CHECK(replies.answers.front().second.kind == AnswerKind::Completed);
 }
 
+// Pattern: a data centre is cut off after a job was sent across; its caller was held to its own deadline.
+TEST(JobDesk, AJobWhoseOwnerFellSilentIsAnsweredWellBeforeItsCallerLeaves)
+{
+    open(1, "job");
+    for (int i = 0; i < 10; ++i) {
+        clock.time += absl::Milliseconds(200);
+        desk.ownerHeard(DaemonId("owner"));
+        desk.tick();
+    }
+    LONGS_EQUAL(0, replies.answers.size());
+    clock.time += absl::Milliseconds(1600);
+    desk.tick();
+    LONGS_EQUAL(1, replies.answers.size());
+    CHECK(replies.answers.front().second.kind == AnswerKind::GaveUp);
+}
+
+TEST(JobDesk, AnOwnerThatFallsSilentForAMomentKeepsItsJobs)
+{
+    open(1, "job");
+    clock.time += absl::Milliseconds(1400);
+    desk.tick();
+    LONGS_EQUAL(0, replies.answers.size());
+}
+
 TEST(JobDesk, ASilentOwnersJobMayHaveRun)
 {
     open(1, "job");
-    clock.time += absl::Seconds(5);
+    clock.time += absl::Milliseconds(4000);
+    desk.ownerHeard(DaemonId("owner"));
+    clock.time += absl::Milliseconds(100);
     desk.tick();
     CHECK(replies.answers.front().second.kind == AnswerKind::GaveUp);
     LONGS_EQUAL(1, peers.take<JobCancel>().size());
