--- a/Source/Adapters/Beast/HttpClient.cpp
+++ b/Source/Adapters/Beast/HttpClient.cpp
@@ -22,8 +22,8 @@
 
 namespace {
 
-    /// Deadlines are looked at this often while calls are under way; they are 300 ms and more.
-    constexpr std::chrono::milliseconds sweepInterval { 50 };
+    /// Deadlines are looked at this often while calls are under way; they are 150 ms and more.
+    constexpr std::chrono::milliseconds sweepInterval { 40 };
 
 } // namespace
 
