--- a/Source/Base/EffectQueue.h
+++ b/Source/Base/EffectQueue.h
@@ -8,22 +8,21 @@
 
 namespace trefoilwing {
 
-/// The effects that a shard decided on under its lock, carried out in their order with no lock held.
+/// The effects that a shard decided on, carried out in their order with no lock held.
 ///
 /// One thread at a time carries them out; it takes those of the others too, so that their order is kept.
+/// The queue's own lock is a leaf: it is taken under the shard's, and nothing is taken under it.
 class EffectQueue {
 public:
     using Effect = std::function<void()>;
 
-    /// @param mutex the shard's lock, which guards the queue too.
-    explicit EffectQueue(absl::Mutex& mutex)
-        : mutex_(mutex)
+    /// Takes an effect for the next flush. Call it with the shard's lock held, so that the order is the decisions'.
+    void add(Effect effect) ABSL_LOCKS_EXCLUDED(mutex_)
     {
+        MutexLock lock(mutex_);
+        effects_.push_back(std::move(effect));
     }
 
-    /// Takes an effect for the next flush. Call it with the shard's lock held.
-    void add(Effect effect) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { effects_.push_back(std::move(effect)); }
-
     /// Carries out what waits. Call it without the shard's lock.
     void flush() ABSL_LOCKS_EXCLUDED(mutex_)
     {
@@ -44,7 +43,7 @@
     }
 
 private:
-    absl::Mutex& mutex_;
+    absl::Mutex mutex_;
     std::vector<Effect> effects_ ABSL_GUARDED_BY(mutex_);
     bool isFlushing_ ABSL_GUARDED_BY(mutex_) = false;
 };
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -51,7 +51,6 @@
 
 JobDesk::JobDesk(DeskPorts ports, uint64_t firstLife)
     : ports_(ports)
-    , effects_(mutex_)
     , lastLife_(firstLife)
 {
 }
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -7,7 +7,6 @@
     , epoch_(epoch)
     , ports_(ports)
     , dispatcher_(cell_, epoch, policy, order, ports.random, ports.clock.now())
-    , effects_(mutex_)
 {
 }
 
