--- a/Tests/Platform/RoutingCodecTest.cpp
+++ b/Tests/Platform/RoutingCodecTest.cpp
@@ -48,7 +48,8 @@
 // Pattern: invalid configurations, each of which must be refused with nothing changed.
 TEST(RoutingCodec, InvalidTablesAreRefused)
 {
-    for (const std::string& bad : { configuration(route).substr(0, 60), configuration(changed("huvo11a", "unknown")), configuration(route + "," + route),
+    const std::string twice = route + "," + route;
+    for (const std::string& bad : { configuration(route).substr(0, 60), configuration(changed("huvo11a", "unknown")), configuration(twice),
              configuration(changed("1500", "0")), configuration(changed("1500", "\"1500\"")), configuration(route, "{}"), std::string(R"({"routes":[],"services":[]})"),
              configuration(changed("1.6", "\"x\"")), std::string("null") })
         CHECK(errorOf(codec.read(bad)));
