Let replicated groups carry out their effects by the queue that the shards use

ReplicatedGroup held a copy of EffectQueue's loop. Behaviour is the same; ControlTest and ReplicatedLogFuzzTest pass, and the lock annotations of the four groups were checked.

--- a/Source/Control/ReplicatedGroup.cpp
+++ b/Source/Control/ReplicatedGroup.cpp
@@ -131,22 +131,4 @@
         later([this, envelope = std::move(envelope)] { ports_.peers.send(envelope.to, envelope.message); });
 }
 
-void ReplicatedGroup::flush()
-{
-    while (true) {
-        std::vector<Effect> effects;
-        {
-            MutexLock lock(mutex_);
-            if (isFlushing_ || effects_.empty())
-                return;
-            isFlushing_ = true;
-            effects = std::exchange(effects_, {});
-        }
-        for (const Effect& effect : effects)
-            effect();
-        MutexLock lock(mutex_);
-        isFlushing_ = false;
-    }
-}
-
 } // namespace trefoilwing
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/EffectQueue.h"
 #include "Base/MutexLock.h"
 #include "Control/ReplicatedLog.h"
 #include "Ports/Clock.h"
@@ -66,7 +67,7 @@
     void journalFailed(const Error&) override;
 
 protected:
-    using Effect = std::function<void()>;
+    using Effect = EffectQueue::Effect;
 
     virtual void applyEntry(const LogEntry&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) = 0;
     virtual void restoreState(const Snapshot&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) = 0;
@@ -78,14 +79,14 @@
 
     bool propose(Command, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Runs after the lock is released.
-    void later(Effect effect) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { effects_.push_back(std::move(effect)); }
+    void later(Effect effect) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { effects_.add(std::move(effect)); }
     void addContact(const DaemonId& daemon) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { log_.addDaemon(daemon); }
     bool isLeading(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return !hasFailed_ && log_.isLeader(now); }
     const Member& self() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return log_.self(); }
     /// Applies what has been committed and collects the effects; the last step under the lock.
     void settle() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Carries out the effects.
-    void flush() ABSL_LOCKS_EXCLUDED(mutex_);
+    void flush() ABSL_LOCKS_EXCLUDED(mutex_) { effects_.flush(); }
     absl::Time now() const { return ports_.clock.now(); }
 
     mutable absl::Mutex mutex_;
@@ -95,9 +96,7 @@
 
     GroupPorts ports_;
     ReplicatedLog log_ ABSL_GUARDED_BY(mutex_);
-    std::vector<Effect> effects_ ABSL_GUARDED_BY(mutex_);
-    /// Whether a thread carries out effects; it takes those of the others too, so that their order is kept.
-    bool isFlushing_ ABSL_GUARDED_BY(mutex_) = false;
+    EffectQueue effects_;
     bool hasFailed_ ABSL_GUARDED_BY(mutex_) = false;
     absl::Time repeatDue_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
 };
