--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -162,7 +162,7 @@
     return table_ && !isDraining_ && chooser_.hearsAnyOwner(link_.clock().now());
 }
 
-void FleetEntry::submit(Ticket ticket, const CallerJob& job)
+void FleetEntry::submit(Ticket ticket, const IncomingJob& job)
 {
     std::shared_ptr<const RoutingTable> routes;
     const Route* route = nullptr;
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -33,7 +33,7 @@
     void drain() override;
     void stop() override;
 
-    void submit(Ticket, const CallerJob&) override;
+    void submit(Ticket, const IncomingJob&) override;
     void abandon(Ticket) override;
     RouteStanding findRoute(const std::string& host, const std::string& path) const override;
     size_t prefixLength(const std::string& host, const std::string& path) const override;
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -52,7 +52,7 @@
 {
 }
 
-void JobDesk::open(Ticket ticket, const CallerJob& job, const Route& route, const CellGrant& grant)
+void JobDesk::open(Ticket ticket, const IncomingJob& job, const Route& route, const CellGrant& grant)
 {
     const absl::Time now = ports_.clock.now();
     {
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "Base/EffectQueue.h"
-#include "Model/CallerJob.h"
 #include "Model/FleetMessages.h"
+#include "Model/IncomingJob.h"
 #include "Ports/CallerReplies.h"
 #include "Ports/Clock.h"
 #include "Ports/EventLog.h"
@@ -35,7 +35,7 @@
     JobDesk(DeskPorts, uint64_t firstLife);
 
     /// Takes a job that has a route and a cell.
-    void open(Ticket, const CallerJob&, const Route&, const CellGrant&);
+    void open(Ticket, const IncomingJob&, const Route&, const CellGrant&);
     /// The caller went away before its answer.
     void abandoned(Ticket);
     void ended(const DaemonId& from, const JobEnded&);
--- a/Source/Model/CallerJob.h
+++ b/Source/Model/IncomingJob.h
@@ -13,7 +13,7 @@
 using Ticket = StrongId<struct TicketTag, uint64_t>;
 
 /// A job as a caller hands it in: equal tasks without an order among them.
-struct CallerJob {
+struct IncomingJob {
     JobKey key;
     std::string host;
     std::string path;
--- a/Source/Ports/CallerReplies.h
+++ b/Source/Ports/CallerReplies.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Model/CallerJob.h"
+#include "Model/IncomingJob.h"
 
 namespace trefoilwing {
 
--- a/Source/Ports/JobIntake.h
+++ b/Source/Ports/JobIntake.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Model/CallerJob.h"
+#include "Model/IncomingJob.h"
 
 #include <string>
 
@@ -20,7 +20,7 @@
     virtual ~JobIntake() = default;
 
     /// Takes a job; its answer comes through CallerReplies, maybe before the call returns.
-    virtual void submit(Ticket, const CallerJob&) = 0;
+    virtual void submit(Ticket, const IncomingJob&) = 0;
 
     /// The caller went away before its answer.
     virtual void abandon(Ticket) = 0;
--- /dev/null
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -0,0 +1,183 @@
+#include "Fleet/Fleet.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <csignal>
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+/// Statuses of jobs that were handed in side by side; 0 counts those without an answer.
+class Tally {
+public:
+    HttpClient::Callback callback()
+    {
+        MutexLock lock(mutex_);
+        ++open_;
+        return [this](const HttpResult& result) {
+            const auto* response = std::get_if<WebResponse>(&result);
+            MutexLock done(mutex_);
+            ++statuses_[response ? response->status : 0];
+            --open_;
+        };
+    }
+
+    bool awaitAll()
+    {
+        const absl::Time end = absl::Now() + absl::Seconds(30);
+        while (absl::Now() < end) {
+            {
+                MutexLock lock(mutex_);
+                if (open_ == 0)
+                    return true;
+            }
+            absl::SleepFor(absl::Milliseconds(20));
+        }
+        return false;
+    }
+
+    size_t count(unsigned status)
+    {
+        MutexLock lock(mutex_);
+        return statuses_[status];
+    }
+
+private:
+    absl::Mutex mutex_;
+    size_t open_ ABSL_GUARDED_BY(mutex_) = 0;
+    std::map<unsigned, size_t> statuses_ ABSL_GUARDED_BY(mutex_);
+};
+
+} // namespace
+
+TEST_GROUP(FleetSystem)
+{
+    Fleet fleet;
+    Tally tally;
+    uint64_t lastJob = 0;
+
+    void begin()
+    {
+        fleet.startAll();
+        CHECK_TEXT(fleet.publish(1), "the first configuration is acknowledged");
+        CHECK_TEXT(fleet.awaitService(Fleet::entries()), "all entries serve");
+    }
+
+    /// Hands in jobs at a steady pace, each at the next of the entries.
+    void submit(const std::vector<std::string>& entries, int jobs, absl::Duration pause)
+    {
+        for (int i = 0; i < jobs; ++i) {
+            const std::string id = absl::StrCat(absl::Hex(0xa000000000000000UL + ++lastJob));
+            fleet.caller().submit(fleet.callers(entries[static_cast<size_t>(i) % entries.size()]), id, 3, 30, tally.callback());
+            absl::SleepFor(pause);
+        }
+    }
+};
+
+TEST(FleetSystem, JobsAtAllEntriesComplete)
+{
+    begin();
+    submit(Fleet::entries(), 100, absl::Milliseconds(20));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(100, tally.count(200));
+    const MinionTotals totals = fleet.minions().totals();
+    LONGS_EQUAL(0, totals.startedTwice);
+    CHECK(totals.done >= 300);
+}
+
+TEST(FleetSystem, AKilledOwnerStartsNothingTwice)
+{
+    begin();
+    const std::string owner = fleet.ownerOf("bole");
+    CHECK_FALSE(owner.empty());
+    std::vector<std::string> others;
+    for (const std::string& entry : Fleet::entries()) {
+        if (entry != owner)
+            others.push_back(entry);
+    }
+    submit(others, 20, absl::Milliseconds(10));
+    fleet.node(owner).kill();
+    submit(others, 150, absl::Milliseconds(20));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(0, tally.count(0));
+    LONGS_EQUAL(0, fleet.minions().totals().startedTwice);
+    CHECK_TEXT(tally.count(200) >= 120, "most jobs are served while the cell moves");
+    CHECK(fleet.ownerOf("bole") != owner);
+    CHECK_TEXT(fleet.awaitService(others), "the others serve");
+}
+
+TEST(FleetSystem, SigtermCutsOffNothing)
+{
+    begin();
+    submit(Fleet::entries(), 20, absl::Milliseconds(10));
+    const std::string stopped = fleet.ownerOf("merkato");
+    fleet.node(stopped).signal(SIGTERM);
+    submit(Fleet::entries(), 100, absl::Milliseconds(15));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(0, tally.count(0));
+    LONGS_EQUAL(0, tally.count(504));
+    LONGS_EQUAL(0, fleet.minions().totals().startedTwice);
+    const std::optional<int> status = fleet.node(stopped).await(absl::Seconds(20));
+    CHECK(status == 0);
+}
+
+TEST(FleetSystem, EntriesServeOnWithoutKeepers)
+{
+    begin();
+    for (const std::string& keeper : Fleet::keepers())
+        fleet.node(keeper).kill();
+    absl::SleepFor(absl::Seconds(1));
+    submit(Fleet::entries(), 60, absl::Milliseconds(20));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(60, tally.count(200));
+    LONGS_EQUAL(0, fleet.minions().totals().startedTwice);
+}
+
+TEST(FleetSystem, AWipedKeeperLosesNoConfiguration)
+{
+    begin();
+    CHECK(fleet.publish(7));
+    fleet.node("keeper-1").kill();
+    fleet.wipe("keeper-1");
+    fleet.startNode("keeper-1", false);
+    CHECK(fleet.publish(9));
+    // A keeper without its disk counts as lost until this long after its return, and one may be lost at a time.
+    absl::SleepFor(absl::Seconds(4));
+    fleet.node("keeper-2").kill();
+    const absl::Time end = absl::Now() + absl::Seconds(40);
+    WebResponse newest { 0, {}, {} };
+    while (newest.status != 200 && absl::Now() < end)
+        newest = fleet.caller().call(fleet.control("keeper-1"), "GET", "/config");
+    STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), newest.body.c_str());
+    // An older version is acknowledged and changes nothing.
+    LONGS_EQUAL(200, fleet.caller().call(fleet.control("keeper-1"), "PUT", "/config", FleetCaller::configuration(8)).status);
+    const WebResponse atOther = fleet.caller().call(fleet.control("keeper-3"), "GET", "/config");
+    LONGS_EQUAL(200, atOther.status);
+    STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), atOther.body.c_str());
+}
+
+TEST(FleetSystem, BadInputIsRefusedAndLosesNothing)
+{
+    begin();
+    FleetCaller& caller = fleet.caller();
+    const Endpoint control = fleet.control("keeper-1");
+    const Endpoint entry = fleet.callers("entry-1");
+    const std::string whole = FleetCaller::configuration(2);
+    LONGS_EQUAL(400, caller.call(control, "PUT", "/config", whole.substr(0, whole.size() / 2)).status);
+    LONGS_EQUAL(400, caller.call(control, "PUT", "/config", std::string(20000, '[')).status);
+    LONGS_EQUAL(400, caller.call(control, "PUT", "/instances/x", R"({"service":7})").status);
+    LONGS_EQUAL(404, caller.call(control, "GET", "/nothing").status);
+    LONGS_EQUAL(400, caller.call(entry, "POST", "/work/0123456789abcdef", "{").status);
+    LONGS_EQUAL(400, caller.call(entry, "POST", "/work/short", "{}").status);
+    LONGS_EQUAL(404, caller.call(entry, "POST", "/other/0123456789abcdef", "{}").status);
+    LONGS_EQUAL(413, caller.call(entry, "POST", "/work/0123456789abcdef", std::string(300000, 'x')).status);
+    LONGS_EQUAL(503, caller.call(entry, "POST", "/work/0123456789abcdef", R"({"spec":"s","steps":[{"count":1,"cpu":1}]})").status);
+    LONGS_EQUAL(410, caller.call(entry, "GET", "/work/0123456789abcdef").status);
+    LONGS_EQUAL(200, caller.call(entry, "GET", "/work/").status);
+    CHECK(fleet.awaitService(Fleet::entries()));
+}
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -57,7 +57,7 @@
 
     void open(uint64_t ticket, const std::string& key)
     {
-        CallerJob job;
+        IncomingJob job;
         job.key = JobKey(key);
         job.taskCount = 2;
         job.estimate = absl::Milliseconds(100);
