Keep a cell's owner while its data centre is cut off or just coming back

Cause: as a cut began, the last sign of life of an owner could be up to 0.5 s older than that of the keeper beside it, and as it healed the keeper could be heard before its entries. Both looked like a dead owner in a living data centre, so its cell was granted to another one's entry while the owner served on. A new owner then took its list of minions for whole although the data centre's keeper had not been heard since the cut: minions that had come meanwhile were left out, and tasks that ran there could start again.

Now an owner is gone only if others of its data centre outlive it by 0.6 s and have been heard for 1.2 s without a gap; a view counts as whole only if each keeper was heard in the last 2.5 s; a new owner starts nothing before its first looks are answered (200 ms at most); owners tell their grant with their load, so that an entry that no keeper reaches learns of its successor.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -67,6 +67,8 @@
         daemon.note = note;
         daemonsNumber_ = ++number_;
     }
+    if (now - daemon.heardAt > daemonSilence)
+        daemon.steadySince = now;
     daemon.heardAt = now;
     daemon.routing = pulse.routing;
     daemon.hasNews = pulse.newsFrom == self_.incarnation ? pulse.newsNumber : 0;
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -12,11 +12,16 @@
 
 namespace trefoilwing {
 
+/// A daemon that was silent for longer is taken for gone. Signs of life come every 250 to 500 ms.
+inline constexpr absl::Duration daemonSilence = absl::Milliseconds(850);
+
 /// A daemon that a keeper hears.
 struct HeardDaemon {
     DaemonNote note;
     absl::Time since;
-    absl::Time heardAt;
+    /// When its signs of life began to come without a gap that counts as silence.
+    absl::Time steadySince;
+    absl::Time heardAt = absl::InfinitePast();
     /// The latest news that the daemon says it has, and that was sent to it.
     uint64_t hasNews = 0;
     uint64_t sentNews = 0;
--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -6,12 +6,17 @@
 
 namespace {
 
-    /// A daemon that was silent for longer is taken for gone. Signs of life come every 250 ms.
-    constexpr absl::Duration silenceLimit = absl::Milliseconds(850);
-
     /// A new leader hears all daemons before it judges any.
     constexpr absl::Duration leaderGrace = absl::Milliseconds(1000);
 
+    /// When a cut heals, a data centre's daemons are heard one after the other: a broken connection is made
+    /// again within 800 ms (handshake and backoff), and signs of life come every 250 ms.
+    constexpr absl::Duration returnTime = absl::Milliseconds(1200);
+
+    /// As a cut begins, the last signs of life from behind it come within 250 to 500 ms. An owner is gone only
+    /// if others of its data centre are heard for longer.
+    constexpr absl::Duration outlivedBy = absl::Milliseconds(600);
+
     /// A grant that hasn't been applied is proposed again after this long.
     constexpr absl::Duration proposalRepeat = absl::Milliseconds(1000);
 
@@ -23,13 +28,14 @@
 
 bool OwnerAssigner::isHeard(const HeardDaemon& daemon, absl::Time now) const
 {
-    return now - daemon.heardAt < silenceLimit;
+    return now - daemon.heardAt < daemonSilence;
 }
 
-bool OwnerAssigner::isDataCentreHeard(const FleetRegistry& registry, const DataCentreId& dataCentre, absl::Time now) const
+bool OwnerAssigner::isDataCentreInTouch(const FleetRegistry& registry, const DataCentreId& dataCentre, absl::Time since, absl::Time now) const
 {
     return std::any_of(registry.daemons().begin(), registry.daemons().end(), [&](const auto& entry) {
-        return entry.second.note.dataCentre == dataCentre && isHeard(entry.second, now);
+        const HeardDaemon& daemon = entry.second;
+        return daemon.note.dataCentre == dataCentre && daemon.heardAt >= since && isHeard(daemon, now) && now >= daemon.steadySince + returnTime;
     });
 }
 
@@ -78,7 +84,8 @@
                 && (owner->second.note.run != grant->second.owner || owner->second.note.isDraining);
             if (!isSurelyGone && now < leadingSince_ + leaderGrace)
                 continue;
-            if (!isOwnerHeard && !isDataCentreHeard(registry, cell.dataCentre, now))
+            const absl::Time lastSign = owner == registry.daemons().end() ? absl::InfinitePast() : owner->second.heardAt;
+            if (!isOwnerHeard && !isSurelyGone && !isDataCentreInTouch(registry, cell.dataCentre, lastSign + outlivedBy, now))
                 continue;
         }
         proposedAt_[cell] = now;
--- a/Source/Control/OwnerAssigner.h
+++ b/Source/Control/OwnerAssigner.h
@@ -13,7 +13,8 @@
 /// Decides, at the leading keeper, which entry owns each cell.
 ///
 /// A cell keeps its owner as long as that is heard. A data centre of which nothing at all is heard is cut
-/// off rather than dead, so its cells stay as they are: their owners serve on.
+/// off rather than dead, so its cells stay as they are: their owners serve on. The same holds for a moment
+/// after it is heard again.
 class OwnerAssigner {
 public:
     /// Takes note that this keeper has begun to lead.
@@ -24,7 +25,8 @@
 
 private:
     bool isHeard(const HeardDaemon&, absl::Time now) const;
-    bool isDataCentreHeard(const FleetRegistry&, const DataCentreId&, absl::Time now) const;
+    /// Whether a daemon of the data centre has been heard since the time given, and for a while without a gap.
+    bool isDataCentreInTouch(const FleetRegistry&, const DataCentreId&, absl::Time since, absl::Time now) const;
     const HeardDaemon* chooseOwner(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>&, absl::Time now) const;
 
     absl::Time leadingSince_ = absl::InfinitePast();
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -208,7 +208,7 @@
     {
         MutexLock lock(viewMutex_);
         change = view_.receive(from, news, link_.clock().now());
-        areMinionsKnown = view_.isComplete();
+        areMinionsKnown = view_.isComplete(link_.clock().now());
         for (const CellGrant& grant : change.grants)
             chooser_.granted(grant);
     }
@@ -261,7 +261,7 @@
             cells_.erase(held);
         if (grant.owner == link_.self()) {
             randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
-            cell = std::make_shared<CellShard>(grant.cell, grant.epoch, policy_, order_, CellPorts { gateway_, link_.peers(), link_.clock(), *randoms_.back(), log_ });
+            cell = std::make_shared<CellShard>(grant, policy_, order_, CellPorts { gateway_, link_.peers(), link_.clock(), *randoms_.back(), log_ });
             cells_[grant.cell] = cell;
             std::erase_if(earlyOffers_, [&](EarlyOffer& early) {
                 const bool isForThis = early.offer.cell == grant.cell;
@@ -277,7 +277,7 @@
         {
             MutexLock lock(viewMutex_);
             reports = view_.minionsOf(grant.cell);
-            areAllKnown = view_.isComplete();
+            areAllKnown = view_.isComplete(link_.clock().now());
         }
         cell->minionsKnown(areAllKnown);
         for (const MinionReport& report : reports)
@@ -291,8 +291,17 @@
 void FleetEntry::receive(const DaemonId& from, const CellLoad& load)
 {
     desk_.ownerHeard(from);
-    MutexLock lock(viewMutex_);
-    chooser_.loadHeard(load, link_.clock().now());
+    bool isNews = false;
+    {
+        MutexLock lock(viewMutex_);
+        isNews = view_.granted(load.grant);
+        if (isNews)
+            chooser_.granted(load.grant);
+        chooser_.loadHeard(load, link_.clock().now());
+    }
+    // An entry that no keeper reaches learns of a new owner from that owner.
+    if (isNews)
+        takeGrant(load.grant);
 }
 
 void FleetEntry::receive(const DaemonId& from, const JobOffer& offer)
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -25,10 +25,10 @@
 
 void CellChooser::loadHeard(const CellLoad& load, absl::Time now)
 {
-    const auto grant = grants_.find(load.cell);
-    if (grant == grants_.end() || grant->second.epoch != load.epoch)
+    const auto grant = grants_.find(load.grant.cell);
+    if (grant == grants_.end() || grant->second.epoch != load.grant.epoch)
         return;
-    standings_[load.cell] = { load, now, 0, 0 };
+    standings_[load.grant.cell] = { load, now, 0, 0 };
 }
 
 bool CellChooser::hearsAnyOwner(absl::Time now) const
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -10,6 +10,13 @@
     /// The notes of a keeper that was silent for longer don't count any more.
     constexpr absl::Duration noteLife = absl::Seconds(5);
 
+    /// Keepers that live are heard every 2 s at the least.
+    constexpr absl::Duration keeperSilence = absl::Milliseconds(2500);
+
+    /// A keeper that was silent for longer is gone for good: its minions have reported to others long since, and
+    /// cuts are shorter.
+    constexpr absl::Duration keeperLife = absl::Seconds(20);
+
 } // namespace
 
 FleetView::FleetView(std::vector<DaemonId> seeds)
@@ -39,11 +46,8 @@
     for (const MinionReport& report : news.minions)
         takeMinion(report, change);
     for (const CellGrant& grant : news.grants) {
-        CellGrant& held = grants_[grant.cell];
-        if (grant.epoch > held.epoch) {
-            held = grant;
+        if (granted(grant))
             change.grants.push_back(grant);
-        }
     }
     if (news.routing && news.routing->version > routing_) {
         routing_ = news.routing->version;
@@ -52,6 +56,15 @@
     return change;
 }
 
+bool FleetView::granted(const CellGrant& grant)
+{
+    CellGrant& held = grants_[grant.cell];
+    if (grant.epoch <= held.epoch)
+        return false;
+    held = grant;
+    return true;
+}
+
 bool FleetView::takeMinion(const MinionReport& report, FleetChange& change)
 {
     const auto left = left_.find(report.life.minion);
@@ -118,12 +131,15 @@
     return { keepers.begin(), keepers.end() };
 }
 
-bool FleetView::isComplete() const
+bool FleetView::isComplete(absl::Time now) const
 {
     const std::vector<DaemonId> all = keepers();
-    return std::all_of(all.begin(), all.end(), [this](const DaemonId& keeper) {
+    return std::all_of(all.begin(), all.end(), [&](const DaemonId& keeper) {
         const auto known = news_.find(keeper);
-        return known != news_.end() && known->second.number > 0;
+        if (known == news_.end() || known->second.number == 0)
+            return false;
+        const absl::Duration silence = now - known->second.heardAt;
+        return silence < keeperSilence || silence > keeperLife;
     });
 }
 
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -33,6 +33,10 @@
 
     FleetChange receive(const DaemonId& keeper, const FleetNews&, absl::Time now);
 
+    /// Takes note of a grant that another daemon tells.
+    /// @return whether it is newer than the one held.
+    bool granted(const CellGrant&);
+
     /// @return what this daemon has of a keeper's news, for its next pulse.
     void describe(const DaemonId& keeper, DaemonPulse&) const;
 
@@ -44,8 +48,9 @@
     std::vector<DaemonId> entries() const;
     std::vector<MinionReport> minionsOf(const CellId&) const;
     RoutingVersion routingVersion() const { return routing_; }
-    /// @return whether all that the known keepers had to tell has come.
-    bool isComplete() const;
+    /// @return whether all that the known keepers have to tell has come. A keeper that has just fallen silent
+    /// may know of minions that nobody else has heard of.
+    bool isComplete(absl::Time now) const;
     /// @return how long no keeper has been heard.
     absl::Duration silence(absl::Time now) const { return now - heardAt_; }
     size_t minionCount() const { return minions_.size(); }
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -64,10 +64,9 @@
     friend bool operator==(const FleetNews&, const FleetNews&) = default;
 };
 
-/// How busy a cell is, told by its owner to all entries.
+/// How busy a cell is, told by its owner to all entries, which may learn from it who the owner is.
 struct CellLoad {
-    CellId cell;
-    OwnerEpoch epoch;
+    CellGrant grant;
     /// Of the minions in use.
     int64_t totalMilliCores = 0;
     int64_t freeMilliCores = 0;
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -37,9 +37,8 @@
 
 } // namespace
 
-CellDispatcher::CellDispatcher(CellId cell, OwnerEpoch epoch, const DispatchPolicy& policy, const JobOrder& order, Random& random, absl::Time now)
-    : cell_(std::move(cell))
-    , epoch_(epoch)
+CellDispatcher::CellDispatcher(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, Random& random, absl::Time now)
+    : grant_(grant)
     , policy_(policy)
     , order_(order)
     , random_(random)
@@ -90,7 +89,7 @@
 
 OrderHeader CellDispatcher::headerTo(const LeasedMinion& minion) const
 {
-    return { minion.life(), minion.report().endpoint, epoch_ };
+    return { minion.life(), minion.report().endpoint, grant_.epoch };
 }
 
 bool CellDispatcher::isAllFenced(absl::Time now) const
@@ -99,6 +98,12 @@
         || (areMinionsKnown_ && std::all_of(minions_.begin(), minions_.end(), [](const auto& entry) { return entry.second->isFenced; }));
 }
 
+bool CellDispatcher::isLookedAt(absl::Time now) const
+{
+    return now >= ownedSince_ + policy_.firstLook
+        || std::all_of(minions_.begin(), minions_.end(), [](const auto& entry) { return entry.second->isFenced; });
+}
+
 bool CellDispatcher::isHoldDue(const LeasedMinion& minion, absl::Time now) const
 {
     if (minion.holdSentAt || !minion.health.mayTry(now))
@@ -139,7 +144,7 @@
     }
     if (failure == OrderFailure::Fenced && !isSuperseded_) {
         isSuperseded_ = true;
-        note("superseded", {}, minion.life().minion, absl::StrCat("epoch=", epoch_.value()));
+        note("superseded", {}, minion.life().minion, absl::StrCat("epoch=", grant_.epoch.value()));
     }
 }
 
@@ -177,7 +182,7 @@
         finish(*earlier, JobEnd::GivenUp, now);
     }
     CellJobPtr job(new CellJob(offer, entry, now, policy_.lateTolerance));
-    job->hasEarlierRuns = !offer.isTakeover && hasRunsOf(offer.job);
+    job->hasEarlierRuns = mayHaveEarlierRuns(*job, now);
     intrusive_ptr_add_ref(job.get());
     jobs_.push_back(*job);
     jobsByKey_[offer.job] = job.get();
@@ -308,6 +313,11 @@
     return (!job.offer().isTakeover || isAllFenced(now)) && !job.hasEarlierRuns;
 }
 
+bool CellDispatcher::mayHaveEarlierRuns(const CellJob& job, absl::Time now) const
+{
+    return !job.offer().isTakeover && (!isLookedAt(now) || hasRunsOf(job.offer().job));
+}
+
 bool CellDispatcher::hasRunsOf(const JobKey& key) const
 {
     return std::any_of(minions_.begin(), minions_.end(), [&](const auto& entry) {
@@ -323,7 +333,7 @@
     std::vector<std::pair<double, CellJob*>> queued;
     for (CellJob& job : jobs_) {
         if (job.hasEarlierRuns)
-            job.hasEarlierRuns = hasRunsOf(job.offer().job);
+            job.hasEarlierRuns = mayHaveEarlierRuns(job, now);
         if (job.queuedCount() > 0 && mayStart(job, now))
             queued.emplace_back(order_.rank(job, now), &job);
     }
@@ -365,7 +375,7 @@
     if (!minion)
         return false;
     Run run;
-    run.id = { job.offer().job, index, RunNumber(epoch_.value() * runsPerEpoch + ++runCounter_) };
+    run.id = { job.offer().job, index, RunNumber(grant_.epoch.value() * runsPerEpoch + ++runCounter_) };
     run.job = &job;
     run.need = job.offer().need;
     run.startedAt = run.progressAt = now;
@@ -734,7 +744,7 @@
 
 CellLoad CellDispatcher::load(absl::Time now) const
 {
-    CellLoad load { cell_, epoch_, 0, 0, 0 };
+    CellLoad load { grant_, 0, 0, 0 };
     for (const auto& [id, minion] : minions_) {
         if (!minion->isUsable(now))
             continue;
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -58,7 +58,7 @@
 /// It is driven by messages, answers and the time, and leaves what is to be done in an outbox.
 class CellDispatcher {
 public:
-    CellDispatcher(CellId, OwnerEpoch, const DispatchPolicy&, const JobOrder&, Random&, absl::Time now);
+    CellDispatcher(const CellGrant&, const DispatchPolicy&, const JobOrder&, Random&, absl::Time now);
     ~CellDispatcher();
     CellDispatcher(const CellDispatcher&) = delete;
     CellDispatcher& operator=(const CellDispatcher&) = delete;
@@ -88,7 +88,7 @@
     size_t jobCount() const { return jobs_.size(); }
     /// Whether nothing runs or waits, and all ends are acknowledged.
     bool isIdle() const;
-    OwnerEpoch epoch() const { return epoch_; }
+    OwnerEpoch epoch() const { return grant_.epoch; }
     /// Whether a minion named a higher epoch: another owner has taken the cell over.
     bool isSuperseded() const { return isSuperseded_; }
 
@@ -120,6 +120,8 @@
     bool placeTask(CellJob&, TaskIndex, absl::Time now);
     LeasedMinion* chooseMinion(const CellJob&, const CellTask&, absl::Time now);
     bool mayStart(const CellJob&, absl::Time now) const;
+    /// Whether runs of an earlier life of a new job may go on here: its caller may have come back with its id.
+    bool mayHaveEarlierRuns(const CellJob&, absl::Time now) const;
     bool hasRunsOf(const JobKey&) const;
 
     // Runs.
@@ -142,11 +144,12 @@
     bool isHoldDue(const LeasedMinion&, absl::Time now) const;
     OrderHeader headerTo(const LeasedMinion&) const;
     bool isAllFenced(absl::Time now) const;
+    /// Whether the first looks were answered, or have had the time for it: what reachable minions run is known.
+    bool isLookedAt(absl::Time now) const;
 
     void note(std::string name, const JobKey&, const MinionId&, std::string detail);
 
-    const CellId cell_;
-    const OwnerEpoch epoch_;
+    const CellGrant grant_;
     const DispatchPolicy& policy_;
     const JobOrder& order_;
     Random& random_;
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -2,11 +2,10 @@
 
 namespace trefoilwing {
 
-CellShard::CellShard(CellId cell, OwnerEpoch epoch, const DispatchPolicy& policy, const JobOrder& order, CellPorts ports)
-    : cell_(std::move(cell))
-    , epoch_(epoch)
+CellShard::CellShard(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, CellPorts ports)
+    : grant_(grant)
     , ports_(ports)
-    , dispatcher_(cell_, epoch, policy, order, ports.random, ports.clock.now())
+    , dispatcher_(grant, policy, order, ports.random, ports.clock.now())
 {
 }
 
@@ -29,11 +28,11 @@
     effects_.add([this, outbox = std::move(outbox)] {
         // Stops go out before the answers that let a caller hand the job in again.
         for (const auto& order : outbox.orders)
-            std::visit([this](const auto& typed) { ports_.minions.send(cell_, typed); }, order);
+            std::visit([this](const auto& typed) { ports_.minions.send(grant_.cell, typed); }, order);
         for (const EntryMessage& message : outbox.messages)
             ports_.peers.send(message.entry, message.ended);
         for (const CellEvent& event : outbox.events)
-            ports_.log.write(Severity::Info, event.name, { { "request", event.requestId }, { "job", event.job.value() }, { "minion", event.minion.value() }, { "cell", cell_.dataCentre.value() }, { "epoch", epoch_.value() }, { "why", event.detail } });
+            ports_.log.write(Severity::Info, event.name, { { "request", event.requestId }, { "job", event.job.value() }, { "minion", event.minion.value() }, { "cell", grant_.cell.dataCentre.value() }, { "epoch", grant_.epoch.value() }, { "why", event.detail } });
     });
 }
 
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -23,7 +23,7 @@
 /// One owned cell as a shard under its own lock.
 class CellShard {
 public:
-    CellShard(CellId, OwnerEpoch, const DispatchPolicy&, const JobOrder&, CellPorts);
+    CellShard(const CellGrant&, const DispatchPolicy&, const JobOrder&, CellPorts);
 
     void minionsKnown(bool areAllKnown);
     void minionReported(const MinionReport&);
@@ -43,16 +43,15 @@
     bool isIdle() const;
     size_t jobCount() const;
     size_t minionCount() const;
-    const CellId& cell() const { return cell_; }
-    OwnerEpoch epoch() const { return epoch_; }
+    const CellId& cell() const { return grant_.cell; }
+    OwnerEpoch epoch() const { return grant_.epoch; }
 
 private:
     template <typename Decide>
     void run(const Decide&);
     void queueEffects(CellOutbox) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
-    const CellId cell_;
-    const OwnerEpoch epoch_;
+    const CellGrant grant_;
     CellPorts ports_;
     mutable absl::Mutex mutex_;
     CellDispatcher dispatcher_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -28,6 +28,9 @@
     absl::Duration stopRepeat = absl::Milliseconds(250);
     /// Runs that an earlier owner started are kept so long for the entries to offer their jobs again.
     absl::Duration adoption = absl::Milliseconds(600);
+    /// A new owner starts nothing before its first looks are answered, but for this long at most: orders
+    /// are given up after 150 ms.
+    absl::Duration firstLook = absl::Milliseconds(200);
     /// After this long without a sign of an earlier owner's runs on an unreachable minion they have ended:
     /// the entries' silence limit and a whole lease.
     absl::Duration takeoverLimit = absl::Milliseconds(1700);
--- a/Tests/Control/OwnerAssignerTest.cpp
+++ b/Tests/Control/OwnerAssignerTest.cpp
@@ -57,10 +57,16 @@
 
 TEST(OwnerAssigner, ASilentOwnerLosesItsCellWithinASecond)
 {
-    now += absl::Seconds(2);
+    hear("home-1", 1, "home");
+    now += absl::Milliseconds(800);
+    hear("home-1", 1, "home");
+    now += absl::Milliseconds(800);
+    hear("home-1", 1, "home");
     hear("home-2", 1, "home");
     grantTo("home-2", 1);
-    now += absl::Milliseconds(900);
+    now += absl::Milliseconds(450);
+    hear("home-1", 1, "home");
+    now += absl::Milliseconds(450);
     hear("home-1", 1, "home");
     STRCMP_EQUAL("home-1", decide().c_str());
 }
@@ -97,11 +103,65 @@
 
 TEST(OwnerAssigner, AnotherDataCentreTakesOverWhereOnlyTheEntryIsGone)
 {
+    grantTo("home-1", 1);
+    for (int i = 0; i < 6; ++i) {
+        now += absl::Milliseconds(500);
+        hear("far-1", 1, "far");
+        hear("home-keeper", 1, "home", false);
+    }
+    STRCMP_EQUAL("far-1", decide().c_str());
+}
+
+// Pattern: a data centre is cut off between two signs of life of its owner and of its keeper.
+TEST(OwnerAssigner, ADataCentreThatFallsSilentAsAWholeKeepsItsCell)
+{
+    for (int i = 0; i < 6; ++i) {
+        now += absl::Milliseconds(250);
+        hear("home-1", 1, "home");
+        hear("far-1", 1, "far");
+        hear("home-keeper", 1, "home", false);
+    }
+    grantTo("home-1", 1);
+    now += absl::Milliseconds(240);
+    hear("home-keeper", 1, "home", false);
+    for (int i = 0; i < 12; ++i) {
+        now += absl::Milliseconds(100);
+        hear("far-1", 1, "far");
+        STRCMP_EQUAL("none", decide().c_str());
+    }
+}
+
+// Pattern: a cut heals, and the data centre's keeper is heard a moment before its entries.
+TEST(OwnerAssigner, ACellWhoseDataCentreComesBackWaitsForItsOwner)
+{
+    hear("home-1", 1, "home");
+    hear("home-keeper", 1, "home", false);
     grantTo("home-1", 1);
     now += absl::Seconds(3);
     hear("far-1", 1, "far");
     hear("home-keeper", 1, "home", false);
-    STRCMP_EQUAL("far-1", decide().c_str());
+    STRCMP_EQUAL("none", decide().c_str());
+    now += absl::Milliseconds(500);
+    hear("far-1", 1, "far");
+    hear("home-keeper", 1, "home", false);
+    STRCMP_EQUAL("none", decide().c_str());
+    now += absl::Milliseconds(500);
+    hear("far-1", 1, "far");
+    hear("home-keeper", 1, "home", false);
+    hear("home-1", 1, "home");
+    now += absl::Milliseconds(500);
+    hear("far-1", 1, "far");
+    hear("home-keeper", 1, "home", false);
+    STRCMP_EQUAL("none", decide().c_str());
+}
+
+TEST(OwnerAssigner, AnOwnerThatComesBackUnderAnotherRunIsReplacedThoughItsDataCentreJustCameBack)
+{
+    hear("home-1", 1, "home");
+    grantTo("home-1", 1);
+    now += absl::Seconds(3);
+    hear("home-1", 2, "home");
+    STRCMP_EQUAL("home-1", decide().c_str());
 }
 
 TEST(OwnerAssigner, AReturnedEntryTakesItsDataCentresCellBackOnlyAfterAWhile)
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -24,7 +24,7 @@
 
     void load(const std::string& dataCentre, uint64_t epoch, int64_t free, int64_t queued)
     {
-        chooser.loadHeard({ cell(dataCentre), OwnerEpoch(epoch), 100000, free, queued }, now);
+        chooser.loadHeard({ { cell(dataCentre), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(epoch) }, 100000, free, queued }, now);
     }
 
     std::string choose()
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -48,7 +48,7 @@
     registry.reported(minion("b"));
     exchange(view, 1);
     LONGS_EQUAL(2, view.minionsOf(cell).size());
-    CHECK(view.isComplete());
+    CHECK(view.isComplete(now));
 }
 
 // Pattern: entries that are restarted one after the other. News for the run before reached the new run, which then
@@ -65,11 +65,37 @@
 
     FleetView restarted { { keeperId } };
     restarted.receive(keeperId, forEarlierRun.front().second, now);
-    CHECK_FALSE(restarted.isComplete());
+    CHECK_FALSE(restarted.isComplete(now));
     now += absl::Seconds(2);
     exchange(restarted, 2);
     LONGS_EQUAL(2, restarted.minionsOf(cell).size());
-    CHECK(restarted.isComplete());
+    CHECK(restarted.isComplete(now));
+}
+
+// Pattern: minions are replaced while their data centre is cut off, and then its cell gets another owner.
+TEST(FleetView, AKeeperThatFellSilentMayKnowMoreMinions)
+{
+    registry.reported(minion("a"));
+    exchange(view, 1);
+    CHECK(view.isComplete(now));
+    now += absl::Seconds(5);
+    CHECK_FALSE(view.isComplete(now));
+    registry.reported(minion("b"));
+    exchange(view, 1);
+    CHECK(view.isComplete(now));
+    LONGS_EQUAL(2, view.minionsOf(cell).size());
+}
+
+TEST(FleetView, AGrantToldByItsOwnerCountsUntilANewerOneComes)
+{
+    const CellGrant older { cell, { DaemonId("10.0.0.7"), Incarnation(1) }, OwnerEpoch(5) };
+    const CellGrant newer { cell, { DaemonId("10.0.0.8"), Incarnation(1) }, OwnerEpoch(6) };
+    CHECK(view.granted(newer));
+    FleetNews news;
+    news.keeper = Incarnation(3);
+    news.grants = { older };
+    LONGS_EQUAL(0, view.receive(keeperId, news, now).grants.size());
+    CHECK_FALSE(view.granted(newer));
 }
 
 TEST(FleetView, AnOlderReportFromAnotherKeeperChangesNothing)
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -10,7 +10,7 @@
 } // namespace
 
 CellFixture::CellFixture(uint64_t epoch)
-    : cell_(cellId, OwnerEpoch(epoch), policy_, order_, random_, now_)
+    : cell_({ cellId, { entry, Incarnation(1) }, OwnerEpoch(epoch) }, policy_, order_, random_, now_)
 {
     cell_.minionsKnown(true);
 }
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -63,6 +63,31 @@
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
 
+// Pattern: a caller comes back with the id of a job that an earlier owner began, before the new one has seen its runs.
+TEST(Takeover, AJobThatComesAgainWaitsForTheFirstLooks)
+{
+    fixture.addMinion("m1");
+    fixture.reportMinion("m2");
+    fixture.offer("job", 1);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.answerHold("m2", { { CellFixture::runId("job", 0, 77), 10 } });
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.pass(absl::Milliseconds(60));
+    fixture.answerHold("m2", {}, { { 1, CellFixture::runId("job", 0, 77), RunEnd::Stopped } });
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
+TEST(Takeover, AMinionThatDoesntAnswerHoldsNewJobsUpOnlyForAMoment)
+{
+    fixture.addMinion("m1");
+    fixture.reportMinion("m2");
+    fixture.offer("job", 1);
+    fixture.pass(absl::Milliseconds(160));
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.pass(absl::Milliseconds(60));
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
 TEST(Takeover, AfterTheLongestLeaseTheMissingMinionsRunNothingAnyMore)
 {
     fixture.cell().minionsKnown(false);
