Sleep by the steady clock and read the time of day from the kernel

Its log lines jumped back by 0.5 s in one batch, on all entries within the same second. absl::Now() carries the time on from the processor's cycle counter between looks at the kernel's clock, and absl::CondVar sleeps until a time of day computed from it: where the counter and the clock don't run evenly (an emulated or frozen VM, a step of the clock) a pump that should sleep 30 ms slept up to a second. Signs of life, loads and looks at minions came late with it.

Ruled out: a lost connection (none in the log), a busy HTTP thread (it wrote lines all the while), followers' slower signs of life (the keeper led).

WorkSignal now waits by std::condition_variable::wait_for, which goes by the steady clock; pumps are told how long to sleep instead of until when; SystemClock and the log use clock_gettime. Entries wake in time for their signs of life instead of every 200 ms (400 ms between two of them).

--- a/Source/Adapters/Clock/SystemClock.cpp
+++ b/Source/Adapters/Clock/SystemClock.cpp
@@ -1,12 +1,14 @@
 #include "Adapters/Clock/SystemClock.h"
 
-#include <absl/time/clock.h>
+#include <ctime>
 
 namespace trefoilwing {
 
 absl::Time SystemClock::now() const
 {
-    return absl::Now();
+    timespec time {};
+    ::clock_gettime(CLOCK_REALTIME, &time);
+    return absl::TimeFromTimespec(time);
 }
 
 } // namespace trefoilwing
--- a/Source/Adapters/LineLog/LineLog.cpp
+++ b/Source/Adapters/LineLog/LineLog.cpp
@@ -1,7 +1,5 @@
 #include "Adapters/LineLog/LineLog.h"
 
-#include <absl/time/clock.h>
-
 #include <array>
 #include <cerrno>
 #include <unistd.h>
@@ -18,9 +16,10 @@
 
 } // namespace
 
-LineLog::LineLog(std::string node, int descriptor)
+LineLog::LineLog(std::string node, int descriptor, const Clock& clock)
     : node_(std::move(node))
     , descriptor_(descriptor)
+    , clock_(clock)
     , thread_([this] { run(); })
 {
 }
@@ -32,12 +31,13 @@
         isStopping_ = true;
         changed_.Signal();
     }
+    ending_.raise();
     thread_.join();
 }
 
 void LineLog::write(Severity severity, std::string_view event, std::initializer_list<LogField> fields)
 {
-    Line line { absl::ToUnixMillis(absl::Now()), severity, formatEvent(event, fields) };
+    Line line { absl::ToUnixMillis(clock_.now()), severity, formatEvent(event, fields) };
     MutexLock lock(mutex_);
     if (lines_.size() >= maxQueued) {
         ++dropped_;
@@ -64,8 +64,10 @@
             MutexLock lock(mutex_);
             while (lines_.empty() && !isStopping_)
                 changed_.Wait(&mutex_);
-            if (!isStopping_)
-                changed_.WaitWithTimeout(&mutex_, batchTime);
+        }
+        ending_.wait(batchTime);
+        {
+            MutexLock lock(mutex_);
             lines = std::exchange(lines_, {});
             dropped = dropped_ - droppedTold_;
             isLast = isStopping_;
@@ -75,7 +77,7 @@
             text += format(line);
         if (dropped > 0) {
             droppedTold_ += dropped;
-            text += format({ absl::ToUnixMillis(absl::Now()), Severity::Warning, formatEvent("log_lines_dropped", { { "lines", dropped } }) });
+            text += format({ absl::ToUnixMillis(clock_.now()), Severity::Warning, formatEvent("log_lines_dropped", { { "lines", dropped } }) });
         }
         writeAll(text);
     }
--- a/Source/Adapters/LineLog/LineLog.h
+++ b/Source/Adapters/LineLog/LineLog.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "Base/MutexLock.h"
+#include "Base/WorkSignal.h"
+#include "Ports/Clock.h"
 #include "Ports/EventLog.h"
 
 #include <string>
@@ -19,7 +21,8 @@
 
     /// @param node names this process in each line.
     /// @param descriptor where the lines go.
-    LineLog(std::string node, int descriptor);
+    /// @param clock the time of day; outlives the log.
+    LineLog(std::string node, int descriptor, const Clock& clock);
     /// Writes what waits.
     ~LineLog() override;
     LineLog(const LineLog&) = delete;
@@ -43,12 +46,15 @@
 
     const std::string node_;
     const int descriptor_;
+    const Clock& clock_;
     mutable absl::Mutex mutex_;
     absl::CondVar changed_;
     std::vector<Line> lines_ ABSL_GUARDED_BY(mutex_);
     uint64_t dropped_ ABSL_GUARDED_BY(mutex_) = 0;
     uint64_t droppedTold_ = 0;
     bool isStopping_ ABSL_GUARDED_BY(mutex_) = false;
+    /// Ends the wait for more lines of a batch.
+    WorkSignal ending_;
     std::thread thread_;
 };
 
--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -60,36 +60,48 @@
     return best;
 }
 
-std::vector<GrantRecord> OwnerAssigner::decide(const FleetRegistry& registry, const std::map<CellId, CellGrant>& grants, absl::Time now)
+std::optional<GrantReason> OwnerAssigner::reasonToMove(const FleetRegistry& registry, const CellGrant& grant, const HeardDaemon& candidate, absl::Time now) const
 {
-    std::vector<GrantRecord> proposals;
+    const auto found = registry.daemons().find(grant.owner.daemon);
+    const HeardDaemon* owner = found == registry.daemons().end() ? nullptr : &found->second;
+    if (owner && isHeard(*owner, now)) {
+        // What the owner says itself needs no second look.
+        if (owner->note.run != grant.owner)
+            return GrantReason::OwnerRestarted;
+        if (owner->note.isDraining)
+            return GrantReason::OwnerDrains;
+        const bool isWayHome = owner->note.dataCentre != grant.cell.dataCentre && candidate.note.dataCentre == grant.cell.dataCentre;
+        if (isWayHome && now > candidate.since + settledAfter && now >= leadingSince_ + leaderGrace)
+            return GrantReason::GoesHome;
+        return std::nullopt;
+    }
+    const absl::Time lastSign = owner ? owner->heardAt : absl::InfinitePast();
+    if (now >= leadingSince_ + leaderGrace && isDataCentreInTouch(registry, grant.cell.dataCentre, lastSign + outlivedBy, now))
+        return GrantReason::OwnerSilent;
+    return std::nullopt;
+}
+
+std::vector<GrantProposal> OwnerAssigner::decide(const FleetRegistry& registry, const std::map<CellId, CellGrant>& grants, absl::Time now)
+{
+    std::vector<GrantProposal> proposals;
     for (const CellId& cell : registry.cells()) {
-        const auto grant = grants.find(cell);
-        const bool isGranted = grant != grants.end();
         if (const auto proposed = proposedAt_.find(cell); proposed != proposedAt_.end() && now < proposed->second + proposalRepeat)
             continue;
         const HeardDaemon* candidate = chooseOwner(registry, cell, grants, now);
         if (!candidate)
             continue;
-        if (isGranted) {
-            const auto owner = registry.daemons().find(grant->second.owner.daemon);
-            const bool isOwnerHeard = owner != registry.daemons().end() && isHeard(owner->second, now)
-                && owner->second.note.run == grant->second.owner && !owner->second.note.isDraining;
-            const bool isMoveHome = isOwnerHeard && owner->second.note.dataCentre != cell.dataCentre
-                && candidate->note.dataCentre == cell.dataCentre && now > candidate->since + settledAfter;
-            if (isOwnerHeard && !isMoveHome)
-                continue;
-            // An owner that is heard under another run, or says that it leaves, is gone for certain.
-            const bool isSurelyGone = owner != registry.daemons().end() && isHeard(owner->second, now)
-                && (owner->second.note.run != grant->second.owner || owner->second.note.isDraining);
-            if (!isSurelyGone && now < leadingSince_ + leaderGrace)
-                continue;
-            const absl::Time lastSign = owner == registry.daemons().end() ? absl::InfinitePast() : owner->second.heardAt;
-            if (!isOwnerHeard && !isSurelyGone && !isDataCentreInTouch(registry, cell.dataCentre, lastSign + outlivedBy, now))
+        GrantProposal proposal { { cell, candidate->note.run, OwnerEpoch(0) }, GrantReason::Unowned, absl::ZeroDuration() };
+        if (const auto grant = grants.find(cell); grant != grants.end()) {
+            const std::optional<GrantReason> reason = reasonToMove(registry, grant->second, *candidate, now);
+            if (!reason)
                 continue;
+            proposal.record.previous = grant->second.epoch;
+            proposal.reason = *reason;
+            const auto owner = registry.daemons().find(grant->second.owner.daemon);
+            proposal.ownerSilence = owner == registry.daemons().end() ? absl::InfiniteDuration() : now - owner->second.heardAt;
         }
         proposedAt_[cell] = now;
-        proposals.push_back({ cell, candidate->note.run, isGranted ? grant->second.epoch : OwnerEpoch(0) });
+        proposals.push_back(proposal);
     }
     return proposals;
 }
--- a/Source/Control/OwnerAssigner.h
+++ b/Source/Control/OwnerAssigner.h
@@ -6,10 +6,29 @@
 #include <absl/time/time.h>
 
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace trefoilwing {
 
+enum class GrantReason {
+    Unowned,
+    OwnerSilent,
+    /// The owner's daemon is heard under another run.
+    OwnerRestarted,
+    OwnerDrains,
+    /// An entry of the cell's own data centre is back.
+    GoesHome,
+};
+
+/// A grant to propose to the log, and what led to it.
+struct GrantProposal {
+    GrantRecord record;
+    GrantReason reason = GrantReason::Unowned;
+    /// Since the present owner's last sign of life; infinite if none is known.
+    absl::Duration ownerSilence;
+};
+
 /// Decides, at the leading keeper, which entry owns each cell.
 ///
 /// A cell keeps its owner as long as that is heard. A data centre of which nothing at all is heard is cut
@@ -21,12 +40,14 @@
     void beganLeading(absl::Time now) { leadingSince_ = now; }
 
     /// @return the grants to propose now.
-    std::vector<GrantRecord> decide(const FleetRegistry&, const std::map<CellId, CellGrant>&, absl::Time now);
+    std::vector<GrantProposal> decide(const FleetRegistry&, const std::map<CellId, CellGrant>&, absl::Time now);
 
 private:
     bool isHeard(const HeardDaemon&, absl::Time now) const;
     /// Whether a daemon of the data centre has been heard since the time given, and for a while without a gap.
     bool isDataCentreInTouch(const FleetRegistry&, const DataCentreId&, absl::Time since, absl::Time now) const;
+    /// @return why the cell should go to the candidate, if it should.
+    std::optional<GrantReason> reasonToMove(const FleetRegistry&, const CellGrant&, const HeardDaemon& candidate, absl::Time now) const;
     const HeardDaemon* chooseOwner(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>&, absl::Time now) const;
 
     absl::Time leadingSince_ = absl::InfinitePast();
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -15,8 +15,6 @@
     /// How often what is due is looked for while there are jobs; deadlines and leases are tens of milliseconds
     /// at the least.
     constexpr absl::Duration pumpInterval = absl::Milliseconds(30);
-    /// And while there are none.
-    constexpr absl::Duration idleInterval = absl::Milliseconds(200);
     /// Signs of life to the leading keeper and the owners; several fit into the silence that counts as the end.
     constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
     /// Signs of life to the other keepers come with every so many of these.
@@ -107,7 +105,7 @@
     isDraining_ = true;
     callers_.drain();
     wake();
-    const absl::Time begin = absl::Now();
+    const absl::Time begin = link_.clock().now();
     log_.write(Severity::Info, "draining", { { "open_jobs", uint64_t { desk_.openCount() } } });
     auto isBusy = [this] {
         size_t jobs = desk_.openCount();
@@ -118,7 +116,7 @@
     absl::SleepFor(shortestDrain);
     // Callers that still come by a connection of theirs are sent elsewhere, as their jobs might not end in time.
     refusesJobs_ = true;
-    while (isBusy() && absl::Now() < begin + longestDrain)
+    while (isBusy() && link_.clock().now() < begin + longestDrain)
         absl::SleepFor(drainPoll);
     desk_.giveUpAll();
     absl::SleepFor(drainPoll);
@@ -416,7 +414,7 @@
     }
     const bool isIdle = desk_.openCount() == 0 && std::all_of(cells.begin(), cells.end(), [](const CellPtr& cell) { return cell->isIdle(); });
     isIdle_ = isIdle;
-    return now + (isIdle ? idleInterval : pumpInterval);
+    return isIdle ? pulseDue_ : std::min(now + pumpInterval, pulseDue_);
 }
 
 void FleetEntry::wakeFromIdle()
@@ -425,11 +423,6 @@
         signal_.raise();
 }
 
-void FleetEntry::waitForWork(absl::Time until)
-{
-    signal_.wait(absl::Now() + (until - link_.clock().now()));
-}
-
 void FleetEntry::pulse(absl::Time)
 {
     std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -5,7 +5,7 @@
 #include "Daemon/FleetDaemon.h"
 #include "Daemon/FleetLink.h"
 #include "Daemon/PumpThread.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 #include "Intake/CellChooser.h"
 #include "Intake/FleetView.h"
 #include "Intake/JobDesk.h"
@@ -60,7 +60,7 @@
     void answered(const CellId&, const HoldResult&) override;
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override;
+    void waitForWork(absl::Duration longest) override { signal_.wait(longest); }
     void wake() override { signal_.raise(); }
 
     void wakeFromIdle();
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -5,6 +5,9 @@
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
+#include <algorithm>
+#include <array>
+
 namespace trefoilwing {
 
 namespace {
@@ -36,6 +39,15 @@
 
     const GroupId fleetGroup("fleet");
 
+    /// Silences are logged up to this; longer ones have no figure of use.
+    constexpr absl::Duration daemonSilenceLogged = absl::Hours(1);
+
+    std::string_view reasonName(GrantReason reason)
+    {
+        static constexpr std::array<std::string_view, 5> names { "unowned", "owner_silent", "owner_restarted", "owner_drains", "goes_home" };
+        return names.at(static_cast<size_t>(reason));
+    }
+
 } // namespace
 
 Result<std::unique_ptr<FleetKeeper>> FleetKeeper::create(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
@@ -259,11 +271,6 @@
     return std::min(now + pumpInterval, group_->nextWakeup());
 }
 
-void FleetKeeper::waitForWork(absl::Time until)
-{
-    signal_.wait(absl::Now() + (until - link_.clock().now()));
-}
-
 void FleetKeeper::noteRole()
 {
     const GroupState state = group_->status();
@@ -303,14 +310,15 @@
 
 void FleetKeeper::assignOwners(absl::Time now)
 {
-    std::vector<GrantRecord> proposals;
+    std::vector<GrantProposal> proposals;
     {
         MutexLock lock(mutex_);
         proposals = assigner_.decide(registry_, grants_, now);
     }
-    for (const GrantRecord& proposal : proposals) {
-        log_.write(Severity::Info, "grant_proposed", { { "service", proposal.cell.service.value() }, { "cell", proposal.cell.dataCentre.value() }, { "owner", proposal.owner.daemon.value() }, { "previous_epoch", proposal.previous.value() } });
-        group_->grant(proposal);
+    for (const GrantProposal& proposal : proposals) {
+        const GrantRecord& record = proposal.record;
+        log_.write(Severity::Info, "grant_proposed", { { "service", record.cell.service.value() }, { "cell", record.cell.dataCentre.value() }, { "owner", record.owner.daemon.value() }, { "previous_epoch", record.previous.value() }, { "reason", std::string(reasonName(proposal.reason)) }, { "owner_silent_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(std::min(proposal.ownerSilence, daemonSilenceLogged))) } });
+        group_->grant(record);
     }
 }
 
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -10,7 +10,7 @@
 #include "Daemon/FleetDaemon.h"
 #include "Daemon/FleetLink.h"
 #include "Daemon/PumpThread.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 #include "Intake/FleetView.h"
 #include "Ports/FleetOperations.h"
 #include "Ports/RoutingReader.h"
@@ -48,7 +48,7 @@
     void receive(const DaemonId& from, const FleetNews&);
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override;
+    void waitForWork(absl::Duration longest) override { signal_.wait(longest); }
     void wake() override { signal_.raise(); }
 
     void stateChanged(const FleetState&);
--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -1,6 +1,6 @@
 #include "Daemon/FleetLink.h"
 
-#include <absl/time/clock.h>
+#include "Adapters/Clock/SystemClock.h"
 
 namespace trefoilwing {
 
@@ -23,7 +23,7 @@
 
     Incarnation nextIncarnation()
     {
-        return Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(absl::Now())));
+        return Incarnation(static_cast<uint64_t>(absl::ToUnixMicros(SystemClock().now())));
     }
 
 } // namespace
--- a/Source/Daemon/FleetMain.cpp
+++ b/Source/Daemon/FleetMain.cpp
@@ -92,8 +92,8 @@
     // Debian's Abseil looks for cycles of locks at each lock; the tests do that, a serving process needn't.
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
     const sigset_t signals = blockSignals();
-    LineLog log(settings.node, STDOUT_FILENO);
     const SystemClock clock;
+    LineLog log(settings.node, STDOUT_FILENO, clock);
     HistogramMetrics metrics(clock);
     const platform::RoutingCodec reader;
     const Result<std::unique_ptr<FleetDaemon>> made = makeDaemon(settings, reader, log, metrics);
--- a/Source/Daemon/GroupPump.cpp
+++ b/Source/Daemon/GroupPump.cpp
@@ -1,7 +1,5 @@
 #include "Daemon/GroupPump.h"
 
-#include <absl/time/clock.h>
-
 #include <algorithm>
 
 namespace trefoilwing {
@@ -13,9 +11,9 @@
     return group_.nextWakeup();
 }
 
-void GroupPump::waitForWork(absl::Time until)
+void GroupPump::waitForWork(absl::Duration longest)
 {
-    signal_.wait(std::min(until, absl::Now() + longestSleep));
+    signal_.wait(std::min(longest, longestSleep));
 }
 
 } // namespace trefoilwing
--- a/Source/Daemon/GroupPump.h
+++ b/Source/Daemon/GroupPump.h
@@ -2,7 +2,7 @@
 
 #include "Control/ReplicatedGroup.h"
 #include "Dispatch/Pumped.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 
 namespace trefoilwing {
 
@@ -15,7 +15,7 @@
     }
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override;
+    void waitForWork(absl::Duration longest) override;
     void wake() override { signal_.raise(); }
 
 private:
--- a/Source/Daemon/MembershipRole.cpp
+++ b/Source/Daemon/MembershipRole.cpp
@@ -1,6 +1,5 @@
 #include "Daemon/MembershipRole.h"
 
-#include <absl/time/clock.h>
 
 #include <algorithm>
 
@@ -171,7 +170,7 @@
     return membership_.runOf(run.daemon) == run;
 }
 
-absl::Time MembershipRole::pump(absl::Time)
+absl::Time MembershipRole::pump(absl::Time pumpTime)
 {
     Decided decided;
     absl::Duration sleep;
@@ -193,8 +192,8 @@
         deliver(event);
     if (decided.brokersMoved)
         events_.brokersMoved();
-    // The pump's thread sleeps by the time of day, which only a step of that clock can lengthen.
-    return absl::Now() + std::max(sleep, absl::ZeroDuration());
+    // The pump's thread may go by another clock than the membership.
+    return pumpTime + std::max(sleep, absl::ZeroDuration());
 }
 
 MembershipRole::Decided MembershipRole::takeDecided()
--- a/Source/Daemon/MembershipRole.h
+++ b/Source/Daemon/MembershipRole.h
@@ -6,7 +6,7 @@
 #include "Control/Membership.h"
 #include "Control/MinionRegistry.h"
 #include "Dispatch/Pumped.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 #include "Model/MembershipMessages.h"
 #include "Model/OperatorMessages.h"
 #include "Model/Settings.h"
@@ -70,7 +70,7 @@
     bool isAlive(const DaemonRun&) const override;
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override { signal_.wait(until); }
+    void waitForWork(absl::Duration longest) override { signal_.wait(longest); }
     void wake() override { signal_.raise(); }
 
 private:
--- a/Source/Daemon/PumpThread.cpp
+++ b/Source/Daemon/PumpThread.cpp
@@ -25,8 +25,10 @@
 
 void PumpThread::run()
 {
-    while (!isStopping_)
-        pumped_.waitForWork(pumped_.pump(clock_.now()));
+    while (!isStopping_) {
+        const absl::Time due = pumped_.pump(clock_.now());
+        pumped_.waitForWork(due - clock_.now());
+    }
     pumped_.pump(clock_.now());
 }
 
--- a/Source/Dispatch/BrokerShard.h
+++ b/Source/Dispatch/BrokerShard.h
@@ -3,7 +3,7 @@
 #include "Base/MutexLock.h"
 #include "Dispatch/BrokerHost.h"
 #include "Dispatch/Pumped.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 #include "Ports/PeerLink.h"
 
 namespace trefoilwing {
@@ -21,7 +21,7 @@
     void entryUpdated(const BrokerUpdate&, absl::Time now);
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override { signal_.wait(until); }
+    void waitForWork(absl::Duration longest) override { signal_.wait(longest); }
     void wake() override { signal_.raise(); }
 
 private:
--- a/Source/Dispatch/DispatchShard.h
+++ b/Source/Dispatch/DispatchShard.h
@@ -4,7 +4,7 @@
 #include "Dispatch/BrokerClient.h"
 #include "Dispatch/Pumped.h"
 #include "Dispatch/ServiceDispatcher.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 #include "Model/MinionBatches.h"
 #include "Model/OperatorMessages.h"
 #include "Ports/Metrics.h"
@@ -52,7 +52,7 @@
     std::vector<QueueStatus> queues() const;
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override { signal_.wait(until); }
+    void waitForWork(absl::Duration longest) override { signal_.wait(longest); }
     void wake() override { signal_.raise(); }
 
 private:
--- a/Source/Dispatch/Pumped.h
+++ b/Source/Dispatch/Pumped.h
@@ -15,8 +15,8 @@
     /// @return when it is next due without a new event.
     virtual absl::Time pump(absl::Time now) = 0;
 
-    /// Sleeps until there is something to deliver, the time has come, or wake() was called.
-    virtual void waitForWork(absl::Time until) = 0;
+    /// Sleeps until there is something to deliver, wake() was called, or the time given is over.
+    virtual void waitForWork(absl::Duration longest) = 0;
     virtual void wake() = 0;
 };
 
--- a/Source/Dispatch/SubmissionDesk.h
+++ b/Source/Dispatch/SubmissionDesk.h
@@ -4,7 +4,7 @@
 #include "Dispatch/ForwardTable.h"
 #include "Dispatch/Pumped.h"
 #include "Dispatch/SubmissionTable.h"
-#include "Dispatch/WorkSignal.h"
+#include "Base/WorkSignal.h"
 #include "Ports/CallerDesk.h"
 #include "Ports/Clock.h"
 #include "Ports/DaemonDirectory.h"
@@ -56,7 +56,7 @@
     size_t untoldCount() const;
 
     absl::Time pump(absl::Time now) override;
-    void waitForWork(absl::Time until) override { signal_.wait(until); }
+    void waitForWork(absl::Duration longest) override { signal_.wait(longest); }
     void wake() override { signal_.raise(); }
 
 private:
--- a/Tests/Control/OwnerAssignerTest.cpp
+++ b/Tests/Control/OwnerAssignerTest.cpp
@@ -32,8 +32,8 @@
     /// @return the daemon that the cell is to be granted, or "none".
     std::string decide()
     {
-        const std::vector<GrantRecord> records = assigner.decide(registry, grants, now);
-        return records.empty() ? "none" : records.front().owner.daemon.value();
+        const std::vector<GrantProposal> proposals = assigner.decide(registry, grants, now);
+        return proposals.empty() ? "none" : proposals.front().record.owner.daemon.value();
     }
 };
 
