--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -12,12 +12,13 @@
     {
         WireOptions options;
         options.maxQueueAge = absl::Seconds(1);
-        options.handshakeTimeout = absl::Milliseconds(500);
+        // A first packet to a VM that is just starting is lost, and the kernel would send it again after 1 s.
+        options.handshakeTimeout = absl::Milliseconds(200);
         options.sendTimeout = absl::Milliseconds(600);
         options.pingInterval = absl::Milliseconds(1000);
         options.receiveTimeout = absl::Milliseconds(3000);
         options.firstBackoff = absl::Milliseconds(50);
-        options.maxBackoff = absl::Milliseconds(300);
+        options.maxBackoff = absl::Milliseconds(150);
         return options;
     }
 
