Let long tasks wait for minions that end them in time

A free slow minion was taken although a fast one would have come free in time.

MinionChooser (split from CellDispatcher) takes a minion that is expected to end the task in time; if only slower ones are free, the task waits where a busy one is expected to have room soon enough. With less than a quarter of the room free, tasks take the slowest minion that is in time. Speeds are averaged over the first runs instead of moving from 1 by a tenth each.

--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -43,6 +43,7 @@
     , order_(order)
     , random_(random)
     , ownedSince_(now)
+    , chooser_(policy)
 {
 }
 
@@ -349,29 +350,10 @@
     }
 }
 
-LeasedMinion* CellDispatcher::chooseMinion(const CellJob& job, const CellTask& task, absl::Time now)
-{
-    LeasedMinion* best = nullptr;
-    absl::Duration bestTime = absl::InfiniteDuration();
-    for (const auto& [id, minion] : minions_) {
-        if (!minion->free().holds(job.offer().need) || !minion->isUsable(now))
-            continue;
-        absl::Duration time = minion->expectedTime(job.offer().estimate);
-        // The minion that failed the task is the last choice.
-        if (id == task.avoided)
-            time += policy_.longestEjection;
-        if (time < bestTime) {
-            best = minion.get();
-            bestTime = time;
-        }
-    }
-    return best;
-}
-
 bool CellDispatcher::placeTask(CellJob& job, TaskIndex index, absl::Time now)
 {
     CellTask& task = job.task(index);
-    LeasedMinion* minion = chooseMinion(job, task, now);
+    LeasedMinion* minion = chooser_.choose(minions_, job, task, now);
     if (!minion)
         return false;
     Run run;
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -3,7 +3,7 @@
 #include "Model/FleetMessages.h"
 #include "Placement/DispatchPolicy.h"
 #include "Placement/JobOrder.h"
-#include "Placement/LeasedMinion.h"
+#include "Placement/MinionChooser.h"
 #include "Ports/Random.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -118,7 +118,6 @@
     // Placing.
     void place(absl::Time now);
     bool placeTask(CellJob&, TaskIndex, absl::Time now);
-    LeasedMinion* chooseMinion(const CellJob&, const CellTask&, absl::Time now);
     bool mayStart(const CellJob&, absl::Time now) const;
     /// Whether runs of an earlier life of a new job may go on here: its caller may have come back with its id.
     bool mayHaveEarlierRuns(const CellJob&, absl::Time now) const;
@@ -157,8 +156,8 @@
     bool isSuperseded_ = false;
     bool areMinionsKnown_ = false;
     uint64_t runCounter_ = 0;
-    /// By id: one life of a minion at a time.
-    std::map<MinionId, std::unique_ptr<LeasedMinion>> minions_;
+    MinionTable minions_;
+    const MinionChooser chooser_;
     /// In the order of their coming. The list holds one count of each.
     JobList jobs_;
     absl::flat_hash_map<JobKey, CellJob*> jobsByKey_;
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -51,6 +51,11 @@
     double lateTolerance = 0.3;
     /// The weight of the newest run time in a minion's learned speed.
     double speedWeight = 0.1;
+    /// A task counts as in time on a minion if its expected run time and this share more fit before it is late:
+    /// learned speeds are right to about a tenth.
+    double speedMargin = 0.1;
+    /// With this share of the cell's room free, tasks go to the fastest minion.
+    double ampleShare = 0.25;
     /// Jobs looked at in one round of placing.
     size_t maxLooked = 64;
 };
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -65,13 +65,24 @@
     runs_.erase(found);
 }
 
+absl::Time LeasedMinion::nextEndExpected(absl::Time now) const
+{
+    absl::Time next = runs_.empty() ? now : absl::InfiniteFuture();
+    for (const auto& [id, run] : runs_) {
+        if (run.job)
+            next = std::min(next, std::max(now, run.startedAt + expectedTime(run.job->offer().estimate)));
+    }
+    return next;
+}
+
 void LeasedMinion::noteRunTime(absl::Duration estimate, absl::Duration taken)
 {
     if (estimate <= absl::ZeroDuration())
         return;
     const double ratio = std::clamp(absl::FDivDuration(taken, estimate), 1 / maxRatio, maxRatio);
-    // The mean of logarithms, so that twice as slow and twice as fast weigh the same.
-    slowness_ = std::exp((1 - policy_.speedWeight) * std::log(slowness_) + policy_.speedWeight * std::log(ratio));
+    // The first run times are averaged; the mean of logarithms lets twice as slow and twice as fast weigh the same.
+    const double weight = std::max(policy_.speedWeight, 1.0 / static_cast<double>(++runTimesNoted_ + 1));
+    slowness_ = std::exp((1 - weight) * std::log(slowness_) + weight * std::log(ratio));
 }
 
 } // namespace trefoilwing
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -74,6 +74,10 @@
     void noteRunTime(absl::Duration estimate, absl::Duration taken);
     /// @return the run time to expect of a task here.
     absl::Duration expectedTime(absl::Duration estimate) const { return estimate * slowness_; }
+    /// @return the run times here over the callers' estimates.
+    double slowness() const { return slowness_; }
+    /// @return when the first of its runs is expected to end; now if nothing runs.
+    absl::Time nextEndExpected(absl::Time now) const;
 
     MinionHealth health;
     /// Whether a look under this owner's epoch was answered, so that earlier owners are fenced.
@@ -97,6 +101,7 @@
     absl::Time leaseOverAt_ = absl::InfinitePast();
     /// The run times here over the estimates, as a moving average.
     double slowness_ = 1;
+    uint64_t runTimesNoted_ = 0;
 };
 
 } // namespace trefoilwing
--- /dev/null
+++ b/Source/Placement/MinionChooser.cpp
@@ -0,0 +1,58 @@
+#include "Placement/MinionChooser.h"
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+absl::Time MinionChooser::endWithMargin(const LeasedMinion& minion, const CellJob& job, absl::Time start) const
+{
+    return start + minion.expectedTime(job.offer().estimate) * (1 + policy_.speedMargin);
+}
+
+bool MinionChooser::isRoomAmple(const MinionTable& minions, absl::Time now) const
+{
+    int64_t total = 0;
+    int64_t free = 0;
+    for (const auto& [id, minion] : minions) {
+        if (!minion->isUsable(now))
+            continue;
+        total += minion->report().capacity.milliCores;
+        free += minion->free().milliCores;
+    }
+    return static_cast<double>(free) >= policy_.ampleShare * static_cast<double>(total);
+}
+
+bool MinionChooser::isWaitWorthwhile(const MinionTable& minions, const CellJob& job, const CellTask& task, absl::Time now) const
+{
+    return std::any_of(minions.begin(), minions.end(), [&](const auto& entry) {
+        const LeasedMinion& minion = *entry.second;
+        return entry.first != task.avoided && minion.isUsable(now) && minion.report().capacity.holds(job.offer().need)
+            && endWithMargin(minion, job, minion.nextEndExpected(now)) <= job.lateAt();
+    });
+}
+
+LeasedMinion* MinionChooser::choose(const MinionTable& minions, const CellJob& job, const CellTask& task, absl::Time now) const
+{
+    LeasedMinion* fastest = nullptr;
+    LeasedMinion* slowestInTime = nullptr;
+    LeasedMinion* avoided = nullptr;
+    for (const auto& [id, minion] : minions) {
+        if (!minion->free().holds(job.offer().need) || !minion->isUsable(now))
+            continue;
+        if (id == task.avoided) {
+            avoided = minion.get();
+            continue;
+        }
+        if (!fastest || minion->slowness() < fastest->slowness())
+            fastest = minion.get();
+        if (endWithMargin(*minion, job, now) <= job.lateAt() && (!slowestInTime || minion->slowness() > slowestInTime->slowness()))
+            slowestInTime = minion.get();
+    }
+    if (!fastest)
+        return avoided;
+    if (slowestInTime)
+        return isRoomAmple(minions, now) ? fastest : slowestInTime;
+    return isWaitWorthwhile(minions, job, task, now) ? nullptr : fastest;
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -0,0 +1,100 @@
+#include "Placement/MinionChooser.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+// Pattern: minions of one kind differ by up to three times in speed, and room is short.
+TEST_GROUP(MinionChooser)
+{
+    const absl::Time now = absl::FromUnixSeconds(1000);
+    DispatchPolicy policy;
+    MinionTable minions;
+    MinionChooser chooser { policy };
+    CellTask task;
+    uint64_t runs = 0;
+
+    /// @param slowness its learned run times over the estimates.
+    LeasedMinion& add(const std::string& id, double slowness)
+    {
+        const CellId cell { ServiceId("service"), DataCentreId("centre") };
+        auto minion = std::make_unique<LeasedMinion>(MinionReport { { MinionId(id), MinionBirth(1) }, 1, cell, { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving }, policy);
+        minion->isFenced = true;
+        for (int i = 0; i < 50; ++i)
+            minion->noteRunTime(absl::Seconds(1), absl::Seconds(slowness));
+        return *(minions[MinionId(id)] = std::move(minion));
+    }
+
+    CellJobPtr job(absl::Duration estimate, absl::Duration untilLate)
+    {
+        JobOffer offer;
+        offer.job = JobKey("job-" + std::to_string(++runs));
+        offer.taskCount = 1;
+        offer.need = { 7000, 64, 0 };
+        offer.estimate = estimate;
+        offer.untilLate = untilLate;
+        offer.untilGivenUp = absl::Seconds(9);
+        return CellJobPtr(new CellJob(offer, DaemonId("entry"), now, 0.3));
+    }
+
+    /// Lets a minion run two tasks, which fill it, since the time given.
+    void fill(LeasedMinion & minion, absl::Duration estimate, absl::Duration ago)
+    {
+        for (uint32_t i = 0; i < 2; ++i) {
+            Run run;
+            run.job = job(estimate, absl::Seconds(5));
+            run.id = { run.job->offer().job, TaskIndex(0), RunNumber(++runs) };
+            run.need = { 7000, 64, 0 };
+            run.startedAt = now - ago;
+            minion.addRun(run);
+        }
+    }
+
+    std::string choose(const CellJobPtr& chosenFor)
+    {
+        const LeasedMinion* minion = chooser.choose(minions, *chosenFor, task, now);
+        return minion ? minion->life().minion.value() : "none";
+    }
+};
+
+TEST(MinionChooser, WithAmpleRoomTheFastestIsTaken)
+{
+    add("fast", 0.6);
+    add("slow", 1.6);
+    STRCMP_EQUAL("fast", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
+}
+
+TEST(MinionChooser, WhenRoomIsShortAShortTaskLeavesTheFastMinionToLongerOnes)
+{
+    add("fast", 0.6);
+    add("slow", 1.6);
+    fill(add("busy-1", 1), absl::Milliseconds(500), absl::ZeroDuration());
+    fill(add("busy-2", 1), absl::Milliseconds(500), absl::ZeroDuration());
+    fill(add("busy-3", 1), absl::Milliseconds(500), absl::ZeroDuration());
+    STRCMP_EQUAL("slow", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
+    STRCMP_EQUAL("fast", choose(job(absl::Milliseconds(760), absl::Milliseconds(1276))).c_str());
+}
+
+TEST(MinionChooser, ALongTaskWaitsForAFasterMinionThatComesFreeInTime)
+{
+    add("slow", 1.6);
+    fill(add("fast", 0.6), absl::Milliseconds(500), absl::Milliseconds(200));
+    STRCMP_EQUAL("none", choose(job(absl::Milliseconds(760), absl::Milliseconds(1276))).c_str());
+}
+
+TEST(MinionChooser, ATaskThatWaitingDoesntHelpStartsWhereThereIsRoom)
+{
+    add("slow", 1.6);
+    fill(add("fast", 0.6), absl::Seconds(3), absl::ZeroDuration());
+    STRCMP_EQUAL("slow", choose(job(absl::Milliseconds(760), absl::Milliseconds(1276))).c_str());
+}
+
+TEST(MinionChooser, TheMinionThatFailedATaskIsItsLastChoice)
+{
+    add("other", 1.6);
+    add("failed-it", 0.6);
+    task.avoided = MinionId("failed-it");
+    STRCMP_EQUAL("other", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
+    minions.erase(MinionId("other"));
+    STRCMP_EQUAL("failed-it", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
+}
