Leave out of the loads told what no usual task fits

Owners told them as room: a cell of 16 minions looked as if it had place for five more tasks when it had none, and jobs were sent there. Loads and expected waits now count in tasks of the usual size.

--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -197,6 +197,8 @@
         finish(*job, JobEnd::Impossible, now);
         return;
     }
+    const auto milliCores = static_cast<double>(offer.need.milliCores);
+    usualMilliCores_ += (milliCores - usualMilliCores_) * (usualMilliCores_ > 0 ? policy_.needWeight : 1);
     const absl::Duration wait = expectedWait(*job, now);
     // With room at hand the estimate alone is no reason to refuse.
     if (!offer.isTakeover && wait > absl::ZeroDuration() && isHopeless(*job, now + wait)) {
@@ -248,6 +250,12 @@
     return start + policy_.hopelessShare * job.offer().estimate > job.usefulUntil();
 }
 
+int64_t CellDispatcher::fillable(int64_t milliCores) const
+{
+    const auto usual = static_cast<int64_t>(usualMilliCores_);
+    return usual > 0 ? milliCores / usual * usual : milliCores;
+}
+
 absl::Duration CellDispatcher::expectedWait(const CellJob& job, absl::Time now) const
 {
     int64_t totalMilliCores = 0;
@@ -255,7 +263,7 @@
     for (const auto& [id, minion] : minions_) {
         if (!minion->isUsable(now))
             continue;
-        totalMilliCores += minion->report().capacity.milliCores;
+        totalMilliCores += fillable(minion->report().capacity.milliCores);
         if (job.offer().need.milliCores > 0)
             fitting += minion->free().milliCores / job.offer().need.milliCores;
     }
@@ -730,8 +738,8 @@
     for (const auto& [id, minion] : minions_) {
         if (!minion->isUsable(now))
             continue;
-        load.totalMilliCores += minion->report().capacity.milliCores;
-        load.freeMilliCores += std::max<int64_t>(0, minion->free().milliCores);
+        load.totalMilliCores += fillable(minion->report().capacity.milliCores);
+        load.freeMilliCores += fillable(std::max<int64_t>(0, minion->free().milliCores));
     }
     for (const CellJob& job : jobs_)
         load.queuedCoreMs += job.queuedCoreMs();
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -113,6 +113,8 @@
     /// Whether a job that begins at the time given can't end while that is of use.
     bool isHopeless(const CellJob&, absl::Time start) const;
     absl::Duration expectedWait(const CellJob&, absl::Time now) const;
+    /// @return the part of some room that tasks of the usual size can fill, in thousandths of a core.
+    int64_t fillable(int64_t milliCores) const;
     absl::Duration retryAfter(absl::Duration wait);
 
     // Placing.
@@ -165,6 +167,8 @@
     /// Ends of an earlier owner's runs whose jobs haven't been offered again.
     absl::flat_hash_map<JobKey, std::vector<EndedRow>> earlyEnds_;
     std::vector<StrayStart> strayStarts_;
+    /// What tasks here need, as a moving average; 0 before the first job.
+    double usualMilliCores_ = 0;
     CellTotals totals_;
     CellOutbox outbox_;
 };
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -51,6 +51,8 @@
     double lateTolerance = 0.3;
     /// The weight of the newest run time in a minion's learned speed.
     double speedWeight = 0.1;
+    /// The weight of the newest job in what a usual task needs.
+    double needWeight = 0.05;
     /// A task counts as in time on a minion if its expected run time and this share more fit before it is late:
     /// learned speeds are right to about a tenth.
     double speedMargin = 0.1;
--- a/Tests/Placement/AdmissionTest.cpp
+++ b/Tests/Placement/AdmissionTest.cpp
@@ -63,6 +63,18 @@
     LONGS_EQUAL(0, fixture.takeStarts().size());
 }
 
+// Pattern: tasks of 7 cores on minions of 16, of which 2 cores can never be used.
+TEST(CellAdmission, TheLoadToldLeavesOutRoomThatNoUsualTaskFits)
+{
+    LONGS_EQUAL(16000, fixture.cell().load(fixture.now()).freeMilliCores);
+    fixture.offer("job", 1);
+    const CellLoad load = fixture.cell().load(fixture.now());
+    LONGS_EQUAL(14000, load.totalMilliCores);
+    LONGS_EQUAL(7000, load.freeMilliCores);
+    fixture.offer("next", 1);
+    LONGS_EQUAL(0, fixture.cell().load(fixture.now()).freeMilliCores);
+}
+
 TEST(CellAdmission, ACancelStopsWhatRunsBeforeTheEntryHearsOfTheEnd)
 {
     fixture.offer("job", 2);
--- a/Tests/Placement/MinionChooserTest.cpp
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -68,9 +68,8 @@
 {
     add("fast", 0.6);
     add("slow", 1.6);
-    fill(add("busy-1", 1), absl::Milliseconds(500), absl::ZeroDuration());
-    fill(add("busy-2", 1), absl::Milliseconds(500), absl::ZeroDuration());
-    fill(add("busy-3", 1), absl::Milliseconds(500), absl::ZeroDuration());
+    for (int i = 0; i < 16; ++i)
+        fill(add("busy-" + std::to_string(i), 1), absl::Milliseconds(500), absl::ZeroDuration());
     STRCMP_EQUAL("slow", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
     STRCMP_EQUAL("fast", choose(job(absl::Milliseconds(760), absl::Milliseconds(1276))).c_str());
 }
