Split a job over the cells that only together have room for it

Cause: cells are small (16 minions of two or three tasks) beside jobs of 8 to 18 tasks, so a wide job waited in one cell while others had a few places left. JobDesk now offers a job in parts, one a cell; parts keep the job's task numbers. A job is called not run only once every owner has said so of its part: the first refusal cancels the others, and an owner says of a cancelled part whether it had begun.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -61,7 +61,7 @@
 
 void visitFields(auto&& visit, Fields<JobOffer> auto& value)
 {
-    visit(value.cell, value.job, value.requestId, value.life, value.route, value.taskCount, value.need, value.estimate, value.spec, value.untilLate, value.untilGivenUp, value.priority, value.maxAttempts, value.isTakeover);
+    visit(value.cell, value.job, value.requestId, value.life, value.route, value.firstTask, value.taskCount, value.need, value.estimate, value.spec, value.untilLate, value.untilGivenUp, value.priority, value.maxAttempts, value.isTakeover);
 }
 
 void visitFields(auto&& visit, Fields<JobCancel> auto& value)
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -164,22 +164,22 @@
 {
     std::shared_ptr<const RoutingTable> routes;
     const Route* route = nullptr;
-    std::optional<CellGrant> grant;
+    std::vector<CellShare> shares;
     {
         MutexLock lock(viewMutex_);
         routes = table_;
         route = routes ? routes->find(job.host, job.path) : nullptr;
         if (route)
-            grant = chooser_.choose(route->service, job.need, job.taskCount, job.estimate, std::nullopt, link_.clock().now());
+            shares = chooser_.choose(route->service, job.need, job.taskCount, job.estimate, link_.clock().now());
     }
-    if (!route || !grant || refusesJobs_) {
+    if (!route || shares.empty() || refusesJobs_) {
         const std::string reason = !route ? "unknown route" : refusesJobs_ ? "this entry stops"
                                                                            : "no owner of a cell is heard";
         log_.write(Severity::Warning, "job_refused", { { "request", job.requestId }, { "job", job.key.value() }, { "reason", reason } });
         door_.reply(ticket, { route ? AnswerKind::Unavailable : AnswerKind::UnknownRoute, {} });
         return;
     }
-    desk_.open(ticket, job, *route, *grant);
+    desk_.open(ticket, job, *route, shares);
     wakeFromIdle();
 }
 
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -1,6 +1,7 @@
 #include "Intake/CellChooser.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace trefoilwing {
 
@@ -47,30 +48,51 @@
     return absl::Milliseconds((queued + coreMs) * 1000 / standing.load.totalMilliCores);
 }
 
-std::optional<CellGrant> CellChooser::choose(const ServiceId& service, const Room& need, uint32_t taskCount, absl::Duration estimate,
-    const std::optional<CellId>& excluded, absl::Time now)
+std::vector<CellChooser::Candidate> CellChooser::candidates(
+    const ServiceId& service, int64_t taskMilliCores, uint32_t taskCount, absl::Duration estimate, absl::Time now)
 {
-    const int64_t milliCores = need.milliCores * taskCount;
+    const int64_t milliCores = taskMilliCores * taskCount;
     const int64_t coreMs = milliCores * absl::ToInt64Milliseconds(estimate) / 1000;
-    const CellGrant* best = nullptr;
-    absl::Duration bestWait = absl::InfiniteDuration();
+    std::vector<Candidate> found;
     for (const auto& [cell, grant] : grants_) {
         const auto standing = standings_.find(cell);
-        if (cell.service != service || cell == excluded || standing == standings_.end() || now - standing->second.heardAt >= ownerSilence)
+        if (cell.service != service || standing == standings_.end() || now - standing->second.heardAt >= ownerSilence)
             continue;
         absl::Duration wait = expectedWait(standing->second, milliCores, coreMs);
         if (cell.dataCentre != home_)
             wait += remoteCost;
-        if (!best || wait < bestWait) {
-            best = &grant;
-            bestWait = wait;
-        }
+        const int64_t free = standing->second.load.queuedCoreMs > 0 ? 0 : standing->second.load.freeMilliCores - standing->second.sentMilliCores;
+        const int64_t freeTasks = taskMilliCores > 0 ? std::clamp<int64_t>(free / taskMilliCores, 0, taskCount) : taskCount;
+        found.push_back({ &grant, &standing->second, wait, static_cast<uint32_t>(freeTasks) });
     }
-    if (!best)
-        return std::nullopt;
-    standings_[best->cell].sentMilliCores += milliCores;
-    standings_[best->cell].sentCoreMs += coreMs;
-    return *best;
+    return found;
+}
+
+std::vector<CellShare> CellChooser::choose(const ServiceId& service, const Room& need, uint32_t taskCount, absl::Duration estimate, absl::Time now)
+{
+    std::vector<Candidate> found = candidates(service, need.milliCores, taskCount, estimate, now);
+    if (found.empty())
+        return {};
+    const auto best = std::min_element(found.begin(), found.end(), [](const Candidate& a, const Candidate& b) { return a.wait < b.wait; });
+    const uint32_t freeTasks = std::accumulate(found.begin(), found.end(), 0U, [](uint32_t sum, const Candidate& each) { return sum + each.freeTasks; });
+    if (best->freeTasks >= taskCount || freeTasks < taskCount) {
+        best->freeTasks = taskCount;
+        found = { *best };
+    }
+    // The fewest cells, so that few parts can come late.
+    std::stable_sort(found.begin(), found.end(), [](const Candidate& a, const Candidate& b) { return a.freeTasks > b.freeTasks; });
+    std::vector<CellShare> shares;
+    uint32_t left = taskCount;
+    for (const Candidate& each : found) {
+        const uint32_t share = std::min(left, each.freeTasks);
+        if (share == 0)
+            break;
+        left -= share;
+        each.standing->sentMilliCores += need.milliCores * share;
+        each.standing->sentCoreMs += need.milliCores * share * absl::ToInt64Milliseconds(estimate) / 1000;
+        shares.push_back({ *each.grant, share });
+    }
+    return shares;
 }
 
 } // namespace trefoilwing
--- a/Source/Intake/CellChooser.h
+++ b/Source/Intake/CellChooser.h
@@ -5,11 +5,12 @@
 #include <absl/time/time.h>
 
 #include <map>
-#include <optional>
+#include <vector>
 
 namespace trefoilwing {
 
-/// Decides which cell a job goes to: the one that would begin it first, by what the owners last told.
+/// Decides which cell a job goes to: the one that would begin it first, by what the owners last told. A job that
+/// only several cells together can begin at once is split.
 ///
 /// What this entry has sent since an owner's last word is added to that word.
 class CellChooser {
@@ -22,10 +23,9 @@
     void granted(const CellGrant&);
     void loadHeard(const CellLoad&, absl::Time now);
 
-    /// @param excluded a cell that has turned the job down.
-    /// @return the grant of the chosen cell, or nothing where no owner is heard.
-    std::optional<CellGrant> choose(const ServiceId&, const Room& need, uint32_t taskCount, absl::Duration estimate,
-        const std::optional<CellId>& excluded, absl::Time now);
+    /// @return the cells that share the job: one, unless only several together have room for all its tasks now;
+    ///         none where no owner is heard.
+    std::vector<CellShare> choose(const ServiceId&, const Room& need, uint32_t taskCount, absl::Duration estimate, absl::Time now);
 
     const std::map<CellId, CellGrant>& grants() const { return grants_; }
     /// @return whether an owner of any cell is heard.
@@ -39,6 +39,15 @@
         int64_t sentCoreMs = 0;
     };
 
+    struct Candidate {
+        const CellGrant* grant;
+        Standing* standing;
+        absl::Duration wait;
+        /// Tasks that can start at once.
+        uint32_t freeTasks;
+    };
+
+    std::vector<Candidate> candidates(const ServiceId&, int64_t taskMilliCores, uint32_t taskCount, absl::Duration estimate, absl::Time now);
     absl::Duration expectedWait(const Standing&, int64_t milliCores, int64_t coreMs) const;
 
     const DataCentreId home_;
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -55,7 +55,12 @@
 {
 }
 
-void JobDesk::open(Ticket ticket, const IncomingJob& job, const Route& route, const CellGrant& grant)
+bool JobDesk::OpenJob::hasPart(PartState state) const
+{
+    return std::any_of(parts.begin(), parts.end(), [&](const Part& part) { return part.state == state; });
+}
+
+void JobDesk::open(Ticket ticket, const IncomingJob& job, const Route& route, const std::vector<CellShare>& shares)
 {
     {
         MutexLock lock(mutex_);
@@ -64,7 +69,7 @@
         if (known != jobs_.end())
             join(known->second, ticket, job);
         else
-            openNew(ticket, job, route, grant);
+            openNew(ticket, job, route, shares);
     }
     effects_.flush();
 }
@@ -73,37 +78,53 @@
 {
     // The caller came back while its job runs: both requests get the one answer.
     open.tickets.push_back(ticket);
-    effects_.add([this, key = job.key, request = job.requestId, first = open.offer.requestId] {
+    effects_.add([this, key = job.key, request = job.requestId, first = open.requestId] {
         ports_.log.write(Severity::Info, "job_joined", { { "request", request }, { "job", key.value() }, { "first_request", first } });
     });
 }
 
-void JobDesk::openNew(Ticket ticket, const IncomingJob& job, const Route& route, const CellGrant& grant)
+void JobDesk::openNew(Ticket ticket, const IncomingJob& job, const Route& route, const std::vector<CellShare>& shares)
 {
     const absl::Time now = ports_.clock.now();
     OpenJob open;
     open.tickets = { ticket };
-    open.owner = grant.owner.daemon;
-    open.openedAt = open.offeredAt = now;
+    open.requestId = job.requestId;
+    open.openedAt = now;
     open.lateAt = now + job.estimate * route.stretch + route.latencyTarget;
     open.givenUpAt = now + (job.patience < absl::InfiniteDuration() ? job.patience : route.timeout) - answerWay;
-    open.offer = JobOffer { grant.cell, job.key, job.requestId, ++lastLife_, route.name, job.taskCount, job.need, job.estimate, job.spec,
-        open.lateAt - now, open.givenUpAt - now, route.priority, route.maxAttempts, false };
-    offer(open);
-    effects_.add([this, offer = open.offer, grant] {
-        ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "route", offer.route.value() }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilGivenUp) }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
-    });
+    uint32_t firstTask = 0;
+    for (const CellShare& share : shares) {
+        Part part;
+        part.owner = share.grant.owner.daemon;
+        part.offeredAt = now;
+        part.offer = JobOffer { share.grant.cell, job.key, job.requestId, ++lastLife_, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
+            open.lateAt - now, open.givenUpAt - now, route.priority, route.maxAttempts, false };
+        firstTask += share.taskCount;
+        offer(part);
+        effects_.add([this, offer = part.offer, grant = share.grant] {
+            ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilGivenUp) }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+        });
+        open.parts.push_back(std::move(part));
+    }
     jobs_.emplace(job.key, std::move(open));
 }
 
-void JobDesk::offer(const OpenJob& job)
+void JobDesk::offer(const Part& part)
 {
-    effects_.add([this, owner = job.owner, offer = job.offer] { ports_.peers.send(owner, offer); });
+    effects_.add([this, owner = part.owner, offer = part.offer] { ports_.peers.send(owner, offer); });
 }
 
-void JobDesk::cancel(const OpenJob& job)
+void JobDesk::cancel(const Part& part)
 {
-    effects_.add([this, owner = job.owner, cancel = JobCancel { job.offer.cell, job.offer.job, job.offer.life }] { ports_.peers.send(owner, cancel); });
+    effects_.add([this, owner = part.owner, cancel = JobCancel { part.offer.cell, part.offer.job, part.offer.life }] { ports_.peers.send(owner, cancel); });
+}
+
+void JobDesk::cancelOpenParts(const OpenJob& job)
+{
+    for (const Part& part : job.parts) {
+        if (part.state == PartState::Open)
+            cancel(part);
+    }
 }
 
 void JobDesk::abandoned(Ticket ticket)
@@ -119,8 +140,8 @@
         std::erase(job.tickets, ticket);
         if (!job.tickets.empty())
             return;
-        cancel(job);
-        effects_.add([this, key, request = job.offer.requestId] { ports_.log.write(Severity::Info, "job_abandoned", { { "request", request }, { "job", key.value() } }); });
+        cancelOpenParts(job);
+        effects_.add([this, key, request = job.requestId] { ports_.log.write(Severity::Info, "job_abandoned", { { "request", request }, { "job", key.value() } }); });
         jobs_.erase(key);
     }
     effects_.flush();
@@ -131,30 +152,59 @@
     {
         MutexLock lock(mutex_);
         const auto found = jobs_.find(ended.job);
+        if (found == jobs_.end())
+            return;
         // An earlier owner may still say that it gave the job up after the job has moved on.
-        if (found == jobs_.end() || found->second.offer.life != ended.life || found->second.owner != from)
+        std::vector<Part>& parts = found->second.parts;
+        const auto part = std::find_if(parts.begin(), parts.end(), [&](const Part& each) {
+            return each.offer.life == ended.life && each.owner == from && each.state == PartState::Open;
+        });
+        if (part == parts.end())
             return;
-        const EndRow& row = rowOf(ended.end);
-        answer(ended.job, { row.kind, ended.retryAfter }, row.name, &ended);
+        if (const std::optional<Outcome> outcome = settle(found->second, *part, ended))
+            answer(ended.job, *outcome);
     }
     effects_.flush();
 }
 
-void JobDesk::answer(const JobKey& key, const CallerAnswer& answer, std::string_view outcome, const JobEnded* ended)
+std::optional<JobDesk::Outcome> JobDesk::settle(OpenJob& job, Part& part, const JobEnded& ended)
+{
+    job.queued = std::max(job.queued, ended.queued);
+    const auto outcomeOf = [](const JobEnded& word) {
+        const EndRow& row = rowOf(word.end);
+        return Outcome { { row.kind, word.retryAfter }, std::string(row.name) };
+    };
+    const Outcome outcome = outcomeOf(ended);
+    if (ended.end == JobEnd::Failed || ended.end == JobEnd::GivenUp)
+        return outcome;
+    part.state = ended.end == JobEnd::Completed ? PartState::Completed : PartState::NotRun;
+    if (part.state == PartState::NotRun && !job.refusal) {
+        job.refusal = ended;
+        // The others tell whether any of their tasks has begun: only if none has, the job wasn't run.
+        cancelOpenParts(job);
+    }
+    if (!job.refusal)
+        return job.hasPart(PartState::Open) ? std::nullopt : std::optional(outcome);
+    if (job.hasPart(PartState::Completed))
+        return Outcome { { AnswerKind::GaveUp, {} }, "part_turned_down" };
+    return job.hasPart(PartState::Open) ? std::nullopt : std::optional(outcomeOf(*job.refusal));
+}
+
+void JobDesk::answer(const JobKey& key, const Outcome& outcome)
 {
     const absl::Time now = ports_.clock.now();
     auto node = jobs_.extract(key);
     const OpenJob& job = node.mapped();
+    cancelOpenParts(job);
     for (const Ticket& ticket : job.tickets)
         tickets_.erase(ticket);
-    const absl::Duration taken = now - job.openedAt;
-    const absl::Duration queued = ended ? ended->queued : taken;
-    effects_.add([this, key, request = job.offer.requestId, answer, outcome = std::string(outcome), tickets = job.tickets, taken, queued, owner = job.owner, cell = job.offer.cell.dataCentre, service = job.offer.cell.service, route = job.offer.route, isLate = now > job.lateAt] {
+    const Part& first = job.parts.front();
+    effects_.add([this, key, request = job.requestId, outcome, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner, cell = first.offer.cell.dataCentre, parts = uint64_t { job.parts.size() }, service = first.offer.cell.service, route = first.offer.route, isLate = now > job.lateAt] {
         for (const Ticket& ticket : tickets)
-            ports_.replies.reply(ticket, answer);
-        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome }, { "cell", cell.value() }, { "owner", owner.value() }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
+            ports_.replies.reply(ticket, outcome.answer);
+        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome.name }, { "cell", cell.value() }, { "owner", owner.value() }, { "parts", parts }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
         const MetricLabels labels { service, {}, TaskKindId(route.value()) };
-        ports_.metrics.count(absl::StrCat("jobs_", outcome), labels, 1);
+        ports_.metrics.count(absl::StrCat("jobs_", outcome.name), labels, 1);
         ports_.metrics.observe(metric::requestLatency, labels, taken);
         ports_.metrics.observe(metric::queueWait, labels, queued);
     });
@@ -164,20 +214,22 @@
 {
     {
         MutexLock lock(mutex_);
+        const absl::Time now = ports_.clock.now();
         for (auto& [key, job] : jobs_) {
-            if (job.offer.cell != grant.cell || job.owner == grant.owner.daemon)
-                continue;
-            cancel(job);
-            const absl::Time now = ports_.clock.now();
-            job.owner = grant.owner.daemon;
-            job.offeredAt = now;
-            job.offer.isTakeover = true;
-            job.offer.untilLate = job.lateAt - now;
-            job.offer.untilGivenUp = job.givenUpAt - now;
-            offer(job);
-            effects_.add([this, key = key, request = job.offer.requestId, grant] {
-                ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
-            });
+            for (Part& part : job.parts) {
+                if (part.offer.cell != grant.cell || part.owner == grant.owner.daemon || part.state != PartState::Open)
+                    continue;
+                cancel(part);
+                part.owner = grant.owner.daemon;
+                part.offeredAt = now;
+                part.offer.isTakeover = true;
+                part.offer.untilLate = job.lateAt - now;
+                part.offer.untilGivenUp = job.givenUpAt - now;
+                offer(part);
+                effects_.add([this, key = key, request = job.requestId, grant] {
+                    ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+                });
+            }
         }
     }
     effects_.flush();
@@ -191,9 +243,13 @@
 
 bool JobDesk::isOwnerSilent(const OpenJob& job, absl::Time now) const
 {
-    const auto heard = ownersHeard_.find(job.owner);
-    const absl::Time last = heard == ownersHeard_.end() ? job.offeredAt : std::max(heard->second, job.offeredAt);
-    return now - last > ownerSilence;
+    for (const Part& part : job.parts) {
+        const auto heard = ownersHeard_.find(part.owner);
+        const absl::Time last = heard == ownersHeard_.end() ? part.offeredAt : std::max(heard->second, part.offeredAt);
+        if (part.state == PartState::Open && now - last > ownerSilence)
+            return true;
+    }
+    return false;
 }
 
 void JobDesk::tick()
@@ -206,10 +262,8 @@
             if (now > job.givenUpAt + ownerGrace || isOwnerSilent(job, now))
                 late.push_back(key);
         }
-        for (const JobKey& key : late) {
-            cancel(jobs_.at(key));
-            answer(key, { AnswerKind::GaveUp, {} }, "owner_silent", nullptr);
-        }
+        for (const JobKey& key : late)
+            answer(key, { { AnswerKind::GaveUp, {} }, "owner_silent" });
     }
     effects_.flush();
 }
@@ -221,10 +275,8 @@
         std::vector<JobKey> open;
         for (const auto& [key, job] : jobs_)
             open.push_back(key);
-        for (const JobKey& key : open) {
-            cancel(jobs_.at(key));
-            answer(key, { AnswerKind::GaveUp, {} }, "entry_stops", nullptr);
-        }
+        for (const JobKey& key : open)
+            answer(key, { { AnswerKind::GaveUp, {} }, "entry_stops" });
     }
     effects_.flush();
 }
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -27,15 +27,16 @@
 
 /// The jobs whose callers wait at this entry, as a shard under its own lock.
 ///
-/// Each job is offered to the owner of one cell, which has the last word on it. When the cell gets another
-/// owner the job is offered to that one as a takeover.
+/// Each job is offered to the owner of one cell, or in parts to the owners of several, who have the last word on
+/// it. When a cell gets another owner the part is offered to that one as a takeover.
 class JobDesk {
 public:
     /// @param firstLife higher than any life of an earlier run of this daemon.
     JobDesk(DeskPorts, uint64_t firstLife);
 
-    /// Takes a job that has a route and a cell.
-    void open(Ticket, const IncomingJob&, const Route&, const CellGrant&);
+    /// Takes a job that has a route.
+    /// @param shares the cells that run it; together they have all its tasks.
+    void open(Ticket, const IncomingJob&, const Route&, const std::vector<CellShare>& shares);
     /// The caller went away before its answer.
     void abandoned(Ticket);
     void ended(const DaemonId& from, const JobEnded&);
@@ -52,23 +53,53 @@
     size_t openCount() const;
 
 private:
-    struct OpenJob {
-        std::vector<Ticket> tickets;
+    enum class PartState {
+        Open,
+        Completed,
+        /// Its owner's last word was that nothing of it ran or will run.
+        NotRun,
+    };
+
+    struct Part {
         JobOffer offer;
         DaemonId owner;
-        /// When the job was offered to this owner.
+        /// When it was offered to this owner.
         absl::Time offeredAt;
+        PartState state = PartState::Open;
+    };
+
+    struct OpenJob {
+        std::vector<Ticket> tickets;
+        std::string requestId;
+        std::vector<Part> parts;
         absl::Time openedAt;
         absl::Time lateAt;
         absl::Time givenUpAt;
+        /// The longest wait of a part for its first start.
+        absl::Duration queued;
+        /// The first word of an owner that its part wasn't run; the other parts are being cancelled.
+        std::optional<JobEnded> refusal;
+
+        bool hasPart(PartState) const;
+    };
+
+    /// How a job ends for its callers.
+    struct Outcome {
+        CallerAnswer answer;
+        std::string name;
     };
 
     bool isOwnerSilent(const OpenJob&, absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void join(OpenJob&, Ticket, const IncomingJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void openNew(Ticket, const IncomingJob&, const Route&, const CellGrant&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void answer(const JobKey&, const CallerAnswer&, std::string_view outcome, const JobEnded*) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void offer(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void cancel(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void openNew(Ticket, const IncomingJob&, const Route&, const std::vector<CellShare>&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Takes note of an owner's last word.
+    /// @return how the job ends, if that is settled.
+    std::optional<Outcome> settle(OpenJob&, Part&, const JobEnded&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Cancels what is still open, and answers.
+    void answer(const JobKey&, const Outcome&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void offer(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void cancel(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void cancelOpenParts(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     DeskPorts ports_;
     mutable absl::Mutex mutex_;
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -20,6 +20,14 @@
     friend bool operator==(const CellGrant&, const CellGrant&) = default;
 };
 
+/// The tasks of a job that one cell is to run.
+struct CellShare {
+    CellGrant grant;
+    uint32_t taskCount = 0;
+
+    friend bool operator==(const CellShare&, const CellShare&) = default;
+};
+
 /// A daemon's regular sign of life, to the keepers and to the owners of cells.
 struct DaemonPulse {
     DaemonRun run;
@@ -76,7 +84,7 @@
     friend bool operator==(const CellLoad&, const CellLoad&) = default;
 };
 
-/// Asks the owner of a cell to run a job.
+/// Asks the owner of a cell to run a job, or the part of its tasks that the cell has room for.
 struct JobOffer {
     CellId cell;
     JobKey job;
@@ -85,6 +93,8 @@
     /// Numbers the offers of the sender, so that an answer finds the life of the job that it is for.
     uint64_t life = 0;
     RouteName route;
+    /// The index of the first task offered; the others follow it.
+    uint32_t firstTask = 0;
     uint32_t taskCount = 0;
     Room need;
     /// The caller's rough estimate of one task's run time.
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -202,6 +202,7 @@
     const absl::Duration wait = expectedWait(*job, now);
     // With room at hand the estimate alone is no reason to refuse.
     if (!offer.isTakeover && wait > absl::ZeroDuration() && isHopeless(*job, now + wait)) {
+        ++totals_.turnedDown;
         note("job_turned_down", offer.job, {}, absl::StrCat("reason=expected_wait wait_ms=", absl::ToInt64Milliseconds(wait), " estimate_ms=", absl::ToInt64Milliseconds(offer.estimate), " queued_jobs=", jobs_.size()));
         finish(*job, JobEnd::TurnedDown, now, retryAfter(wait));
         return;
@@ -215,7 +216,8 @@
     if (!job || job->entry() != entry || job->offer().life != cancel.life)
         return;
     note("job_cancelled", cancel.job, {}, absl::StrCat("queued_tasks=", job->queuedCount()));
-    finish(*job, JobEnd::GivenUp, now);
+    // The entry may still be able to say that nothing of the job ran.
+    finish(*job, job->hasStarted || job->offer().isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown, now, retryAfter(absl::ZeroDuration()));
     place(now);
 }
 
@@ -228,8 +230,6 @@
     intrusive_ptr_release(&job);
     const absl::Duration queued = std::min(job.firstStart, now) - job.offeredAt();
     outbox_.messages.push_back({ job.entry(), JobEnded { job.offer().job, job.offer().life, end, retryAfter, queued } });
-    if (end == JobEnd::TurnedDown)
-        ++totals_.turnedDown;
     if (!job.hasStarted)
         return;
     for (const auto& [id, minion] : minions_) {
@@ -296,6 +296,7 @@
     }
     for (const CellJobPtr& job : ending) {
         const JobEnd end = job->hasStarted || job->offer().isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown;
+        totals_.turnedDown += end == JobEnd::TurnedDown ? 1 : 0;
         note(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=out_of_time age_ms=", absl::ToInt64Milliseconds(now - job->offeredAt()), " queued_tasks=", job->queuedCount()));
         finish(*job, end, now, retryAfter(absl::ZeroDuration()));
     }
--- a/Source/Placement/CellJob.cpp
+++ b/Source/Placement/CellJob.cpp
@@ -30,7 +30,7 @@
     const auto found = std::find_if(tasks_.begin(), tasks_.end(), [](const CellTask& task) { return task.state == TaskState::Queued; });
     if (found == tasks_.end())
         return nullptr;
-    index = TaskIndex(static_cast<uint32_t>(found - tasks_.begin()));
+    index = TaskIndex(offer_.firstTask + static_cast<uint32_t>(found - tasks_.begin()));
     return &*found;
 }
 
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -24,7 +24,7 @@
     MinionId avoided;
 };
 
-/// One job at the owner of its cell. Runs hold on to it by its count.
+/// One job, or the part of it that runs here, at the owner of its cell. Runs hold on to it by its count.
 class CellJob : public boost::intrusive::list_base_hook<>, public boost::intrusive_ref_counter<CellJob, boost::thread_unsafe_counter> {
 public:
     CellJob(JobOffer, DaemonId entry, absl::Time now, double lateTolerance);
@@ -39,8 +39,9 @@
     /// It isn't begun unless it is expected to end before this.
     absl::Time usefulUntil() const { return usefulUntil_; }
 
-    CellTask& task(TaskIndex index) { return tasks_[index.value()]; }
-    bool hasTask(TaskIndex index) const { return index.value() < tasks_.size(); }
+    /// @param index counts all of the job's tasks, also those that another cell runs.
+    CellTask& task(TaskIndex index) { return tasks_[index.value() - offer_.firstTask]; }
+    bool hasTask(TaskIndex index) const { return index.value() >= offer_.firstTask && index.value() - offer_.firstTask < tasks_.size(); }
     size_t queuedCount() const;
     bool isComplete() const;
     /// @return the index of a queued task, if any is left.
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -29,8 +29,8 @@
 
     std::string choose()
     {
-        const auto grant = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), std::nullopt, now);
-        return grant ? grant->cell.dataCentre.value() : "none";
+        const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), now);
+        return shares.empty() ? "none" : shares.front().grant.cell.dataCentre.value();
     }
 };
 
@@ -56,6 +56,29 @@
     STRCMP_EQUAL("far", choose().c_str());
 }
 
+// Pattern: wide jobs come while each cell has a little room left.
+TEST(CellChooser, AJobThatOnlyTwoCellsTogetherHaveRoomForIsSplit)
+{
+    load("home", 1, 15000, 0);
+    load("far", 2, 35000, 0);
+    const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), now);
+    LONGS_EQUAL(2, shares.size());
+    STRCMP_EQUAL("far", shares[0].grant.cell.dataCentre.value().c_str());
+    LONGS_EQUAL(3, shares[0].taskCount);
+    LONGS_EQUAL(1, shares[1].taskCount);
+    // Both are full now, by what was sent.
+    LONGS_EQUAL(1, chooser.choose(service, { 10000, 0, 0 }, 2, absl::Milliseconds(100), now).size());
+}
+
+TEST(CellChooser, AJobThatNotEvenAllCellsHaveRoomForWaitsInOne)
+{
+    load("home", 1, 15000, 0);
+    load("far", 2, 15000, 0);
+    const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), now);
+    LONGS_EQUAL(1, shares.size());
+    LONGS_EQUAL(4, shares.front().taskCount);
+}
+
 TEST(CellChooser, ASilentOwnerGetsNothing)
 {
     load("home", 1, 50000, 0);
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -56,6 +56,18 @@
     const CellGrant grant { { ServiceId("service"), DataCentreId("home") }, { DaemonId("owner"), Incarnation(1) }, OwnerEpoch(3) };
 
     void open(uint64_t ticket, const std::string& key)
+    {
+        openIn(ticket, key, { { grant, 2 } });
+    }
+
+    /// Opens a job that two cells share: task 0 at "owner", task 1 at "other".
+    void openShared(uint64_t ticket, const std::string& key)
+    {
+        const CellGrant other { { ServiceId("service"), DataCentreId("far") }, { DaemonId("other"), Incarnation(1) }, OwnerEpoch(4) };
+        openIn(ticket, key, { { grant, 1 }, { other, 1 } });
+    }
+
+    void openIn(uint64_t ticket, const std::string& key, const std::vector<CellShare>& shares)
     {
         IncomingJob job;
         job.key = JobKey(key);
@@ -66,7 +78,7 @@
         route.timeout = absl::Seconds(1);
         route.stretch = 2;
         route.latencyTarget = absl::Milliseconds(60);
-        desk.open(Ticket(ticket), job, route, grant);
+        desk.open(Ticket(ticket), job, route, shares);
     }
 
     void end(const std::string& from, const std::string& key, uint64_t life, JobEnd how)
@@ -153,6 +165,70 @@
     CHECK(replies.answers.front().second.kind == AnswerKind::Completed);
 }
 
+// Pattern: wide jobs at a crest, shared by the cells that have room left.
+TEST(JobDesk, ASharedJobIsAnsweredWhenAllItsPartsHaveEnded)
+{
+    openShared(1, "job");
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(2, offers.size());
+    LONGS_EQUAL(0, offers[0].second.firstTask);
+    LONGS_EQUAL(1, offers[1].second.firstTask);
+    CHECK(offers[1].first == DaemonId("other"));
+    end("other", "job", 102, JobEnd::Completed);
+    LONGS_EQUAL(0, replies.answers.size());
+    end("owner", "job", 101, JobEnd::Completed);
+    LONGS_EQUAL(1, replies.answers.size());
+    CHECK(replies.answers.front().second.kind == AnswerKind::Completed);
+    LONGS_EQUAL(0, peers.take<JobCancel>().size());
+}
+
+TEST(JobDesk, ASharedJobIsRefusedOnlyOnceEveryOwnerSaysThatNothingRan)
+{
+    openShared(1, "job");
+    end("owner", "job", 101, JobEnd::TurnedDown);
+    LONGS_EQUAL(0, replies.answers.size());
+    const auto cancels = peers.take<JobCancel>();
+    LONGS_EQUAL(1, cancels.size());
+    CHECK(cancels.front().first == DaemonId("other"));
+    end("other", "job", 102, JobEnd::TurnedDown);
+    CHECK(replies.answers.front().second.kind == AnswerKind::Overloaded);
+    CHECK(replies.answers.front().second.retryAfter == absl::Seconds(2));
+}
+
+TEST(JobDesk, ASharedJobOfWhichAPartRanIsNotCalledNotRun)
+{
+    for (const JobEnd word : { JobEnd::GivenUp, JobEnd::Completed }) {
+        openShared(1, "job");
+        const uint64_t life = peers.take<JobOffer>().back().second.life;
+        end("owner", "job", life - 1, JobEnd::TurnedDown);
+        end("other", "job", life, word);
+        CHECK(replies.answers.back().second.kind == AnswerKind::GaveUp);
+        LONGS_EQUAL(0, desk.openCount());
+    }
+}
+
+TEST(JobDesk, AFailedPartFailsTheJobAndStopsTheRest)
+{
+    openShared(1, "job");
+    end("other", "job", 102, JobEnd::Failed);
+    CHECK(replies.answers.front().second.kind == AnswerKind::Failed);
+    CHECK(peers.take<JobCancel>().front().first == DaemonId("owner"));
+}
+
+TEST(JobDesk, OnlyThePartOfTheCellThatMovedIsTakenOver)
+{
+    openShared(1, "job");
+    CellGrant next = grant;
+    next.owner.daemon = DaemonId("next");
+    next.epoch = OwnerEpoch(8);
+    desk.moved(next);
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(3, offers.size());
+    CHECK(offers.back().first == DaemonId("next"));
+    LONGS_EQUAL(0, offers.back().second.firstTask);
+    LONGS_EQUAL(1, offers.back().second.taskCount);
+}
+
 // Pattern: a data centre is cut off after a job was sent across; its caller was held to its own deadline.
 TEST(JobDesk, AJobWhoseOwnerFellSilentIsAnsweredWellBeforeItsCallerLeaves)
 {
--- a/Tests/Placement/AdmissionTest.cpp
+++ b/Tests/Placement/AdmissionTest.cpp
@@ -75,6 +75,19 @@
     LONGS_EQUAL(0, fixture.cell().load(fixture.now()).freeMilliCores);
 }
 
+TEST(CellAdmission, ACancelledJobThatHasNotBegunIsSaidNotToHaveRun)
+{
+    fixture.offer("first", 2);
+    fixture.offer("second", 1);
+    fixture.cell().cancelled({ CellId { ServiceId("service"), DataCentreId("centre") }, JobKey("second"), 1 }, DaemonId("entry-1"), fixture.now());
+    fixture.cell().cancelled({ CellId { ServiceId("service"), DataCentreId("centre") }, JobKey("first"), 1 }, DaemonId("entry-1"), fixture.now());
+    fixture.pass(absl::Milliseconds(20));
+    const std::vector<JobEnded> ended = fixture.takeEnded();
+    LONGS_EQUAL(2, ended.size());
+    CHECK(ended[0].end == JobEnd::TurnedDown);
+    CHECK(ended[1].end == JobEnd::GivenUp);
+}
+
 TEST(CellAdmission, ACancelStopsWhatRunsBeforeTheEntryHearsOfTheEnd)
 {
     fixture.offer("job", 2);
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -114,6 +114,22 @@
     CHECK(ended.front().end == JobEnd::GivenUp);
 }
 
+// Pattern: a job is shared by several cells, and the owner of one goes.
+TEST(Takeover, APartOfAJobKeepsItsTaskNumbers)
+{
+    fixture.addMinion("m1");
+    JobOffer part = fixture.makeOffer("job", 2);
+    part.firstTask = 5;
+    fixture.offer(part);
+    const std::vector<StartOrder> starts = fixture.takeStarts();
+    LONGS_EQUAL(2, starts.size());
+    LONGS_EQUAL(5, starts[0].run.task.value());
+    LONGS_EQUAL(6, starts[1].run.task.value());
+    fixture.endRun(starts[0], RunEnd::Done);
+    fixture.endRun(starts[1], RunEnd::Done);
+    CHECK(fixture.takeEnded().front().end == JobEnd::Completed);
+}
+
 TEST(Takeover, RunsThatNobodyOffersAgainAreStopped)
 {
     fixture.reportMinion("m1");
