Share a job by the cells' queues where none has room

Cause: at the crests of calm-load no cell has room, and the wait was told in core-milliseconds of queued work over the cell's cores. That is too short for short tasks: eight of 51 ms wait for eight places, which come free as the running tasks end, most of them long ones.

Owners now tell the tasks that wait, by priority, and how many of the running ones are expected to end each second; an entry gives a job's tasks one by one to the cell where the next is expected to begin first.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -56,7 +56,7 @@
 
 void visitFields(auto&& visit, Fields<CellLoad> auto& value)
 {
-    visit(value.grant, value.totalMilliCores, value.freeMilliCores, value.queuedCoreMs);
+    visit(value.grant, value.totalMilliCores, value.freeMilliCores, value.queuedTasks, value.endsPerSecond);
 }
 
 void visitFields(auto&& visit, Fields<JobOffer> auto& value)
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -43,14 +43,14 @@
 
     bool hasAmpleRoom(const CellLoad& load)
     {
-        return load.queuedCoreMs == 0 && static_cast<double>(load.freeMilliCores) >= ampleShare * static_cast<double>(load.totalMilliCores);
+        return load.queuedTasks.empty() && static_cast<double>(load.freeMilliCores) >= ampleShare * static_cast<double>(load.totalMilliCores);
     }
 
     bool differsMuch(const CellLoad& a, const CellLoad& b)
     {
         if (hasAmpleRoom(a) && hasAmpleRoom(b) && a.totalMilliCores == b.totalMilliCores)
             return false;
-        return a.freeMilliCores != b.freeMilliCores || a.queuedCoreMs != b.queuedCoreMs || a.totalMilliCores != b.totalMilliCores;
+        return a.freeMilliCores != b.freeMilliCores || a.queuedTasks != b.queuedTasks || a.totalMilliCores != b.totalMilliCores;
     }
 
 } // namespace
@@ -170,7 +170,7 @@
         routes = table_;
         route = routes ? routes->find(job.host, job.path) : nullptr;
         if (route)
-            shares = chooser_.choose(route->service, job.need, job.taskCount, job.estimate, link_.clock().now());
+            shares = chooser_.choose(route->service, job.need, job.taskCount, route->priority, link_.clock().now());
     }
     if (!route || shares.empty() || refusesJobs_) {
         const std::string reason = !route ? "unknown route" : refusesJobs_ ? "this entry stops"
--- a/Source/Intake/CellChooser.h
+++ b/Source/Intake/CellChooser.h
@@ -9,8 +9,8 @@
 
 namespace trefoilwing {
 
-/// Decides which cell a job goes to: the one that would begin it first, by what the owners last told. A job that
-/// only several cells together can begin at once is split.
+/// Decides which cell a job goes to: the one that would begin it first, by what the owners last told. A job is
+/// split over several where its last task begins clearly sooner then.
 ///
 /// What this entry has sent since an owner's last word is added to that word.
 class CellChooser {
@@ -23,9 +23,9 @@
     void granted(const CellGrant&);
     void loadHeard(const CellLoad&, absl::Time now);
 
-    /// @return the cells that share the job: one, unless only several together have room for all its tasks now;
-    ///         none where no owner is heard.
-    std::vector<CellShare> choose(const ServiceId&, const Room& need, uint32_t taskCount, absl::Duration estimate, absl::Time now);
+    /// @param priority of the job's route; lower goes first.
+    /// @return the cells that share the job's tasks; none where no owner is heard.
+    std::vector<CellShare> choose(const ServiceId&, const Room& need, uint32_t taskCount, uint32_t priority, absl::Time now);
 
     const std::map<CellId, CellGrant>& grants() const { return grants_; }
     /// @return whether an owner of any cell is heard.
@@ -36,19 +36,20 @@
         CellLoad load;
         absl::Time heardAt = absl::InfinitePast();
         int64_t sentMilliCores = 0;
-        int64_t sentCoreMs = 0;
     };
 
     struct Candidate {
         const CellGrant* grant;
         Standing* standing;
-        absl::Duration wait;
-        /// Tasks that can start at once.
-        uint32_t freeTasks;
+        /// Tasks that can start at once; below 0 so many go first.
+        double placesAhead;
+        /// Tasks of the job that were given to this cell.
+        uint32_t taskCount;
     };
 
-    std::vector<Candidate> candidates(const ServiceId&, int64_t taskMilliCores, uint32_t taskCount, absl::Duration estimate, absl::Time now);
-    absl::Duration expectedWait(const Standing&, int64_t milliCores, int64_t coreMs) const;
+    std::vector<Candidate> candidates(const ServiceId&, int64_t taskMilliCores, uint32_t priority, absl::Time now);
+    /// @return the expected wait of one more task, and what else it costs.
+    absl::Duration costOfOneMore(const Candidate&, bool isFirst) const;
 
     const DataCentreId home_;
     std::map<CellId, CellGrant> grants_;
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -78,8 +78,10 @@
     /// Of the minions in use.
     int64_t totalMilliCores = 0;
     int64_t freeMilliCores = 0;
-    /// Queued work ahead of a new job, in core-milliseconds.
-    int64_t queuedCoreMs = 0;
+    /// How many tasks wait for room, by the priority of their routes; the last counts all lower ones too.
+    std::vector<uint32_t> queuedTasks;
+    /// How many of the tasks that run now are expected to end each second.
+    double endsPerSecond = 0;
 
     friend bool operator==(const CellLoad&, const CellLoad&) = default;
 };
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -16,6 +16,9 @@
     /// every JSON reader holds exactly.
     constexpr uint64_t runsPerEpoch = uint64_t { 1 } << 24U;
 
+    /// Routes have a few priorities; those beyond this are told as one.
+    constexpr size_t maxPrioritiesTold = 8;
+
     constexpr absl::Duration shortestRetryAfter = absl::Seconds(1);
 
     std::string_view failureName(OrderFailure failure)
@@ -735,15 +738,22 @@
 
 CellLoad CellDispatcher::load(absl::Time now) const
 {
-    CellLoad load { grant_, 0, 0, 0 };
+    CellLoad load { grant_, 0, 0, {}, 0 };
     for (const auto& [id, minion] : minions_) {
         if (!minion->isUsable(now))
             continue;
         load.totalMilliCores += fillable(minion->report().capacity.milliCores);
         load.freeMilliCores += fillable(std::max<int64_t>(0, minion->free().milliCores));
+        load.endsPerSecond += minion->endsPerSecond();
+    }
+    for (const CellJob& job : jobs_) {
+        const auto queued = static_cast<uint32_t>(job.queuedCount());
+        if (queued == 0)
+            continue;
+        const size_t priority = std::min<size_t>(job.offer().priority, maxPrioritiesTold - 1);
+        load.queuedTasks.resize(std::max(load.queuedTasks.size(), priority + 1));
+        load.queuedTasks[priority] += queued;
     }
-    for (const CellJob& job : jobs_)
-        load.queuedCoreMs += job.queuedCoreMs();
     return load;
 }
 
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -11,6 +11,9 @@
     /// for reasons of their own.
     constexpr double maxRatio = 4;
 
+    /// Bounds the rate of ends of tasks with a tiny estimate, in seconds; a start and its end take as long.
+    constexpr double shortestRun = 0.01;
+
 } // namespace
 
 LeasedMinion::LeasedMinion(MinionReport report, const DispatchPolicy& policy)
@@ -65,6 +68,16 @@
     runs_.erase(found);
 }
 
+double LeasedMinion::endsPerSecond() const
+{
+    double sum = 0;
+    for (const auto& [id, run] : runs_) {
+        if (run.job)
+            sum += 1 / std::max(absl::ToDoubleSeconds(expectedTime(run.job->offer().estimate)), shortestRun);
+    }
+    return sum;
+}
+
 absl::Time LeasedMinion::nextEndExpected(absl::Time now) const
 {
     absl::Time next = runs_.empty() ? now : absl::InfiniteFuture();
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -76,6 +76,8 @@
     absl::Duration expectedTime(absl::Duration estimate) const { return estimate * slowness_; }
     /// @return the run times here over the callers' estimates.
     double slowness() const { return slowness_; }
+    /// @return how many of its runs are expected to end each second.
+    double endsPerSecond() const;
     /// @return when the first of its runs is expected to end; now if nothing runs.
     absl::Time nextEndExpected(absl::Time now) const;
 
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -22,14 +22,25 @@
         chooser.granted({ cell("far"), { DaemonId("2"), Incarnation(1) }, OwnerEpoch(2) });
     }
 
-    void load(const std::string& dataCentre, uint64_t epoch, int64_t free, int64_t queued)
+    /// @param queued tasks that wait, all of the most urgent priority.
+    /// @param rate tasks that end each second.
+    void load(const std::string& dataCentre, uint64_t epoch, int64_t free, uint32_t queued, double rate = 20)
     {
-        chooser.loadHeard({ { cell(dataCentre), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(epoch) }, 100000, free, queued }, now);
+        chooser.loadHeard({ { cell(dataCentre), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(epoch) }, 100000, free, queued > 0 ? std::vector<uint32_t> { queued } : std::vector<uint32_t> {}, rate }, now);
+    }
+
+    /// @return the cells that share a job, with their numbers of tasks.
+    std::string shareOut(uint32_t taskCount)
+    {
+        std::string text;
+        for (const CellShare& share : chooser.choose(service, { 10000, 0, 0 }, taskCount, 0, now))
+            text += (text.empty() ? "" : " ") + share.grant.cell.dataCentre.value() + " " + std::to_string(share.taskCount);
+        return text;
     }
 
     std::string choose()
     {
-        const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), now);
+        const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, 0, now);
         return shares.empty() ? "none" : shares.front().grant.cell.dataCentre.value();
     }
 };
@@ -43,7 +54,7 @@
 
 TEST(CellChooser, ABusyHomePassesJobsOn)
 {
-    load("home", 1, 0, 9000);
+    load("home", 1, 0, 90);
     load("far", 2, 100000, 0);
     STRCMP_EQUAL("far", choose().c_str());
 }
@@ -56,34 +67,40 @@
     STRCMP_EQUAL("far", choose().c_str());
 }
 
-// Pattern: wide jobs come while each cell has a little room left.
+// Pattern: wide jobs come while each cell has a little room left, or none.
 TEST(CellChooser, AJobThatOnlyTwoCellsTogetherHaveRoomForIsSplit)
 {
     load("home", 1, 15000, 0);
     load("far", 2, 35000, 0);
-    const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), now);
-    LONGS_EQUAL(2, shares.size());
-    STRCMP_EQUAL("far", shares[0].grant.cell.dataCentre.value().c_str());
-    LONGS_EQUAL(3, shares[0].taskCount);
-    LONGS_EQUAL(1, shares[1].taskCount);
-    // Both are full now, by what was sent.
-    LONGS_EQUAL(1, chooser.choose(service, { 10000, 0, 0 }, 2, absl::Milliseconds(100), now).size());
+    STRCMP_EQUAL("far 3 home 1", shareOut(4).c_str());
 }
 
-TEST(CellChooser, AJobThatNotEvenAllCellsHaveRoomForWaitsInOne)
+TEST(CellChooser, FullCellsShareAJobByTheirQueues)
 {
-    load("home", 1, 15000, 0);
-    load("far", 2, 15000, 0);
-    const std::vector<CellShare> shares = chooser.choose(service, { 10000, 0, 0 }, 4, absl::Milliseconds(100), now);
-    LONGS_EQUAL(1, shares.size());
-    LONGS_EQUAL(4, shares.front().taskCount);
+    load("home", 1, 0, 0);
+    load("far", 2, 0, 4);
+    STRCMP_EQUAL("far 2 home 6", shareOut(8).c_str());
+}
+
+TEST(CellChooser, AJobIsNotSplitForALittleTime)
+{
+    load("home", 1, 0, 0, 1000);
+    load("far", 2, 0, 0, 1000);
+    STRCMP_EQUAL("home 4", shareOut(4).c_str());
+}
+
+TEST(CellChooser, TasksOfLowerPriorityDontCountAsAhead)
+{
+    chooser.loadHeard({ { cell("home"), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(1) }, 100000, 0, { 0, 50 }, 20 }, now);
+    load("far", 2, 0, 3);
+    STRCMP_EQUAL("home 1", shareOut(1).c_str());
 }
 
 TEST(CellChooser, ASilentOwnerGetsNothing)
 {
     load("home", 1, 50000, 0);
     now += absl::Milliseconds(600);
-    load("far", 2, 0, 9000);
+    load("far", 2, 0, 90);
     now += absl::Milliseconds(200);
     STRCMP_EQUAL("far", choose().c_str());
     now += absl::Seconds(1);
