Read whole numbers as doubles

Cause: the packer writes a double without a fraction as an integer, which the decoder refused.

The codec's tests now take every message between daemons of a fleet through the wire.

--- a/Source/Adapters/Msgpack/Decoder.cpp
+++ b/Source/Adapters/Msgpack/Decoder.cpp
@@ -82,10 +82,21 @@
 
 bool Decoder::get(const Object& object, double& value)
 {
-    if (object.type != msgpack::type::FLOAT64 && object.type != msgpack::type::FLOAT32)
+    // The packer writes whole numbers as integers.
+    switch (object.type) {
+    case msgpack::type::FLOAT64:
+    case msgpack::type::FLOAT32:
+        value = object.via.f64;
+        return true;
+    case msgpack::type::POSITIVE_INTEGER:
+        value = static_cast<double>(object.via.u64);
+        return true;
+    case msgpack::type::NEGATIVE_INTEGER:
+        value = static_cast<double>(object.via.i64);
+        return true;
+    default:
         return fail("expected a number");
-    value = object.via.f64;
-    return true;
+    }
 }
 
 bool Decoder::get(const Object& object, std::string& value)
--- a/Tests/Adapters/Msgpack/CodecTest.cpp
+++ b/Tests/Adapters/Msgpack/CodecTest.cpp
@@ -44,6 +44,28 @@
 
 TEST_GROUP(Codec) {};
 
+// Whole numbers are packed as integers, whatever their type here.
+TEST(Codec, ALoadWithAWholeRateSurvives)
+{
+    CellLoad load { { { ServiceId("quotes"), DataCentreId("bole") }, { DaemonId("d-1"), Incarnation(1) }, OwnerEpoch(7) }, 16000, 7000, { 3, 0, 4 }, 0.5 };
+    for (const double rate : { 0.0, 2.0, 0.25, 1e9 }) {
+        load.endsPerSecond = rate;
+        CHECK(survives(PeerMessage(load)));
+    }
+}
+
+TEST(Codec, EveryFleetMessageSurvives)
+{
+    const DaemonRun run { DaemonId("10.0.0.1"), Incarnation(5) };
+    const CellGrant grant { { ServiceId("quotes"), DataCentreId("bole") }, run, OwnerEpoch(7) };
+    const MinionReport report { { MinionId("m-1"), MinionBirth(3) }, 9, grant.cell, { "10.0.0.2", 8080 }, { 16000, 65536, 1 }, { "a" }, MinionState::Leaving };
+    CHECK(survives(PeerMessage(DaemonPulse { run, DataCentreId("bole"), true, true, RoutingVersion(4), Incarnation(2), 6 })));
+    CHECK(survives(PeerMessage(FleetNews { Incarnation(5), true, 8, 2, RoutingDocument { RoutingVersion(4), "{}" }, { grant }, { report }, { report.life }, { { { run, DataCentreId("bole"), false, true } } } })));
+    CHECK(survives(PeerMessage(JobOffer { grant.cell, JobKey("job"), "request", 3, RouteName("route"), 5, 2, { 7000, 64, 0 }, absl::Milliseconds(51), "spec", absl::Milliseconds(141), absl::Seconds(2), 1, 4, true })));
+    CHECK(survives(PeerMessage(JobCancel { grant.cell, JobKey("job"), 3 })));
+    CHECK(survives(PeerMessage(JobEnded { JobKey("job"), 3, JobEnd::TurnedDown, absl::Seconds(1), absl::Milliseconds(5) })));
+}
+
 TEST(Codec, EveryPeerMessageSurvives)
 {
     const Demand demand { JobNumber(7), BackerId("shop-1"), absl::FromUnixMicros(1), absl::InfiniteFuture(),
