Let callers wait for an entry that has just started

StartGate holds requests at the door in the first second of a process until it serves; an entry that has served once, or found nobody in a second, refuses at once as before. A protocol answer of 503 without a configuration still comes, up to a second later.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -69,6 +69,7 @@
     , desk_({ door_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
     , view_(seedDaemons(settings))
     , chooser_(settings.dataCentre)
+    , gate_(link_.clock().now())
 {
     door_.setIntake(*this);
 }
@@ -397,6 +398,8 @@
 
 absl::Time FleetEntry::pump(absl::Time now)
 {
+    if (isStarting_)
+        openGate(now);
     const std::vector<CellPtr> cells = allCells();
     for (const CellPtr& cell : cells)
         cell->tick();
@@ -412,11 +415,19 @@
         metricsDue_ = now + metricsInterval;
         publishMetrics();
     }
-    const bool isIdle = desk_.openCount() == 0 && std::all_of(cells.begin(), cells.end(), [](const CellPtr& cell) { return cell->isIdle(); });
+    const bool isIdle = !isStarting_ && desk_.openCount() == 0 && std::all_of(cells.begin(), cells.end(), [](const CellPtr& cell) { return cell->isIdle(); });
     isIdle_ = isIdle;
     return isIdle ? pulseDue_ : std::min(now + pumpInterval, pulseDue_);
 }
 
+void FleetEntry::openGate(absl::Time now)
+{
+    if (gate_.isClosed(isReady(), now))
+        return;
+    isStarting_ = false;
+    loop_.run([this] { door_.serveHeld(); });
+}
+
 void FleetEntry::wakeFromIdle()
 {
     if (isIdle_.exchange(false))
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -9,6 +9,7 @@
 #include "Intake/CellChooser.h"
 #include "Intake/FleetView.h"
 #include "Intake/JobDesk.h"
+#include "Intake/StartGate.h"
 #include "Placement/CellShard.h"
 #include "Ports/JobIntake.h"
 #include "Ports/RoutingReader.h"
@@ -38,6 +39,7 @@
     RouteStanding findRoute(const std::string& host, const std::string& path) const override;
     size_t prefixLength(const std::string& host, const std::string& path) const override;
     bool isReady() const override;
+    bool isStarting() const override { return isStarting_; }
 
 private:
     using CellPtr = std::shared_ptr<CellShard>;
@@ -64,6 +66,7 @@
     void wake() override { signal_.raise(); }
 
     void wakeFromIdle();
+    void openGate(absl::Time now);
     void takeRouting(const RoutingDocument&);
     void takeGrant(const CellGrant&);
     void pulse(absl::Time now);
@@ -102,6 +105,8 @@
     std::vector<EarlyOffer> earlyOffers_ ABSL_GUARDED_BY(cellsMutex_);
 
     std::atomic<bool> isDraining_ { false };
+    /// Whether the gate is closed; its callers wait at the door.
+    std::atomic<bool> isStarting_ { true };
     /// Whether the drain has come so far that new jobs might not end in time.
     std::atomic<bool> refusesJobs_ { false };
     /// Whether the pump sleeps long, as nothing is under way.
@@ -111,6 +116,7 @@
     absl::Time metricsDue_ = absl::InfinitePast();
     uint64_t pulses_ = 0;
     bool hearsKeepers_ = false;
+    StartGate gate_;
     std::map<CellId, std::pair<CellLoad, absl::Time>> toldLoads_;
     WorkSignal signal_;
     std::unique_ptr<PumpThread> thread_;
--- a/Source/Ports/JobIntake.h
+++ b/Source/Ports/JobIntake.h
@@ -30,6 +30,9 @@
     /// @return how long the path's prefix is that the route has; 0 where there is none.
     virtual size_t prefixLength(const std::string& host, const std::string& path) const = 0;
 
+    /// @return whether requests should wait, as this entry has just started and doesn't know its fleet yet.
+    virtual bool isStarting() const = 0;
+
     /// @return whether new callers should come to this entry.
     virtual bool isReady() const = 0;
 };
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -111,6 +111,17 @@
     CHECK_TEXT(fleet.awaitService(others), "the others serve");
 }
 
+TEST(FleetSystem, CallersOfAnEntryThatJustStartedWaitUntilItServes)
+{
+    begin();
+    fleet.node("entry-1").kill();
+    fleet.startNode("entry-1", false);
+    submit({ "entry-1" }, 60, absl::Milliseconds(15));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(0, tally.count(503));
+    CHECK_TEXT(tally.count(200) > 20, "it serves soon after its start");
+}
+
 TEST(FleetSystem, SigtermCutsOffNothing)
 {
     begin();
