Assign owners as soon as there is a leader and a daemon says something new

It now looks every 20 ms while no leader is known and whenever a daemon starts again or drains; first elections come within 250 ms instead of 400 ms; entries that start give signs of life every 60 ms.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -53,13 +53,14 @@
     return life;
 }
 
-void FleetRegistry::heard(const DaemonPulse& pulse, absl::Time now)
+bool FleetRegistry::heard(const DaemonPulse& pulse, absl::Time now)
 {
     HeardDaemon& daemon = daemons_[pulse.run.daemon];
     if (daemon.note.run.incarnation > pulse.run.incarnation)
-        return;
+        return false;
     const DaemonNote note { pulse.run, pulse.dataCentre, pulse.isEntry, pulse.isDraining };
-    if (daemon.note != note) {
+    const bool isNews = daemon.note != note;
+    if (isNews) {
         if (daemon.note.run != note.run)
             daemon = {};
         if (daemon.note.run.daemon.value().empty())
@@ -74,6 +75,7 @@
     daemon.hasNews = pulse.newsFrom == self_.incarnation ? pulse.newsNumber : 0;
     if (std::erase_if(daemons_, [&](const auto& entry) { return now - entry.second.heardAt > daemonLife; }) > 0)
         daemonsNumber_ = ++number_;
+    return isNews;
 }
 
 void FleetRegistry::setLeading(bool isLeading)
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -43,7 +43,8 @@
     bool reported(const MinionReport&);
     /// @return the life that left, if the minion was known.
     std::optional<MinionLife> left(const MinionId&);
-    void heard(const DaemonPulse&, absl::Time now);
+    /// @return whether the daemon is new, or says something else of itself than before.
+    bool heard(const DaemonPulse&, absl::Time now);
     /// Takes note whether this keeper leads; all daemons are told.
     void setLeading(bool isLeading);
     void setRouting(const RoutingDocument&);
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -17,6 +17,8 @@
     constexpr absl::Duration pumpInterval = absl::Milliseconds(30);
     /// Signs of life to the leading keeper and the owners; several fit into the silence that counts as the end.
     constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
+    /// While it starts, so that the keepers tell it of the fleet and grant it cells soon.
+    constexpr absl::Duration startingPulseInterval = absl::Milliseconds(60);
     /// Signs of life to the other keepers come with every so many of these.
     constexpr uint64_t pulsesToFollowers = 2;
     /// A cell's load is told again after so long, as the owner's sign of life.
@@ -407,7 +409,7 @@
     refuseEarlyOffers(now);
     tellLoads(now);
     if (now >= pulseDue_) {
-        pulseDue_ = now + pulseInterval;
+        pulseDue_ = now + (isStarting_ ? startingPulseInterval : pulseInterval);
         pulse(now);
         watchKeepers(now);
     }
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -15,6 +15,8 @@
     /// How often what is due is looked for at the least: an event may have brought forward what the log does
     /// next, by tens of milliseconds.
     constexpr absl::Duration pumpInterval = absl::Milliseconds(100);
+    /// And while no leader is known, so that a new leader assigns owners at once.
+    constexpr absl::Duration leaderlessInterval = absl::Milliseconds(20);
     constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
     /// Signs of life to keepers that don't lead come with every so many of the others.
     constexpr uint64_t pulsesToFollowers = 2;
@@ -24,7 +26,7 @@
     constexpr absl::Duration electionTimeout = absl::Milliseconds(700);
     constexpr absl::Duration logHeartbeat = absl::Milliseconds(200);
     /// Connections to the other keepers are made by then.
-    constexpr absl::Duration firstElection = absl::Milliseconds(400);
+    constexpr absl::Duration firstElection = absl::Milliseconds(250);
     /// Configurations may be large, so few are kept beside the snapshot.
     constexpr uint64_t maxLogEntries = 64;
     /// A voter that is gone for so long makes way; longer than a restart or a freeze takes.
@@ -225,10 +227,14 @@
 {
     if (!pulse.isEntry)
         group_->addDaemon(from);
+    bool isNews = false;
     {
         MutexLock lock(mutex_);
-        registry_.heard(pulse, link_.clock().now());
+        isNews = registry_.heard(pulse, link_.clock().now());
     }
+    // A daemon that has started again or drains may change who owns its cells.
+    if (isNews)
+        signal_.raise();
     sendNews();
 }
 
@@ -257,9 +263,9 @@
 {
     if (group_->nextWakeup() <= now)
         group_->wake();
+    noteRole();
     if (now >= pulseDue_) {
         pulseDue_ = now + pulseInterval;
-        noteRole();
         pulse();
     }
     if (isLeading_)
@@ -268,7 +274,7 @@
         metricsDue_ = now + metricsInterval;
         publishMetrics();
     }
-    return std::min(now + pumpInterval, group_->nextWakeup());
+    return std::min(now + (leader_ ? pumpInterval : leaderlessInterval), group_->nextWakeup());
 }
 
 void FleetKeeper::noteRole()
