--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -29,11 +29,9 @@
 {
     cells_.insert(report.cell);
     Entry& entry = minions_[report.life.minion];
-    const MinionReport& known = entry.report;
-    const bool isOlder = known.life.birth > report.life.birth || (known.life == report.life && known.sequence >= report.sequence);
-    if (entry.number > 0 && isOlder)
+    if (entry.number > 0 && !isLater(report, entry.report))
         return false;
-    const bool isChange = entry.number == 0 || !isSameToOthers(known, report);
+    const bool isChange = entry.number == 0 || !isSameToOthers(entry.report, report);
     entry.report = report;
     if (isChange)
         entry.number = ++number_;
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -22,8 +22,7 @@
 bool FleetState::apply(const MinionRecord& record)
 {
     MinionReport& known = minions_[record.report.life.minion];
-    const bool isOlder = known.life.birth > record.report.life.birth || (known.life == record.report.life && known.sequence >= record.report.sequence);
-    if (isOlder)
+    if (!isLater(record.report, known))
         return false;
     known = record.report;
     // An address belongs to the newest life that reported from it.
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -2,10 +2,10 @@
 
 #include "Adapters/Beast/HttpListener.h"
 #include "Adapters/Histogram/HistogramMetrics.h"
+#include "Base/WorkSignal.h"
 #include "Daemon/FleetDaemon.h"
 #include "Daemon/FleetLink.h"
 #include "Daemon/PumpThread.h"
-#include "Base/WorkSignal.h"
 #include "Intake/CellChooser.h"
 #include "Intake/FleetView.h"
 #include "Intake/JobDesk.h"
--- a/Source/Daemon/GroupPump.h
+++ b/Source/Daemon/GroupPump.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "Base/WorkSignal.h"
 #include "Control/ReplicatedGroup.h"
 #include "Dispatch/Pumped.h"
-#include "Base/WorkSignal.h"
 
 namespace trefoilwing {
 
--- a/Source/Daemon/MembershipRole.cpp
+++ b/Source/Daemon/MembershipRole.cpp
@@ -1,6 +1,5 @@
 #include "Daemon/MembershipRole.h"
 
-
 #include <algorithm>
 
 namespace trefoilwing {
--- a/Source/Dispatch/BrokerShard.h
+++ b/Source/Dispatch/BrokerShard.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "Base/MutexLock.h"
+#include "Base/WorkSignal.h"
 #include "Dispatch/BrokerHost.h"
 #include "Dispatch/Pumped.h"
-#include "Base/WorkSignal.h"
 #include "Ports/PeerLink.h"
 
 namespace trefoilwing {
--- a/Source/Dispatch/DispatchShard.h
+++ b/Source/Dispatch/DispatchShard.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Base/MutexLock.h"
+#include "Base/WorkSignal.h"
 #include "Dispatch/BrokerClient.h"
 #include "Dispatch/Pumped.h"
 #include "Dispatch/ServiceDispatcher.h"
-#include "Base/WorkSignal.h"
 #include "Model/MinionBatches.h"
 #include "Model/OperatorMessages.h"
 #include "Ports/Metrics.h"
--- a/Source/Dispatch/SubmissionDesk.h
+++ b/Source/Dispatch/SubmissionDesk.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "Base/MutexLock.h"
+#include "Base/WorkSignal.h"
 #include "Dispatch/ForwardTable.h"
 #include "Dispatch/Pumped.h"
 #include "Dispatch/SubmissionTable.h"
-#include "Base/WorkSignal.h"
 #include "Ports/CallerDesk.h"
 #include "Ports/Clock.h"
 #include "Ports/DaemonDirectory.h"
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -71,11 +71,8 @@
     if (left != left_.end() && report.life.birth <= left->second)
         return false;
     const auto known = minions_.find(report.life.minion);
-    if (known != minions_.end()) {
-        const MinionReport& held = known->second;
-        if (held.life.birth > report.life.birth || (held.life == report.life && held.sequence >= report.sequence))
-            return false;
-    }
+    if (known != minions_.end() && !isLater(report, known->second))
+        return false;
     // Only the newest life can be at an address.
     std::vector<MinionLife> replaced;
     for (const auto& [id, other] : minions_) {
--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -86,6 +86,12 @@
     friend bool operator==(const MinionReport&, const MinionReport&) = default;
 };
 
+/// @return whether a minion's report tells of a later life than the one known, or of the same and came later in it.
+inline bool isLater(const MinionReport& report, const MinionReport& known)
+{
+    return report.life.birth != known.life.birth ? report.life.birth > known.life.birth : report.sequence > known.sequence;
+}
+
 /// What every order to a minion carries.
 struct OrderHeader {
     MinionLife life;
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -148,6 +148,7 @@
     /// Whether the first looks were answered, or have had the time for it: what reachable minions run is known.
     bool isLookedAt(absl::Time now) const;
 
+    static std::string describe(const RunId&);
     void note(std::string name, const JobKey&, const MinionId&, std::string detail);
 
     const CellGrant grant_;
