trefoilctl trace: tell what became of a request from the logs

Reads the log files of all daemons, collects the lines of a request and of the job that it brought, shows them in the order of their times, and says in a sentence each how it ended and what explains that.

--- a/Source/Ctl/Commands.cpp
+++ b/Source/Ctl/Commands.cpp
@@ -9,6 +9,7 @@
 #include "Ctl/ReportCommand.h"
 #include "Ctl/StatusCommand.h"
 #include "Ctl/TextTable.h"
+#include "Ctl/TraceCommand.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -23,6 +24,7 @@
     commands_.push_back(std::make_unique<MembersCommand>(factory));
     commands_.push_back(std::make_unique<ReportCommand>(factory));
     commands_.push_back(std::make_unique<LoadCommand>(factory, callerFactory));
+    commands_.push_back(std::make_unique<TraceCommand>());
 }
 
 CtlCommand* Commands::find(const std::string& name) const
