--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -53,6 +53,8 @@
     double speedWeight = 0.1;
     /// The weight of the newest job in what a usual task needs.
     double needWeight = 0.05;
+    /// And once several in a row show that the minion has turned slow, or is itself again.
+    double changedSpeedWeight = 0.5;
     /// A task counts as in time on a minion if its expected run time and this share more fit before it is late:
     /// learned speeds are right to about a tenth.
     double speedMargin = 0.1;
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace trefoilwing {
 
@@ -11,6 +12,11 @@
     /// for reasons of their own.
     constexpr double maxRatio = 4;
 
+    /// Run times that are so many times above or below what was expected, one after the other, show that the
+    /// minion's speed has changed: estimates alone are rarely off by as much.
+    constexpr double surprisingRatio = 2;
+    constexpr int surprisesUntilChanged = 2;
+
     /// Bounds the rate of ends of tasks with a tiny estimate, in seconds; a start and its end take as long.
     constexpr double shortestRun = 0.01;
 
@@ -94,7 +100,13 @@
         return;
     const double ratio = std::clamp(absl::FDivDuration(taken, estimate), 1 / maxRatio, maxRatio);
     // The first run times are averaged; the mean of logarithms lets twice as slow and twice as fast weigh the same.
-    const double weight = std::max(policy_.speedWeight, 1.0 / static_cast<double>(++runTimesNoted_ + 1));
+    const double surprise = std::log(ratio / slowness_);
+    if (std::abs(surprise) < std::log(surprisingRatio))
+        surprises_ = 0;
+    else
+        surprises_ = surprise > 0 ? std::max(surprises_, 0) + 1 : std::min(surprises_, 0) - 1;
+    const double usualWeight = std::max(policy_.speedWeight, 1.0 / static_cast<double>(++runTimesNoted_ + 1));
+    const double weight = std::abs(surprises_) >= surprisesUntilChanged ? std::max(usualWeight, policy_.changedSpeedWeight) : usualWeight;
     slowness_ = std::exp((1 - weight) * std::log(slowness_) + weight * std::log(ratio));
 }
 
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -104,6 +104,8 @@
     /// The run times here over the estimates, as a moving average.
     double slowness_ = 1;
     uint64_t runTimesNoted_ = 0;
+    /// Run times in a row that were far longer than expected, or far shorter if below 0.
+    int surprises_ = 0;
 };
 
 } // namespace trefoilwing
--- a/Tests/Placement/MinionChooserTest.cpp
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -88,6 +88,27 @@
     STRCMP_EQUAL("slow", choose(job(absl::Milliseconds(760), absl::Milliseconds(1276))).c_str());
 }
 
+// Pattern: some minions turn several times slower for a few seconds.
+TEST(MinionChooser, AMinionThatTurnsSlowIsAvoidedAfterAFewRuns)
+{
+    LeasedMinion& turned = add("turned", 0.6);
+    add("usual", 1);
+    CHECK(turned.slowness() < 0.7);
+    for (int i = 0; i < 4; ++i)
+        turned.noteRunTime(absl::Milliseconds(100), absl::Milliseconds(300));
+    STRCMP_EQUAL("usual", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
+    for (int i = 0; i < 6; ++i)
+        turned.noteRunTime(absl::Milliseconds(100), absl::Milliseconds(60));
+    STRCMP_EQUAL("turned", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
+}
+
+TEST(MinionChooser, OneTaskThatTakesFarLongerThanEstimatedChangesLittle)
+{
+    LeasedMinion& minion = add("minion", 1);
+    minion.noteRunTime(absl::Milliseconds(100), absl::Milliseconds(400));
+    CHECK(minion.slowness() < 1.2);
+}
+
 TEST(MinionChooser, TheMinionThatFailedATaskIsItsLastChoice)
 {
     add("other", 1.6);
