Check fleets' settings, tell log drops, connections and ages as metrics, answer cancels of early offers

trefoilctl check reads the settings of a fleet's processes and compares their addresses and ports. Metrics of entries and keepers have dropped log lines and connected peers; entries also the age of their configuration, open jobs and the keepers' silence. A cancelled offer that came before its cell's grant is answered, so that the desk doesn't wait for a word that never comes before it refuses a split job.

--- a/Source/Adapters/LineLog/LineLog.h
+++ b/Source/Adapters/LineLog/LineLog.h
@@ -30,8 +30,7 @@
 
     void write(Severity, std::string_view event, std::initializer_list<LogField> fields) override;
 
-    /// @return the lines dropped so far.
-    uint64_t dropped() const;
+    uint64_t dropped() const override;
 
 private:
     struct Line {
--- a/Source/Adapters/Yaml/YamlDocument.cpp
+++ b/Source/Adapters/Yaml/YamlDocument.cpp
@@ -94,6 +94,8 @@
         return YamlFileKind::Unknown;
     if ((*document)["service"])
         return YamlFileKind::Declaration;
+    if ((*document)["node"] || (*document)["seeds"])
+        return YamlFileKind::FleetSettings;
     return (*document)["daemon"] || (*document)["peers"] ? YamlFileKind::Settings : YamlFileKind::Unknown;
 }
 
--- a/Source/Adapters/Yaml/YamlDocument.h
+++ b/Source/Adapters/Yaml/YamlDocument.h
@@ -22,8 +22,10 @@
 /// What a YAML file is for, by its first-level keys.
 enum class YamlFileKind {
     Settings,
+    /// Settings of a process of a fleet.
+    FleetSettings,
     Declaration,
-    /// Has neither's key, or can't be parsed.
+    /// Has none of their keys, or can't be parsed.
     Unknown,
 };
 
--- a/Source/Ctl/CheckCommand.cpp
+++ b/Source/Ctl/CheckCommand.cpp
@@ -1,6 +1,7 @@
 #include "Ctl/CheckCommand.h"
 
 #include "Adapters/Yaml/DeclarationLoader.h"
+#include "Adapters/Yaml/FleetSettingsLoader.h"
 #include "Adapters/Yaml/SettingsLoader.h"
 #include "Adapters/Yaml/YamlDocument.h"
 
@@ -20,10 +21,16 @@
     public:
         void addFile(const std::string& path)
         {
-            if (kindOfYamlFile(path) == YamlFileKind::Settings)
+            switch (kindOfYamlFile(path)) {
+            case YamlFileKind::Settings:
                 addSettings(path);
-            else
+                break;
+            case YamlFileKind::FleetSettings:
+                addFleetSettings(path);
+                break;
+            default:
                 declarationFiles_.push_back(path);
+            }
         }
 
         void fail(const std::string& message) { messages_.push_back(message); }
@@ -39,7 +46,7 @@
             return messages_;
         }
 
-        size_t settingsCount() const { return settings_.size(); }
+        size_t settingsCount() const { return settings_.size() + fleetSettings_.size(); }
         size_t declarationCount() const { return declarationFiles_.size(); }
 
     private:
@@ -59,6 +66,23 @@
             settings_.emplace(path, settings);
         }
 
+        void addFleetSettings(const std::string& path)
+        {
+            const Result<FleetSettings> loaded = loadFleetSettings(path);
+            if (const Error* error = errorOf(loaded)) {
+                fail(error->message);
+                return;
+            }
+            const FleetSettings& settings = *valueOf(loaded);
+            // The address is the process's id, and all processes of a fleet listen for each other on one port.
+            const auto same = std::find_if(fleetSettings_.begin(), fleetSettings_.end(), [&](const auto& other) { return other.second.address == settings.address; });
+            if (same != fleetSettings_.end())
+                fail(absl::StrCat(path, ":1: address: '", settings.address, "' is that of ", same->first, " already; give each process its own"));
+            if (!fleetSettings_.empty() && fleetSettings_.begin()->second.peerPort != settings.peerPort)
+                fail(absl::StrCat(path, ":1: peer_port: it differs from that in ", fleetSettings_.begin()->first, "; give all processes of a fleet the same"));
+            fleetSettings_.emplace(path, settings);
+        }
+
         void checkAllHomes()
         {
             std::set<DataCentreId> dataCentres;
@@ -76,6 +100,7 @@
         }
 
         std::map<std::string, DaemonSettings> settings_;
+        std::map<std::string, FleetSettings> fleetSettings_;
         std::vector<std::string> declarationFiles_;
         std::vector<std::string> messages_;
     };
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -244,6 +244,7 @@
         if (table_ && table_->version >= routes->version)
             return;
         table_ = routes;
+        tableSince_ = link_.clock().now();
     }
     log_.write(Severity::Info, "configuration_in_force", { { "version", routes->version.value() }, { "routes", uint64_t { routes->routes.size() } } });
 }
@@ -323,10 +324,7 @@
 
 void FleetEntry::receive(const DaemonId& from, const JobCancel& cancel)
 {
-    {
-        MutexLock lock(cellsMutex_);
-        std::erase_if(earlyOffers_, [&](const EarlyOffer& early) { return early.from == from && early.offer.job == cancel.job && early.offer.life == cancel.life; });
-    }
+    refuseEarlyOffers([&](const EarlyOffer& early) { return early.from == from && early.offer.job == cancel.job && early.offer.life == cancel.life; });
     if (const CellPtr cell = findCell(cancel.cell))
         cell->cancelled(cancel, from);
 }
@@ -342,21 +340,18 @@
         cell->entryHeard(pulse.run);
 }
 
-void FleetEntry::refuseEarlyOffers(absl::Time now)
+void FleetEntry::refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused)
 {
-    std::vector<EarlyOffer> expired;
+    std::vector<EarlyOffer> refused;
     {
         MutexLock lock(cellsMutex_);
-        std::erase_if(earlyOffers_, [&](EarlyOffer& early) {
-            const bool isExpired = now > early.at + earlyOfferLife;
-            if (isExpired)
-                expired.push_back(std::move(early));
-            return isExpired;
-        });
+        const auto first = std::stable_partition(earlyOffers_.begin(), earlyOffers_.end(), [&](const EarlyOffer& early) { return !isRefused(early); });
+        refused.assign(first, earlyOffers_.end());
+        earlyOffers_.erase(first, earlyOffers_.end());
     }
-    for (const EarlyOffer& early : expired) {
+    for (const EarlyOffer& early : refused) {
         const JobEnd end = early.offer.isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown;
-        link_.peers().send(early.from, JobEnded { early.offer.job, early.offer.life, end, {}, now - early.at });
+        link_.peers().send(early.from, JobEnded { early.offer.job, early.offer.life, end, {}, link_.clock().now() - early.at });
     }
 }
 
@@ -406,7 +401,7 @@
     for (const CellPtr& cell : cells)
         cell->tick();
     desk_.tick();
-    refuseEarlyOffers(now);
+    refuseEarlyOffers([&](const EarlyOffer& early) { return now > early.at + earlyOfferLife; });
     tellLoads(now);
     if (now >= pulseDue_) {
         pulseDue_ = now + (isStarting_ ? startingPulseInterval : pulseInterval);
@@ -512,7 +507,15 @@
         metrics_.set("cell_holds", labels, static_cast<double>(totals.holds));
         metrics_.set("cell_jobs_turned_down", labels, static_cast<double>(totals.turnedDown));
     }
+    metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
+    metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
+    metrics_.set("jobs_open", {}, static_cast<double>(desk_.openCount()));
+    const absl::Time now = link_.clock().now();
     MutexLock lock(viewMutex_);
+    if (table_)
+        metrics_.set("configuration_age_seconds", {}, absl::ToDoubleSeconds(now - tableSince_));
+    if (view_.silence(now) < absl::InfiniteDuration())
+        metrics_.set("keepers_silent_seconds", {}, absl::ToDoubleSeconds(view_.silence(now)));
     metrics_.set("configuration_version", {}, static_cast<double>(view_.routingVersion().value()));
     metrics_.set("minions_known", {}, static_cast<double>(view_.minionCount()));
 }
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -17,6 +17,7 @@
 #include "platform/MinionGateway.h"
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -71,7 +72,8 @@
     void takeGrant(const CellGrant&);
     void pulse(absl::Time now);
     void tellLoads(absl::Time now);
-    void refuseEarlyOffers(absl::Time now);
+    /// Tells those who offered that nothing of their jobs ran here.
+    void refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused);
     void watchKeepers(absl::Time now);
     void publishMetrics();
     CellPtr findCell(const CellId&) const;
@@ -97,6 +99,7 @@
     FleetView view_ ABSL_GUARDED_BY(viewMutex_);
     CellChooser chooser_ ABSL_GUARDED_BY(viewMutex_);
     std::shared_ptr<const RoutingTable> table_ ABSL_GUARDED_BY(viewMutex_);
+    absl::Time tableSince_ ABSL_GUARDED_BY(viewMutex_);
 
     mutable absl::Mutex cellsMutex_;
     std::map<CellId, CellPtr> cells_ ABSL_GUARDED_BY(cellsMutex_);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -335,6 +335,8 @@
     metrics_.set("log_term", {}, static_cast<double>(state.term.value()));
     metrics_.set("log_members", {}, static_cast<double>(state.members.size()));
     metrics_.set("log_is_leader", {}, state.isLeading ? 1 : 0);
+    metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
+    metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
     MutexLock lock(mutex_);
     metrics_.set("configuration_version", {}, static_cast<double>(registry_.routingVersion().value()));
     metrics_.set("minions_reporting", {}, static_cast<double>(registry_.minionCount()));
--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -2,6 +2,8 @@
 
 #include "Adapters/Clock/SystemClock.h"
 
+#include <algorithm>
+
 namespace trefoilwing {
 
 namespace {
@@ -39,6 +41,12 @@
 {
 }
 
+size_t FleetLink::connectedPeers() const
+{
+    const std::vector<PeerTraffic> traffic = others_.traffic();
+    return static_cast<size_t>(std::count_if(traffic.begin(), traffic.end(), [](const PeerTraffic& peer) { return peer.isConnected; }));
+}
+
 std::vector<DaemonId> seedDaemons(const FleetSettings& settings)
 {
     std::vector<DaemonId> daemons;
--- a/Source/Daemon/FleetLink.h
+++ b/Source/Daemon/FleetLink.h
@@ -20,6 +20,8 @@
 
     const DaemonRun& self() const { return self_; }
     PeerLink& peers() { return peers_; }
+    /// @return how many other daemons this one is connected to.
+    size_t connectedPeers() const;
     SteadyClock& clock() { return clock_; }
     const SteadyClock& clock() const { return clock_; }
 
--- a/Source/Ports/EventLog.h
+++ b/Source/Ports/EventLog.h
@@ -36,6 +36,9 @@
     virtual ~EventLog() = default;
 
     virtual void write(Severity, std::string_view event, std::initializer_list<LogField> fields) = 0;
+
+    /// @return the lines that weren't written as too many waited; 0 for a log that writes all.
+    virtual uint64_t dropped() const { return 0; }
 };
 
 /// @return the line "event=NAME key=value ...", with values quoted where they hold blanks, quotes or control characters.
--- a/Tests/Ctl/CommandsTest.cpp
+++ b/Tests/Ctl/CommandsTest.cpp
@@ -61,7 +61,7 @@
 
 TEST(Commands, ShowsHelpOfEachCommand)
 {
-    for (const char* name : { "check", "publish", "status", "drain", "members", "report", "load" }) {
+    for (const char* name : { "check", "publish", "status", "drain", "members", "report", "load", "trace" }) {
         runExpecting(ExitCode::Ok, { name, "--help" });
         checkHolds(out, std::string("usage: trefoilctl ") + name);
     }
--- a/Tests/Ctl/ExamplesTest.cpp
+++ b/Tests/Ctl/ExamplesTest.cpp
@@ -87,3 +87,22 @@
     std::filesystem::copy_file(folder / "declarations/quote-follow-up.yaml", folder / "again.yaml");
     checkFault("quote-follow-up.yaml:1: service: 'quote-follow-up' is declared already in");
 }
+
+TEST(Examples, SettingsOfAFleetAreCheckedAgainstEachOther)
+{
+    std::filesystem::create_directories(folder);
+    auto write = [&](const std::string& name, const std::string& address, int peerPort) {
+        std::ofstream(folder / name) << "node: " << name << "\naddress: \"" << address << "\"\ndata_centre: bole\npeer_port: " << peerPort
+                                     << "\nseeds: [\"10.0.0.1:8166\"]\ncallers: \"" << address << ":8161\"\n";
+    };
+    write("entry-1.yaml", "10.0.0.2", 7720);
+    write("entry-2.yaml", "10.0.0.3", 7720);
+    CHECK_TRUE(check(folder.string()) == ExitCode::Ok);
+    write("entry-3.yaml", "10.0.0.2", 7720);
+    checkFault("entry-3.yaml:1: address: '10.0.0.2' is that of");
+    write("entry-3.yaml", "10.0.0.4", 7721);
+    checkFault("entry-3.yaml:1: peer_port: it differs from that in");
+    std::ofstream(folder / "entry-3.yaml") << "node: entry-3\naddress: \"10.0.0.4\"\n";
+    checkFault("entry-3.yaml:1: ");
+    checkFault("seeds");
+}
