Don't cancel the part of a job whose owner has had its last word

Found reading the diff: a part that failed or was given up still counted as open when its job was answered, so its owner got a cancel for nothing. The returning time's comment names the present handshake.

--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -10,7 +10,7 @@
     constexpr absl::Duration leaderGrace = absl::Milliseconds(1000);
 
     /// When a cut heals, a data centre's daemons are heard one after the other: a broken connection is made
-    /// again within 800 ms (handshake and backoff), and signs of life come every 250 ms.
+    /// again within 400 ms (handshake and backoff), signs of life come every 250 ms, and either may be lost once.
     constexpr absl::Duration returnTime = absl::Milliseconds(1200);
 
     /// As a cut begins, the last signs of life from behind it come within 250 to 500 ms. An owner is gone only
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -175,8 +175,10 @@
         return Outcome { { row.kind, word.retryAfter }, std::string(row.name) };
     };
     const Outcome outcome = outcomeOf(ended);
-    if (ended.end == JobEnd::Failed || ended.end == JobEnd::GivenUp)
+    if (ended.end == JobEnd::Failed || ended.end == JobEnd::GivenUp) {
+        part.state = PartState::Broken;
         return outcome;
+    }
     part.state = ended.end == JobEnd::Completed ? PartState::Completed : PartState::NotRun;
     if (part.state == PartState::NotRun && !job.refusal) {
         job.refusal = ended;
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -58,6 +58,8 @@
         Completed,
         /// Its owner's last word was that nothing of it ran or will run.
         NotRun,
+        /// It failed or was given up, which ends the job.
+        Broken,
     };
 
     struct Part {
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -212,7 +212,9 @@
     openShared(1, "job");
     end("other", "job", 102, JobEnd::Failed);
     CHECK(replies.answers.front().second.kind == AnswerKind::Failed);
-    CHECK(peers.take<JobCancel>().front().first == DaemonId("owner"));
+    const auto cancels = peers.take<JobCancel>();
+    LONGS_EQUAL(1, cancels.size());
+    CHECK(cancels.front().first == DaemonId("owner"));
 }
 
 TEST(JobDesk, OnlyThePartOfTheCellThatMovedIsTakenOver)
