--- a/Tests/Ctl/TraceCommandTest.cpp
+++ b/Tests/Ctl/TraceCommandTest.cpp
@@ -53,7 +53,7 @@
         return folder + "/" + name;
     }
 
-    ExitCode run(const std::vector<std::string>& words, std::string& out)
+    ExitCode trace(const std::vector<std::string>& words, std::string& out)
     {
         std::ostringstream text;
         std::ostringstream errors;
@@ -77,7 +77,7 @@
         "no event\n"
         "time=1790861440874 level=info node=entry event=job_answered request=r1 job=j1 outcome=completed taken_ms=925 queued_ms=0 late=yes\n");
     std::string out;
-    CHECK(run({ "r1", owner, entry }, out) == ExitCode::Ok);
+    CHECK(trace({ "r1", owner, entry }, out) == ExitCode::Ok);
     const size_t offered = out.find("job_offered");
     const size_t stalled = out.find("run_stalled");
     const size_t answered = out.find("job_answered");
@@ -93,18 +93,18 @@
         "time=5 node=owner event=job_orphaned request=\"\" job=j1 why=\"entry=10.2.0.40\"\n"
         "time=4 node=entry event=job_offered request=r1 job=j1\n");
     std::string out;
-    CHECK(run({ "r1", log }, out) == ExitCode::Ok);
+    CHECK(trace({ "r1", log }, out) == ExitCode::Ok);
     CHECK(out.find("- the owner lost its entry and stopped it, why entry=10.2.0.40") != std::string::npos);
-    CHECK(run({ "j1", log }, out) == ExitCode::Ok);
+    CHECK(trace({ "j1", log }, out) == ExitCode::Ok);
     CHECK(out.find("job_offered") != std::string::npos);
 }
 
 TEST(Trace, WhatCantBeToldIsAClearError)
 {
     std::string out;
-    CHECK(run({ "r1" }, out) == ExitCode::Usage);
-    CHECK(run({ "r1", folder + "/none.log" }, out) == ExitCode::Failed);
+    CHECK(trace({ "r1" }, out) == ExitCode::Usage);
+    CHECK(trace({ "r1", folder + "/none.log" }, out) == ExitCode::Failed);
     CHECK(out.find("none.log: can't be read") != std::string::npos);
-    CHECK(run({ "r1", write("a.log", "time=4 node=entry event=job_offered request=r2 job=j2\n") }, out) == ExitCode::Failed);
+    CHECK(trace({ "r1", write("a.log", "time=4 node=entry event=job_offered request=r2 job=j2\n") }, out) == ExitCode::Failed);
     CHECK(out.find("no line names 'r1'") != std::string::npos);
 }
