Write the metrics page, signals, signs of life and two test fakes in one place each

Found reading the whole change: FleetEntry and FleetKeeper each had the metrics page with its listener, and the loop that chooses the keepers for a sign of life; the two mains each blocked their signals; four tests had a clock of their own and three a recording peer link. MetricsPage, FleetView::nextPulses, blockSignals, FakeClock and RecordingPeers serve all.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -1,7 +1,5 @@
 #include "Daemon/FleetEntry.h"
 
-#include "Adapters/Histogram/PrometheusText.h"
-
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -15,12 +13,8 @@
     /// How often what is due is looked for while there are jobs; deadlines and leases are tens of milliseconds
     /// at the least.
     constexpr absl::Duration pumpInterval = absl::Milliseconds(30);
-    /// Signs of life to the leading keeper and the owners; several fit into the silence that counts as the end.
-    constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
     /// While it starts, so that the keepers tell it of the fleet and grant it cells soon.
     constexpr absl::Duration startingPulseInterval = absl::Milliseconds(60);
-    /// Signs of life to the other keepers come with every so many of these.
-    constexpr uint64_t pulsesToFollowers = 2;
     /// A cell's load is told again after so long, as the owner's sign of life.
     constexpr absl::Duration longestLoadInterval = absl::Milliseconds(250);
     /// And no sooner than this after a change that may send jobs elsewhere.
@@ -41,7 +35,7 @@
 
     constexpr uint64_t maxCallerBody = 256U << 10U;
     constexpr size_t maxCallerSessions = 3000;
-    constexpr size_t maxPageSessions = 16;
+    constexpr size_t maxReadinessSessions = 16;
 
     bool hasAmpleRoom(const CellLoad& load)
     {
@@ -66,8 +60,8 @@
     , door_(log)
     , gateway_(loop_, *this)
     , callers_(loop_, [this](const HttpExchangePtr& exchange) { door_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions })
-    , readiness_(loop_, [this](const HttpExchangePtr& exchange) { door_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxPageSessions })
-    , metricsPage_(loop_, [this](const HttpExchangePtr& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain" } }, prometheusText(metrics_.snapshot()) }); }, { Bytes(maxCallerBody), maxPageSessions })
+    , readiness_(loop_, [this](const HttpExchangePtr& exchange) { door_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions })
+    , metricsPage_(loop_, metrics)
     , desk_({ door_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
     , view_(seedDaemons(settings))
     , chooser_(settings.dataCentre)
@@ -88,8 +82,8 @@
         started = callers_.listen(*settings_.callers);
     if (!errorOf(started) && settings_.readiness)
         started = readiness_.listen(*settings_.readiness);
-    if (!errorOf(started) && settings_.metricsPort > 0)
-        started = metricsPage_.listen({ settings_.address, static_cast<uint16_t>(settings_.metricsPort) });
+    if (!errorOf(started))
+        started = metricsPage_.listen(settings_);
     if (errorOf(started))
         return started;
     loop_.start();
@@ -405,7 +399,7 @@
     tellLoads(now);
     if (now >= pulseDue_) {
         pulseDue_ = now + (isStarting_ ? startingPulseInterval : pulseInterval);
-        pulse(now);
+        pulse();
         watchKeepers(now);
     }
     if (now >= metricsDue_) {
@@ -431,7 +425,7 @@
         signal_.raise();
 }
 
-void FleetEntry::pulse(absl::Time)
+void FleetEntry::pulse()
 {
     std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
     {
@@ -440,13 +434,7 @@
         std::set<DaemonId> owners;
         for (const auto& [cell, grant] : chooser_.grants())
             owners.insert(grant.owner.daemon);
-        const bool isForAll = ++pulses_ % pulsesToFollowers == 0;
-        for (const DaemonId& keeper : view_.keepers()) {
-            if (!isForAll && !view_.isLeading(keeper))
-                continue;
-            pulses.emplace_back(keeper, own);
-            view_.describe(keeper, pulses.back().second);
-        }
+        pulses = view_.nextPulses(own);
         for (const DaemonId& owner : owners)
             pulses.emplace_back(owner, own);
     }
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -5,6 +5,7 @@
 #include "Base/WorkSignal.h"
 #include "Daemon/FleetDaemon.h"
 #include "Daemon/FleetLink.h"
+#include "Daemon/MetricsPage.h"
 #include "Daemon/PumpThread.h"
 #include "Intake/CellChooser.h"
 #include "Intake/FleetView.h"
@@ -70,7 +71,7 @@
     void openGate(absl::Time now);
     void takeRouting(const RoutingDocument&);
     void takeGrant(const CellGrant&);
-    void pulse(absl::Time now);
+    void pulse();
     void tellLoads(absl::Time now);
     /// Tells those who offered that nothing of their jobs ran here.
     void refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused);
@@ -92,7 +93,7 @@
     platform::MinionGateway gateway_;
     HttpListener callers_;
     HttpListener readiness_;
-    HttpListener metricsPage_;
+    MetricsPage metricsPage_;
     JobDesk desk_;
 
     mutable absl::Mutex viewMutex_;
@@ -117,7 +118,6 @@
     /// The rest is used by the pump's thread only.
     absl::Time pulseDue_ = absl::InfinitePast();
     absl::Time metricsDue_ = absl::InfinitePast();
-    uint64_t pulses_ = 0;
     bool hearsKeepers_ = false;
     StartGate gate_;
     std::map<CellId, std::pair<CellLoad, absl::Time>> toldLoads_;
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -1,7 +1,5 @@
 #include "Daemon/FleetKeeper.h"
 
-#include "Adapters/Histogram/PrometheusText.h"
-
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -17,9 +15,6 @@
     constexpr absl::Duration pumpInterval = absl::Milliseconds(100);
     /// And while no leader is known, so that a new leader assigns owners at once.
     constexpr absl::Duration leaderlessInterval = absl::Milliseconds(20);
-    constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
-    /// Signs of life to keepers that don't lead come with every so many of the others.
-    constexpr uint64_t pulsesToFollowers = 2;
     constexpr absl::Duration metricsInterval = absl::Seconds(1);
 
     /// Several heartbeats and a slow sync fit in.
@@ -36,7 +31,6 @@
 
     constexpr uint64_t maxControlBody = 16U << 20U;
     constexpr size_t maxControlSessions = 2000;
-    constexpr size_t maxPageSessions = 16;
     constexpr uint64_t maxSegmentBytes = 4U << 20U;
 
     const GroupId fleetGroup("fleet");
@@ -69,7 +63,7 @@
     , logRandom_(SeededRandom::freshSeed())
     , door_(reader, log)
     , control_(loop_, [this](const HttpExchangePtr& exchange) { door_.handle(exchange); }, { Bytes(maxControlBody), maxControlSessions })
-    , metricsPage_(loop_, [this](const HttpExchangePtr& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain" } }, prometheusText(metrics_.snapshot()) }); }, { Bytes(maxControlBody), maxPageSessions })
+    , metricsPage_(loop_, metrics)
     , registry_(link_.self())
     , others_(seedDaemons(settings))
 {
@@ -110,8 +104,8 @@
     Result<Done> started = link_.start();
     if (!errorOf(started))
         started = control_.listen(*settings_.control);
-    if (!errorOf(started) && settings_.metricsPort > 0)
-        started = metricsPage_.listen({ settings_.address, static_cast<uint16_t>(settings_.metricsPort) });
+    if (!errorOf(started))
+        started = metricsPage_.listen(settings_);
     if (errorOf(started))
         return started;
     journal_->start(*group_);
@@ -298,17 +292,12 @@
     std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
     {
         MutexLock lock(mutex_);
-        const bool isForAll = ++pulses_ % pulsesToFollowers == 0;
-        for (const DaemonId& keeper : others_.keepers()) {
-            if (!isForAll && !others_.isLeading(keeper))
-                continue;
-            DaemonPulse message { link_.self(), settings_.dataCentre, false, isDraining_, {}, {}, 0 };
-            others_.describe(keeper, message);
-            // Its own copy of the table comes through the log, not through news.
+        const DaemonPulse own { link_.self(), settings_.dataCentre, false, isDraining_, {}, {}, 0 };
+        pulses = others_.nextPulses(own);
+        pulses.emplace_back(link_.self().daemon, own);
+        // A keeper's own copy of the table comes through the log, not through news.
+        for (auto& [to, message] : pulses)
             message.routing = registry_.routingVersion();
-            pulses.emplace_back(keeper, message);
-        }
-        pulses.emplace_back(link_.self().daemon, DaemonPulse { link_.self(), settings_.dataCentre, false, isDraining_, registry_.routingVersion(), {}, 0 });
     }
     for (const auto& [to, message] : pulses)
         link_.peers().send(to, message);
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -10,6 +10,7 @@
 #include "Control/ReplicatedFleet.h"
 #include "Daemon/FleetDaemon.h"
 #include "Daemon/FleetLink.h"
+#include "Daemon/MetricsPage.h"
 #include "Daemon/PumpThread.h"
 #include "Intake/FleetView.h"
 #include "Ports/FleetOperations.h"
@@ -67,7 +68,7 @@
     HttpLoop loop_;
     platform::ControlDoor door_;
     HttpListener control_;
-    HttpListener metricsPage_;
+    MetricsPage metricsPage_;
     std::unique_ptr<DiskJournal> journal_;
     std::unique_ptr<ReplicatedFleet> group_;
 
@@ -81,7 +82,6 @@
     /// The rest is used by the pump's thread only.
     absl::Time pulseDue_ = absl::InfinitePast();
     absl::Time metricsDue_ = absl::InfinitePast();
-    uint64_t pulses_ = 0;
     bool isLeading_ = false;
     std::optional<MemberId> leader_;
     WorkSignal signal_;
--- a/Source/Daemon/FleetMain.cpp
+++ b/Source/Daemon/FleetMain.cpp
@@ -6,11 +6,11 @@
 #include "Daemon/ExitStatus.h"
 #include "Daemon/FleetEntry.h"
 #include "Daemon/FleetKeeper.h"
+#include "Daemon/Signals.h"
 #include "platform/RoutingCodec.h"
 
 #include <absl/synchronization/mutex.h>
 
-#include <csignal>
 #include <ctime>
 #include <fstream>
 #include <iostream>
@@ -24,18 +24,6 @@
     /// How often the settings file is read, as it may change without a signal.
     constexpr timespec settingsCheck { 2, 0 };
 
-    sigset_t blockSignals()
-    {
-        sigset_t signals;
-        sigemptyset(&signals);
-        for (const int number : { SIGTERM, SIGINT, SIGHUP })
-            sigaddset(&signals, number);
-        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-        // A peer or a minion that closes its connection must not end the process.
-        std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler,cert-err33-c): SIG_IGN can't fail here.
-        return signals;
-    }
-
     Result<std::unique_ptr<FleetDaemon>> makeDaemon(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
     {
         if (settings.callers)
@@ -91,7 +79,7 @@
     const FleetSettings& settings = *valueOf(loaded);
     // Debian's Abseil looks for cycles of locks at each lock; the tests do that, a serving process needn't.
     absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
-    const sigset_t signals = blockSignals();
+    const sigset_t signals = blockSignals({ SIGTERM, SIGINT, SIGHUP });
     const SystemClock clock;
     LineLog log(settings.node, STDOUT_FILENO, clock);
     HistogramMetrics metrics(clock);
--- /dev/null
+++ b/Source/Daemon/Signals.cpp
@@ -0,0 +1,17 @@
+#include "Daemon/Signals.h"
+
+namespace trefoilwing {
+
+sigset_t blockSignals(std::initializer_list<int> numbers)
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int number : numbers)
+        sigaddset(&signals, number);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer or a minion that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler,cert-err33-c): SIG_IGN can't fail here.
+    return signals;
+}
+
+} // namespace trefoilwing
--- a/Source/Daemon/StandAloneMain.cpp
+++ b/Source/Daemon/StandAloneMain.cpp
@@ -4,8 +4,8 @@
 #include "Adapters/Yaml/SettingsLoader.h"
 #include "Daemon/Daemon.h"
 #include "Daemon/ExitStatus.h"
+#include "Daemon/Signals.h"
 
-#include <csignal>
 #include <iostream>
 
 namespace trefoilwing {
@@ -14,22 +14,9 @@
 
     constexpr absl::Duration drainLimit = absl::Minutes(5);
 
-    /// Blocks the signals that end the daemon in this thread and all it starts, so that one sigwait takes them.
-    sigset_t blockEndSignals()
-    {
-        sigset_t signals;
-        sigemptyset(&signals);
-        sigaddset(&signals, SIGTERM);
-        sigaddset(&signals, SIGINT);
-        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-        // A peer or a minion that closes its connection must not end the daemon.
-        std::signal(SIGPIPE, SIG_IGN); // NOLINT(bugprone-signal-handler,cert-err33-c): SIG_IGN can't fail here.
-        return signals;
-    }
-
     int runDaemon(const DaemonSettings& settings)
     {
-        const sigset_t signals = blockEndSignals();
+        const sigset_t signals = blockSignals({ SIGTERM, SIGINT });
         GlogEventLog log("trefoilwing", settings.logFolder);
         const SystemClock clock;
         HistogramMetrics metrics(clock);
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -10,6 +10,9 @@
     /// The notes of a keeper that was silent for longer don't count any more.
     constexpr absl::Duration noteLife = absl::Seconds(5);
 
+    /// Signs of life to keepers that don't lead come with every so many of the others.
+    constexpr uint64_t pulsesToFollowers = 2;
+
     /// Keepers that live are heard every 2 s at the least.
     constexpr absl::Duration keeperSilence = absl::Milliseconds(2500);
 
@@ -108,6 +111,19 @@
     pulse.newsNumber = known == news_.end() ? 0 : known->second.number;
 }
 
+std::vector<std::pair<DaemonId, DaemonPulse>> FleetView::nextPulses(const DaemonPulse& own)
+{
+    const bool isForAll = ++pulses_ % pulsesToFollowers == 0;
+    std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
+    for (const DaemonId& keeper : keepers()) {
+        if (!isForAll && !isLeading(keeper))
+            continue;
+        pulses.emplace_back(keeper, own);
+        describe(keeper, pulses.back().second);
+    }
+    return pulses;
+}
+
 bool FleetView::isLeading(const DaemonId& keeper) const
 {
     const auto known = news_.find(keeper);
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -12,6 +12,10 @@
 
 namespace trefoilwing {
 
+/// Daemons give signs of life to the leading keeper and to owners this often; several fit into the silence that
+/// counts as the end.
+inline constexpr absl::Duration pulseInterval = absl::Milliseconds(250);
+
 /// What a piece of news changed for its receiver.
 struct FleetChange {
     std::optional<RoutingDocument> routing;
@@ -37,7 +41,12 @@
     /// @return whether it is newer than the one held.
     bool granted(const CellGrant&);
 
-    /// @return what this daemon has of a keeper's news, for its next pulse.
+    /// Signs of life that are due now, at each pulseInterval: to the leading keeper each time, to the others less often.
+    /// @param own says what all of them are told.
+    /// @return the keepers, with what this daemon has of each one's news.
+    std::vector<std::pair<DaemonId, DaemonPulse>> nextPulses(const DaemonPulse& own);
+
+    /// Notes in a pulse what this daemon has of a keeper's news.
     void describe(const DaemonId& keeper, DaemonPulse&) const;
 
     /// @return whether the keeper assigns owners, as far as is known.
@@ -75,6 +84,7 @@
     std::map<CellId, CellGrant> grants_;
     RoutingVersion routing_;
     absl::Time heardAt_ = absl::InfinitePast();
+    uint64_t pulses_ = 0;
 };
 
 } // namespace trefoilwing
--- a/Tests/Adapters/Histogram/HistogramMetricsTest.cpp
+++ b/Tests/Adapters/Histogram/HistogramMetricsTest.cpp
@@ -1,6 +1,7 @@
 #include "Adapters/Histogram/HistogramMetrics.h"
 #include "Adapters/Histogram/PrometheusText.h"
 #include "Ports/MetricNames.h"
+#include "Support/FakeClock.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,20 +9,13 @@
 
 namespace {
 
-class ManualClock : public Clock {
-public:
-    absl::Time now() const override { return time; }
-
-    absl::Time time = absl::FromUnixSeconds(1796382000);
-};
-
 const MetricLabels loans { ServiceId("loans"), BackerId("dealers"), {} };
 
 } // namespace
 
 TEST_GROUP(HistogramMetrics)
 {
-    ManualClock clock;
+    FakeClock clock { absl::FromUnixSeconds(1796382000) };
     HistogramMetrics metrics { clock };
 
     void checkText(const std::string& line)
--- a/Tests/Control/ReplicatedConfigurationTest.cpp
+++ b/Tests/Control/ReplicatedConfigurationTest.cpp
@@ -2,6 +2,8 @@
 #include "Control/ConfigurationReplica.h"
 #include "Control/GroupCluster.h"
 #include "Control/RecordingGroup.h"
+#include "Support/FakeClock.h"
+#include "Support/RecordingPeers.h"
 
 #include <optional>
 
@@ -67,27 +69,9 @@
     CHECK(errorOf(await(publish(isolated, publishOf(0, 5))))->verdict == Verdict::MayHaveRun);
 }
 
-namespace {
-
-class FakePeers final : public PeerLink {
-public:
-    void send(const DaemonId& to, PeerMessage message) override { sent.emplace_back(to, std::move(message)); }
-
-    std::vector<std::pair<DaemonId, PeerMessage>> sent;
-};
-
-class FakeClock final : public Clock {
-public:
-    absl::Time now() const override { return time; }
-
-    absl::Time time = absl::FromUnixSeconds(1000);
-};
-
-} // namespace
-
 TEST_GROUP(ConfigurationReplica)
 {
-    FakePeers peers;
+    RecordingPeers peers;
     FakeClock clock;
     std::vector<ConfigurationVersion> told;
     ConfigurationReplica replica { peers, clock, [this](const std::shared_ptr<const Configuration>& configuration) { told.push_back(configuration->version); } };
--- a/Tests/Dispatch/SubmissionDeskTest.cpp
+++ b/Tests/Dispatch/SubmissionDeskTest.cpp
@@ -1,5 +1,7 @@
 #include "Dispatch/SubmissionDesk.h"
 #include "Dispatch/SubmissionRules.h"
+#include "Support/FakeClock.h"
+#include "Support/RecordingPeers.h"
 
 #include <CppUTest/TestHarness.h>
 #include <CppUTestExt/MockSupport.h>
@@ -10,12 +12,6 @@
 
 namespace {
 
-class HandClock : public Clock {
-public:
-    absl::Time now() const override { return time; }
-    absl::Time time = absl::FromUnixSeconds(1000);
-};
-
 class OneService : public Declarations {
 public:
     OneService()
@@ -71,17 +67,11 @@
     void cancel(const SubmissionKey& key) override { mock().actualCall("cancel").withParameter("key", key.key.value().c_str()); }
 };
 
-class RecordingPeers : public PeerLink {
-public:
-    void send(const DaemonId& to, PeerMessage message) override { sent.emplace_back(to, std::move(message)); }
-    std::vector<std::pair<DaemonId, PeerMessage>> sent;
-};
-
 } // namespace
 
 TEST_GROUP(SubmissionDesk)
 {
-    HandClock clock;
+    FakeClock clock;
     OneService declarations;
     FakeDirectory directory;
     FakeLedger ledger;
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -1,5 +1,7 @@
 #include "Intake/JobDesk.h"
+#include "Support/FakeClock.h"
 #include "Support/RecordingEventLog.h"
+#include "Support/RecordingPeers.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,35 +9,12 @@
 
 namespace {
 
-class FakeClock : public Clock {
-public:
-    absl::Time now() const override { return time; }
-    absl::Time time = absl::FromUnixSeconds(1000);
-};
-
 class RecordingReplies : public CallerReplies {
 public:
     void reply(Ticket ticket, const CallerAnswer& answer) override { answers.emplace_back(ticket, answer); }
     std::vector<std::pair<Ticket, CallerAnswer>> answers;
 };
 
-class RecordingPeers : public PeerLink {
-public:
-    void send(const DaemonId& to, PeerMessage message) override { sent.emplace_back(to, std::move(message)); }
-
-    template <typename T>
-    std::vector<std::pair<DaemonId, T>> take()
-    {
-        std::vector<std::pair<DaemonId, T>> found;
-        for (const auto& [to, message] : sent) {
-            if (const auto* typed = std::get_if<T>(&message))
-                found.emplace_back(to, *typed);
-        }
-        return found;
-    }
-    std::vector<std::pair<DaemonId, PeerMessage>> sent;
-};
-
 class NoMetrics : public Metrics {
 public:
     void count(std::string_view, const MetricLabels&, uint64_t) override { }
--- /dev/null
+++ b/Tests/Support/FakeClock.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "Ports/Clock.h"
+
+namespace trefoilwing {
+
+/// A clock that stands still until the test sets it.
+class FakeClock : public Clock {
+public:
+    explicit FakeClock(absl::Time begin = absl::FromUnixSeconds(1000))
+        : time(begin)
+    {
+    }
+
+    absl::Time now() const override { return time; }
+
+    absl::Time time;
+};
+
+} // namespace trefoilwing
