Look at each minion once a task, and say in one place what may have run

Found reading the whole change: the chooser went over all minions a second time for each task to add up their room; a minion was forgotten in four places by the same two calls; whether a job may have run was spelled out twice.

--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -71,11 +71,16 @@
     const auto found = minions_.find(life.minion);
     if (found == minions_.end() || found->second->life() != life)
         return;
-    dropAllRuns(*found->second, "minion_left");
-    minions_.erase(found);
+    forgetMinion(*found->second, "minion_left");
     place(now);
 }
 
+void CellDispatcher::forgetMinion(LeasedMinion& minion, std::string_view reason)
+{
+    dropAllRuns(minion, reason);
+    minions_.erase(MinionId(minion.life().minion));
+}
+
 LeasedMinion* CellDispatcher::findMinion(const MinionLife& life)
 {
     const auto found = minions_.find(life.minion);
@@ -170,8 +175,7 @@
             stopRun(*minion, *run, now);
         break;
     case OrderFailure::OtherLife:
-        dropAllRuns(*minion, "other_life");
-        minions_.erase(result.life.minion);
+        forgetMinion(*minion, "other_life");
         break;
     case OrderFailure::NoRoom:
         ++totals_.rejectedForRoom;
@@ -198,8 +202,7 @@
         return;
     answeredBy(*minion, result.failure, result.clockMs, now);
     if (result.failure == OrderFailure::OtherLife) {
-        dropAllRuns(*minion, "other_life");
-        minions_.erase(result.life.minion);
+        forgetMinion(*minion, "other_life");
         place(now);
         return;
     }
@@ -217,8 +220,7 @@
     minion->holdSentAt.reset();
     answeredBy(*minion, result.failure, result.clockMs, now);
     if (result.failure == OrderFailure::OtherLife) {
-        dropAllRuns(*minion, "other_life");
-        minions_.erase(result.life.minion);
+        forgetMinion(*minion, "other_life");
     } else if (result.failure == OrderFailure::None) {
         minion->isFenced = true;
         minion->isFull = false;
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -140,6 +140,8 @@
 
     // Minions.
     LeasedMinion* findMinion(const MinionLife&);
+    /// Gives up the runs of a minion whose life is over, and the minion.
+    void forgetMinion(LeasedMinion&, std::string_view reason);
     void answeredBy(LeasedMinion&, OrderFailure, int64_t clockMs, absl::Time now);
     void hold(LeasedMinion&, absl::Time now);
     bool isHoldDue(const LeasedMinion&, absl::Time now) const;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -84,7 +84,7 @@
         return;
     note("job_cancelled", cancel.job, {}, absl::StrCat("queued_tasks=", job->queuedCount()));
     // The entry may still be able to say that nothing of the job ran.
-    finish(*job, job->hasStarted || job->offer().isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown, now, retryAfter(absl::ZeroDuration()));
+    finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::TurnedDown, now, retryAfter(absl::ZeroDuration()));
     place(now);
 }
 
@@ -162,7 +162,7 @@
             ending.emplace_back(&job);
     }
     for (const CellJobPtr& job : ending) {
-        const JobEnd end = job->hasStarted || job->offer().isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown;
+        const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::TurnedDown;
         totals_.turnedDown += end == JobEnd::TurnedDown ? 1 : 0;
         note(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=out_of_time age_ms=", absl::ToInt64Milliseconds(now - job->offeredAt()), " queued_tasks=", job->queuedCount()));
         finish(*job, end, now, retryAfter(absl::ZeroDuration()));
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -49,6 +49,9 @@
     /// What the queued tasks need in all, in core-milliseconds by the caller's estimate.
     int64_t queuedCoreMs() const;
 
+    /// Whether a task may have run, here or under an earlier owner: then the job can't be refused as not run.
+    bool mayHaveRun() const { return hasStarted || offer_.isTakeover; }
+
     /// Whether a start of any task may have been sent.
     bool hasStarted = false;
     absl::Time firstStart = absl::InfiniteFuture();
--- a/Source/Placement/MinionChooser.cpp
+++ b/Source/Placement/MinionChooser.cpp
@@ -9,19 +9,6 @@
     return start + minion.expectedTime(job.offer().estimate) * (1 + policy_.speedMargin);
 }
 
-bool MinionChooser::isRoomAmple(const MinionTable& minions, absl::Time now) const
-{
-    int64_t total = 0;
-    int64_t free = 0;
-    for (const auto& [id, minion] : minions) {
-        if (!minion->isUsable(now))
-            continue;
-        total += minion->report().capacity.milliCores;
-        free += minion->free().milliCores;
-    }
-    return static_cast<double>(free) >= policy_.ampleShare * static_cast<double>(total);
-}
-
 bool MinionChooser::isWaitWorthwhile(const MinionTable& minions, const CellJob& job, const CellTask& task, absl::Time now) const
 {
     return std::any_of(minions.begin(), minions.end(), [&](const auto& entry) {
@@ -36,8 +23,14 @@
     LeasedMinion* fastest = nullptr;
     LeasedMinion* slowestInTime = nullptr;
     LeasedMinion* avoided = nullptr;
+    int64_t totalMilliCores = 0;
+    int64_t freeMilliCores = 0;
     for (const auto& [id, minion] : minions) {
-        if (!minion->free().holds(job.offer().need) || !minion->isUsable(now))
+        if (!minion->isUsable(now))
+            continue;
+        totalMilliCores += minion->report().capacity.milliCores;
+        freeMilliCores += minion->free().milliCores;
+        if (!minion->free().holds(job.offer().need))
             continue;
         if (id == task.avoided) {
             avoided = minion.get();
@@ -50,8 +43,10 @@
     }
     if (!fastest)
         return avoided;
-    if (slowestInTime)
-        return isRoomAmple(minions, now) ? fastest : slowestInTime;
+    if (slowestInTime) {
+        const bool isRoomAmple = static_cast<double>(freeMilliCores) >= policy_.ampleShare * static_cast<double>(totalMilliCores);
+        return isRoomAmple ? fastest : slowestInTime;
+    }
     return isWaitWorthwhile(minions, job, task, now) ? nullptr : fastest;
 }
 
--- a/Source/Placement/MinionChooser.h
+++ b/Source/Placement/MinionChooser.h
@@ -26,7 +26,6 @@
     LeasedMinion* choose(const MinionTable&, const CellJob&, const CellTask&, absl::Time now) const;
 
 private:
-    bool isRoomAmple(const MinionTable&, absl::Time now) const;
     /// Whether a minion that is busy now is expected to have room soon enough to end the task in time.
     bool isWaitWorthwhile(const MinionTable&, const CellJob&, const CellTask&, absl::Time now) const;
     absl::Time endWithMargin(const LeasedMinion&, const CellJob&, absl::Time start) const;
