Keep grants once in an entry, look a route up once, and free a cell's random source with it

Found reading the whole change: FleetView and CellChooser held the same map of grants under the same lock; a request's route was looked up for its standing and again for its prefix; two places took offers out of the early ones by loops of their own; each grant left a random source behind for the life of the process; eight metrics were written out line by line. The test of a grant told by its owner moved to the chooser, with its assertions.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -4,6 +4,8 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <set>
 
 namespace trefoilwing {
@@ -37,6 +39,22 @@
     constexpr size_t maxCallerSessions = 3000;
     constexpr size_t maxReadinessSessions = 16;
 
+    struct TotalRow {
+        std::string_view metric;
+        uint64_t CellTotals::*total;
+    };
+
+    constexpr std::array<TotalRow, 8> totalRows { {
+        { "cell_starts", &CellTotals::starts },
+        { "cell_runs_done", &CellTotals::done },
+        { "cell_runs_failed", &CellTotals::failed },
+        { "cell_runs_stopped", &CellTotals::stopped },
+        { "cell_runs_lapsed", &CellTotals::lapsed },
+        { "cell_starts_without_room", &CellTotals::rejectedForRoom },
+        { "cell_holds", &CellTotals::holds },
+        { "cell_jobs_turned_down", &CellTotals::turnedDown },
+    } };
+
     bool hasAmpleRoom(const CellLoad& load)
     {
         return load.queuedTasks.empty() && static_cast<double>(load.freeMilliCores) >= ampleShare * static_cast<double>(load.totalMilliCores);
@@ -136,19 +154,13 @@
     return table_;
 }
 
-RouteStanding FleetEntry::findRoute(const std::string& host, const std::string& path) const
+RoutePlace FleetEntry::findRoute(const std::string& host, const std::string& path) const
 {
     const auto routes = table();
     if (!routes)
-        return RouteStanding::NoTable;
-    return routes->find(host, path) ? RouteStanding::Known : RouteStanding::Unknown;
-}
-
-size_t FleetEntry::prefixLength(const std::string& host, const std::string& path) const
-{
-    const auto routes = table();
-    const Route* route = routes ? routes->find(host, path) : nullptr;
-    return route ? route->pathPrefix.size() : 0;
+        return { RouteStanding::NoTable, 0 };
+    const Route* route = routes->find(host, path);
+    return route ? RoutePlace { RouteStanding::Known, route->pathPrefix.size() } : RoutePlace { RouteStanding::Unknown, 0 };
 }
 
 bool FleetEntry::isReady() const
@@ -199,13 +211,16 @@
 void FleetEntry::receive(const DaemonId& from, const FleetNews& news)
 {
     FleetChange change;
+    std::vector<CellGrant> grants;
     bool areMinionsKnown = false;
     {
         MutexLock lock(viewMutex_);
         change = view_.receive(from, news, link_.clock().now());
         areMinionsKnown = view_.isComplete(link_.clock().now());
-        for (const CellGrant& grant : change.grants)
-            chooser_.granted(grant);
+        for (const CellGrant& grant : news.grants) {
+            if (chooser_.granted(grant))
+                grants.push_back(grant);
+        }
     }
     if (change.routing)
         takeRouting(*change.routing);
@@ -217,7 +232,7 @@
         if (const CellPtr cell = findCell(report.cell))
             cell->minionReported(report);
     }
-    for (const CellGrant& grant : change.grants)
+    for (const CellGrant& grant : grants)
         takeGrant(grant);
     if (areMinionsKnown) {
         for (const CellPtr& cell : allCells())
@@ -256,15 +271,10 @@
         if (held != cells_.end())
             cells_.erase(held);
         if (grant.owner == link_.self()) {
-            randoms_.push_back(std::make_unique<SeededRandom>(SeededRandom::freshSeed()));
-            cell = std::make_shared<CellShard>(grant, policy_, order_, CellPorts { gateway_, link_.peers(), link_.clock(), *randoms_.back(), log_ });
+            const auto owned = std::make_shared<OwnedCell>(grant, policy_, order_, *this);
+            cell = CellPtr(owned, &owned->shard);
             cells_[grant.cell] = cell;
-            std::erase_if(earlyOffers_, [&](EarlyOffer& early) {
-                const bool isForThis = early.offer.cell == grant.cell;
-                if (isForThis)
-                    offers.push_back(std::move(early));
-                return isForThis;
-            });
+            offers = takeEarlyOffers([&](const EarlyOffer& early) { return early.offer.cell == grant.cell; });
         }
     }
     if (cell) {
@@ -290,9 +300,7 @@
     bool isNews = false;
     {
         MutexLock lock(viewMutex_);
-        isNews = view_.granted(load.grant);
-        if (isNews)
-            chooser_.granted(load.grant);
+        isNews = chooser_.granted(load.grant);
         chooser_.loadHeard(load, link_.clock().now());
     }
     // An entry that no keeper reaches learns of a new owner from that owner.
@@ -334,14 +342,20 @@
         cell->entryHeard(pulse.run);
 }
 
+std::vector<FleetEntry::EarlyOffer> FleetEntry::takeEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken)
+{
+    const auto first = std::stable_partition(earlyOffers_.begin(), earlyOffers_.end(), [&](const EarlyOffer& early) { return !isTaken(early); });
+    std::vector<EarlyOffer> taken(std::make_move_iterator(first), std::make_move_iterator(earlyOffers_.end()));
+    earlyOffers_.erase(first, earlyOffers_.end());
+    return taken;
+}
+
 void FleetEntry::refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused)
 {
     std::vector<EarlyOffer> refused;
     {
         MutexLock lock(cellsMutex_);
-        const auto first = std::stable_partition(earlyOffers_.begin(), earlyOffers_.end(), [&](const EarlyOffer& early) { return !isRefused(early); });
-        refused.assign(first, earlyOffers_.end());
-        earlyOffers_.erase(first, earlyOffers_.end());
+        refused = takeEarlyOffers(isRefused);
     }
     for (const EarlyOffer& early : refused) {
         const JobEnd end = early.offer.isTakeover ? JobEnd::GivenUp : JobEnd::TurnedDown;
@@ -486,14 +500,8 @@
         metrics_.set("cell_epoch", labels, static_cast<double>(cell->epoch().value()));
         metrics_.set("cell_minions", labels, static_cast<double>(cell->minionCount()));
         metrics_.set("cell_jobs", labels, static_cast<double>(cell->jobCount()));
-        metrics_.set("cell_starts", labels, static_cast<double>(totals.starts));
-        metrics_.set("cell_runs_done", labels, static_cast<double>(totals.done));
-        metrics_.set("cell_runs_failed", labels, static_cast<double>(totals.failed));
-        metrics_.set("cell_runs_stopped", labels, static_cast<double>(totals.stopped));
-        metrics_.set("cell_runs_lapsed", labels, static_cast<double>(totals.lapsed));
-        metrics_.set("cell_starts_without_room", labels, static_cast<double>(totals.rejectedForRoom));
-        metrics_.set("cell_holds", labels, static_cast<double>(totals.holds));
-        metrics_.set("cell_jobs_turned_down", labels, static_cast<double>(totals.turnedDown));
+        for (const TotalRow& row : totalRows)
+            metrics_.set(row.metric, labels, static_cast<double>(totals.*row.total));
     }
     metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
     metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -38,13 +38,23 @@
 
     void submit(Ticket, const IncomingJob&) override;
     void abandon(Ticket) override;
-    RouteStanding findRoute(const std::string& host, const std::string& path) const override;
-    size_t prefixLength(const std::string& host, const std::string& path) const override;
+    RoutePlace findRoute(const std::string& host, const std::string& path) const override;
     bool isReady() const override;
     bool isStarting() const override { return isStarting_; }
 
 private:
     using CellPtr = std::shared_ptr<CellShard>;
+    /// A cell with a source of its own, so that draws need no other lock than the cell's.
+    struct OwnedCell {
+        OwnedCell(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, FleetEntry& entry)
+            : random(SeededRandom::freshSeed())
+            , shard(grant, policy, order, { entry.gateway_, entry.link_.peers(), entry.link_.clock(), random, entry.log_ })
+        {
+        }
+
+        SeededRandom random;
+        CellShard shard;
+    };
     struct EarlyOffer {
         JobOffer offer;
         DaemonId from;
@@ -73,6 +83,7 @@
     void takeGrant(const CellGrant&);
     void pulse();
     void tellLoads(absl::Time now);
+    std::vector<EarlyOffer> takeEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken) ABSL_EXCLUSIVE_LOCKS_REQUIRED(cellsMutex_);
     /// Tells those who offered that nothing of their jobs ran here.
     void refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused);
     void watchKeepers(absl::Time now);
@@ -104,8 +115,6 @@
 
     mutable absl::Mutex cellsMutex_;
     std::map<CellId, CellPtr> cells_ ABSL_GUARDED_BY(cellsMutex_);
-    /// One source for each cell, so that draws need no lock of their own.
-    std::vector<std::unique_ptr<SeededRandom>> randoms_ ABSL_GUARDED_BY(cellsMutex_);
     std::vector<EarlyOffer> earlyOffers_ ABSL_GUARDED_BY(cellsMutex_);
 
     std::atomic<bool> isDraining_ { false };
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -19,13 +19,14 @@
 
 } // namespace
 
-void CellChooser::granted(const CellGrant& grant)
+bool CellChooser::granted(const CellGrant& grant)
 {
     CellGrant& known = grants_[grant.cell];
     if (grant.epoch <= known.epoch)
-        return;
+        return false;
     known = grant;
     standings_.erase(grant.cell);
+    return true;
 }
 
 void CellChooser::loadHeard(const CellLoad& load, absl::Time now)
--- a/Source/Intake/CellChooser.h
+++ b/Source/Intake/CellChooser.h
@@ -20,7 +20,8 @@
     {
     }
 
-    void granted(const CellGrant&);
+    /// @return whether the grant is newer than the one held.
+    bool granted(const CellGrant&);
     void loadHeard(const CellLoad&, absl::Time now);
 
     /// @param priority of the job's route; lower goes first.
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -48,10 +48,6 @@
         dropMinion(life, change);
     for (const MinionReport& report : news.minions)
         takeMinion(report, change);
-    for (const CellGrant& grant : news.grants) {
-        if (granted(grant))
-            change.grants.push_back(grant);
-    }
     if (news.routing && news.routing->version > routing_) {
         routing_ = news.routing->version;
         change.routing = news.routing;
@@ -59,15 +55,6 @@
     return change;
 }
 
-bool FleetView::granted(const CellGrant& grant)
-{
-    CellGrant& held = grants_[grant.cell];
-    if (grant.epoch <= held.epoch)
-        return false;
-    held = grant;
-    return true;
-}
-
 bool FleetView::takeMinion(const MinionReport& report, FleetChange& change)
 {
     const auto left = left_.find(report.life.minion);
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -19,7 +19,6 @@
 /// What a piece of news changed for its receiver.
 struct FleetChange {
     std::optional<RoutingDocument> routing;
-    std::vector<CellGrant> grants;
     std::vector<MinionReport> minions;
     std::vector<MinionReport> gone;
 };
@@ -37,10 +36,6 @@
 
     FleetChange receive(const DaemonId& keeper, const FleetNews&, absl::Time now);
 
-    /// Takes note of a grant that another daemon tells.
-    /// @return whether it is newer than the one held.
-    bool granted(const CellGrant&);
-
     /// Signs of life that are due now, at each pulseInterval: to the leading keeper each time, to the others less often.
     /// @param own says what all of them are told.
     /// @return the keepers, with what this daemon has of each one's news.
@@ -81,7 +76,6 @@
     absl::flat_hash_map<MinionId, MinionReport> minions_;
     /// Lives that have left, so that a late report doesn't bring them back.
     absl::flat_hash_map<MinionId, MinionBirth> left_;
-    std::map<CellId, CellGrant> grants_;
     RoutingVersion routing_;
     absl::Time heardAt_ = absl::InfinitePast();
     uint64_t pulses_ = 0;
--- a/Source/Ports/JobIntake.h
+++ b/Source/Ports/JobIntake.h
@@ -14,6 +14,13 @@
     NoTable,
 };
 
+/// Where a request's path leads.
+struct RoutePlace {
+    RouteStanding standing = RouteStanding::NoTable;
+    /// How long the path's prefix is that the route has; 0 where there is none.
+    size_t prefixLength = 0;
+};
+
 /// Takes callers' jobs. Calls come from the server's thread and must not wait.
 class JobIntake {
 public:
@@ -25,10 +32,7 @@
     /// The caller went away before its answer.
     virtual void abandon(Ticket) = 0;
 
-    virtual RouteStanding findRoute(const std::string& host, const std::string& path) const = 0;
-
-    /// @return how long the path's prefix is that the route has; 0 where there is none.
-    virtual size_t prefixLength(const std::string& host, const std::string& path) const = 0;
+    virtual RoutePlace findRoute(const std::string& host, const std::string& path) const = 0;
 
     /// @return whether requests should wait, as this entry has just started and doesn't know its fleet yet.
     virtual bool isStarting() const = 0;
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -45,6 +45,16 @@
     }
 };
 
+TEST(CellChooser, AGrantToldByItsOwnerCountsUntilANewerOneComes)
+{
+    const CellGrant older { cell("cut-off"), { DaemonId("10.0.0.7"), Incarnation(1) }, OwnerEpoch(5) };
+    const CellGrant newer { cell("cut-off"), { DaemonId("10.0.0.8"), Incarnation(1) }, OwnerEpoch(6) };
+    CHECK(chooser.granted(newer));
+    CHECK_FALSE(chooser.granted(older));
+    CHECK_FALSE(chooser.granted(newer));
+    CHECK(chooser.grants().at(newer.cell) == newer);
+}
+
 TEST(CellChooser, HomeIsChosenWhileItHasRoom)
 {
     load("home", 1, 50000, 0);
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -86,18 +86,6 @@
     LONGS_EQUAL(2, view.minionsOf(cell).size());
 }
 
-TEST(FleetView, AGrantToldByItsOwnerCountsUntilANewerOneComes)
-{
-    const CellGrant older { cell, { DaemonId("10.0.0.7"), Incarnation(1) }, OwnerEpoch(5) };
-    const CellGrant newer { cell, { DaemonId("10.0.0.8"), Incarnation(1) }, OwnerEpoch(6) };
-    CHECK(view.granted(newer));
-    FleetNews news;
-    news.keeper = Incarnation(3);
-    news.grants = { older };
-    LONGS_EQUAL(0, view.receive(keeperId, news, now).grants.size());
-    CHECK_FALSE(view.granted(newer));
-}
-
 TEST(FleetView, AnOlderReportFromAnotherKeeperChangesNothing)
 {
     MinionReport leaving = minion("a", 5);
