Answer what waits for a replicated group in one place

Found reading the whole change: ReplicatedFleet and ReplicatedConfiguration each took settled calls off their lists by the same loop, six times, each with its own exception from the lock analysis. ReplicatedGroup::answerWhere does it for both. Behaviour is unchanged; Control, its fuzz and FleetSystem pass.

--- a/Source/Control/ReplicatedConfiguration.cpp
+++ b/Source/Control/ReplicatedConfiguration.cpp
@@ -37,12 +37,8 @@
     const ConfigurationVersion before = state_.configuration().version;
     const Result<ConfigurationVersion> result = state_.publish(*record);
     tellListener(before);
-    std::erase_if(pending_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-        const bool isThis = pending.record.base == record->base && pending.record.digest == record->digest;
-        if (isThis)
-            later([done = std::move(pending.done), result] { done(result); });
-        return isThis;
-    });
+    answerWhere(
+        pending_, [&](const PendingPublish& pending) { return pending.record.base == record->base && pending.record.digest == record->digest; }, result);
 }
 
 void ReplicatedConfiguration::tellListener(ConfigurationVersion since)
@@ -66,12 +62,8 @@
 void ReplicatedConfiguration::repeatPending(absl::Time now)
 {
     const Error timedOut { ErrorCode::Unavailable, "no majority of the keepers answers; publish the same again", Verdict::MayHaveRun };
-    std::erase_if(pending_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-        const bool isOld = pending.givenUpAt <= now;
-        if (isOld)
-            later([done = std::move(pending.done), timedOut] { done(timedOut); });
-        return isOld;
-    });
+    answerWhere(
+        pending_, [&](const PendingPublish& pending) { return pending.givenUpAt <= now; }, timedOut);
     for (const PendingPublish& pending : pending_)
         propose(pending.record, now);
 }
@@ -79,9 +71,8 @@
 void ReplicatedConfiguration::failPending(const Error& error)
 {
     const Error failed { ErrorCode::Unavailable, absl::StrCat("the configuration's journal has failed: ", error.message), Verdict::MayHaveRun };
-    for (PendingPublish& pending : pending_)
-        later([done = std::move(pending.done), failed] { done(failed); });
-    pending_.clear();
+    answerWhere(
+        pending_, [](const PendingPublish&) { return true; }, failed);
 }
 
 } // namespace trefoilwing
--- a/Source/Control/ReplicatedFleet.cpp
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -111,22 +111,14 @@
 void ReplicatedFleet::answerPublishes()
 {
     const RoutingVersion inForce = state_.routing().version;
-    std::erase_if(publishes_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-        const bool isKept = pending.document.version <= inForce;
-        if (isKept)
-            later([done = std::move(pending.done), inForce] { done(inForce); });
-        return isKept;
-    });
+    answerWhere(
+        publishes_, [&](const PendingPublish& pending) { return pending.document.version <= inForce; }, inForce);
 }
 
 void ReplicatedFleet::answerReads(const BarrierRecord& barrier)
 {
-    std::erase_if(reads_, [&](PendingRead& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-        const bool isThis = pending.barrier == barrier;
-        if (isThis)
-            later([done = std::move(pending.done), document = state_.routing()] { done(document); });
-        return isThis;
-    });
+    answerWhere(
+        reads_, [&](const PendingRead& pending) { return pending.barrier == barrier; }, state_.routing());
 }
 
 void ReplicatedFleet::tellListener()
@@ -159,18 +151,9 @@
 
 void ReplicatedFleet::repeatPending(absl::Time now)
 {
-    std::erase_if(publishes_, [&](PendingPublish& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-        const bool isOld = pending.givenUpAt <= now;
-        if (isOld)
-            later([done = std::move(pending.done)] { done(unavailable("no majority of the keepers answers; send the same again")); });
-        return isOld;
-    });
-    std::erase_if(reads_, [&](PendingRead& pending) ABSL_NO_THREAD_SAFETY_ANALYSIS {
-        const bool isOld = pending.givenUpAt <= now;
-        if (isOld)
-            later([done = std::move(pending.done)] { done(unavailable("this keeper can't be sure which version is the newest; ask another")); });
-        return isOld;
-    });
+    const auto isOld = [&](const auto& pending) { return pending.givenUpAt <= now; };
+    answerWhere(publishes_, isOld, unavailable("no majority of the keepers answers; send the same again"));
+    answerWhere(reads_, isOld, unavailable("this keeper can't be sure which version is the newest; ask another"));
     for (const PendingPublish& pending : publishes_)
         propose(RoutingRecord { pending.document }, now);
     for (const PendingRead& pending : reads_)
@@ -180,12 +163,9 @@
 void ReplicatedFleet::failPending(const Error& error)
 {
     const Error failed = unavailable(absl::StrCat("this keeper's journal has failed: ", error.message));
-    for (PendingPublish& pending : publishes_)
-        later([done = std::move(pending.done), failed] { done(failed); });
-    for (PendingRead& pending : reads_)
-        later([done = std::move(pending.done), failed] { done(failed); });
-    publishes_.clear();
-    reads_.clear();
+    const auto isAny = [](const auto&) { return true; };
+    answerWhere(publishes_, isAny, failed);
+    answerWhere(reads_, isAny, failed);
 }
 
 } // namespace trefoilwing
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -80,6 +80,18 @@
     bool propose(Command, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Runs after the lock is released.
     void later(Effect effect) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { effects_.add(std::move(effect)); }
+    /// Answers those that wait for the group and are settled, and takes them off the list.
+    /// @param answer what each callback gets: a result or an error.
+    template <typename Pending, typename IsSettled, typename Answer>
+    void answerWhere(std::vector<Pending>& pending, const IsSettled& isSettled, const Answer& answer) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+    {
+        std::erase_if(pending, [&](Pending& each) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+            const bool isThis = isSettled(each);
+            if (isThis)
+                later([done = std::move(each.done), answer] { done(answer); });
+            return isThis;
+        });
+    }
     void addContact(const DaemonId& daemon) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { log_.addDaemon(daemon); }
     bool isLeading(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return !hasFailed_ && log_.isLeader(now); }
     const Member& self() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return log_.self(); }
