Log and publish how late an entry runs, and whether unanswered orders had an answer waiting

Nothing told an entry without processor from one whose minions are silent: start_failed says no_answer for both. Once a second an entry now says running_late if its pump or its HTTP loop ran more than 50 ms late, with its cells, minions and open jobs, the connections it has opened to minions, and how many of the orders it gave up had bytes of a response waiting unread. The same figures are metrics. No decision changes.

--- a/Source/Adapters/Beast/HttpClient.cpp
+++ b/Source/Adapters/Beast/HttpClient.cpp
@@ -74,6 +74,13 @@
             connect();
     }
 
+    /// Whether bytes have arrived that weren't read yet.
+    bool hasUnread() const
+    {
+        error_code ignored;
+        return socket_.is_open() && socket_.available(ignored) > 0;
+    }
+
     void fail()
     {
         close();
@@ -99,6 +106,7 @@
             fail();
             return;
         }
+        ++client_.connects_;
         socket_.async_connect(address, [self = shared_from_this()](error_code failed) {
             if (failed || !self->call_) {
                 self->fail();
@@ -235,6 +243,9 @@
         isSweeping_ = false;
         if (error)
             return;
+        const auto lateness = std::chrono::duration_cast<std::chrono::nanoseconds>(Clock::now() - sweepTimer_->expiry());
+        if (lateness.count() > worstLatenessNs_)
+            worstLatenessNs_ = lateness.count();
         sweep();
         if (busy_ > 0)
             sweepLater();
@@ -251,8 +262,15 @@
                 overdue.push_back(connection);
         }
     }
-    for (const std::shared_ptr<Connection>& connection : overdue)
+    for (const std::shared_ptr<Connection>& connection : overdue) {
+        ++(connection->hasUnread() ? unread_ : unanswered_);
         connection->fail();
+    }
+}
+
+HttpClientTotals HttpClient::takeTotals()
+{
+    return { connects_, unanswered_, unread_, absl::Nanoseconds(worstLatenessNs_.exchange(0)) };
 }
 
 } // namespace trefoilwing
--- a/Source/Adapters/Beast/HttpClient.h
+++ b/Source/Adapters/Beast/HttpClient.h
@@ -7,6 +7,8 @@
 #include <absl/time/time.h>
 #include <boost/asio/steady_timer.hpp>
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,6 +35,17 @@
     absl::Duration idleLife = absl::Seconds(10);
 };
 
+/// Totals of a client, for logs and metrics.
+struct HttpClientTotals {
+    uint64_t connects = 0;
+    /// Calls that were given up without a byte of a response.
+    uint64_t unanswered = 0;
+    /// Calls that were given up though bytes of the response had arrived and waited to be read.
+    uint64_t unread = 0;
+    /// How late the loop ran its timer, at the worst since the totals were last taken.
+    absl::Duration worstLateness;
+};
+
 /// Calls HTTP/1.1 servers over connections that are kept and used again.
 ///
 /// A connection on which a call got no response in time is closed: bytes on it may be lost for good.
@@ -48,6 +61,9 @@
     /// @param done is called once, on the loop's thread.
     void call(const Endpoint&, WebRequest, absl::Duration timeout, Callback done);
 
+    /// @return the totals so far; may be called from any thread.
+    HttpClientTotals takeTotals();
+
 private:
     class Connection;
     struct Call;
@@ -66,6 +82,10 @@
     size_t busy_ = 0;
     std::unique_ptr<boost::asio::steady_timer> sweepTimer_;
     bool isSweeping_ = false;
+    std::atomic<uint64_t> connects_ { 0 };
+    std::atomic<uint64_t> unanswered_ { 0 };
+    std::atomic<uint64_t> unread_ { 0 };
+    std::atomic<int64_t> worstLatenessNs_ { 0 };
 };
 
 } // namespace trefoilwing
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <iterator>
 #include <set>
+#include <utility>
 
 namespace trefoilwing {
 
@@ -28,6 +29,8 @@
     /// Keepers that were all silent for longer count as lost.
     constexpr absl::Duration keeperSilence = absl::Seconds(5);
     constexpr absl::Duration metricsInterval = absl::Seconds(1);
+    /// Lateness below this is the usual unevenness of timers and of threads that share a core.
+    constexpr absl::Duration latenessLogged = absl::Milliseconds(50);
 
     /// After SIGTERM the platform sends new connections for about 2 s more, and every request ends within 2 s.
     constexpr absl::Duration shortestDrain = absl::Milliseconds(3000);
@@ -403,6 +406,7 @@
 
 absl::Time FleetEntry::pump(absl::Time now)
 {
+    worstPumpLateness_ = std::max(worstPumpLateness_, now - pumpDue_);
     if (isStarting_)
         openGate(now);
     const std::vector<CellPtr> cells = allCells();
@@ -419,10 +423,12 @@
     if (now >= metricsDue_) {
         metricsDue_ = now + metricsInterval;
         publishMetrics();
+        watchLateness();
     }
     const bool isIdle = !isStarting_ && desk_.openCount() == 0 && std::all_of(cells.begin(), cells.end(), [](const CellPtr& cell) { return cell->isIdle(); });
     isIdle_ = isIdle;
-    return isIdle ? pulseDue_ : std::min(now + pumpInterval, pulseDue_);
+    pumpDue_ = isIdle ? pulseDue_ : std::min(now + pumpInterval, pulseDue_);
+    return pumpDue_;
 }
 
 void FleetEntry::openGate(absl::Time now)
@@ -516,4 +522,22 @@
     metrics_.set("minions_known", {}, static_cast<double>(view_.minionCount()));
 }
 
+void FleetEntry::watchLateness()
+{
+    const HttpClientTotals orders = gateway_.takeTotals();
+    const absl::Duration pumpLateness = std::exchange(worstPumpLateness_, absl::ZeroDuration());
+    metrics_.set("pump_lateness_seconds", {}, absl::ToDoubleSeconds(pumpLateness));
+    metrics_.set("loop_lateness_seconds", {}, absl::ToDoubleSeconds(orders.worstLateness));
+    metrics_.set("minion_connections_opened", {}, static_cast<double>(orders.connects));
+    metrics_.set("orders_unanswered", {}, static_cast<double>(orders.unanswered));
+    metrics_.set("orders_unread", {}, static_cast<double>(orders.unread));
+    if (std::max(pumpLateness, orders.worstLateness) < latenessLogged)
+        return;
+    uint64_t minions = 0;
+    const std::vector<CellPtr> cells = allCells();
+    for (const CellPtr& cell : cells)
+        minions += cell->minionCount();
+    log_.write(Severity::Warning, "running_late", { { "pump_late_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(pumpLateness)) }, { "loop_late_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(orders.worstLateness)) }, { "cells", uint64_t { cells.size() } }, { "minions", minions }, { "open_jobs", uint64_t { desk_.openCount() } }, { "minion_connections", orders.connects }, { "orders_unanswered", orders.unanswered }, { "orders_unread", orders.unread } });
+}
+
 } // namespace trefoilwing
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -88,6 +88,8 @@
     void refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused);
     void watchKeepers(absl::Time now);
     void publishMetrics();
+    /// Logs and publishes how late this process runs, and what became of its orders.
+    void watchLateness();
     CellPtr findCell(const CellId&) const;
     std::vector<CellPtr> allCells() const;
     std::shared_ptr<const RoutingTable> table() const;
@@ -127,6 +129,9 @@
     /// The rest is used by the pump's thread only.
     absl::Time pulseDue_ = absl::InfinitePast();
     absl::Time metricsDue_ = absl::InfinitePast();
+    /// When the pump should run again, and how late it did, at the worst since metrics were last published.
+    absl::Time pumpDue_ = absl::InfiniteFuture();
+    absl::Duration worstPumpLateness_;
     bool hearsKeepers_ = false;
     StartGate gate_;
     std::map<CellId, std::pair<CellLoad, absl::Time>> toldLoads_;
