Divide large pools into cells that an entry's processor can carry

Cause: one entry of a data centre gave orders to all its minions, whatever their number and whatever its processor: 117 minions at entries of 0.09 cores, chosen by who was heard first.

Fix: a cell is now a part of a pool (a service's minions in a data centre), and a minion belongs to a part by a hash of its id, so that nobody has to tell whose it is. The leading keeper divides a pool of more than 32 minions a cell into cells of 16, and grants cells in proportion to the processors that entries tell with their signs of life. A pool has one division at a time, that of its newest grant; epochs fence the earlier one. Pools of up to 32 minions are one cell, as before. An owner that starts again keeps its cells, so that a restart of everything doesn't pile them up on the entries that are heard first.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -19,11 +19,21 @@
     visit(value.version, value.text);
 }
 
-void visitFields(auto&& visit, Fields<CellId> auto& value)
+void visitFields(auto&& visit, Fields<PoolId> auto& value)
 {
     visit(value.service, value.dataCentre);
 }
 
+void visitFields(auto&& visit, Fields<CellPart> auto& value)
+{
+    visit(value.index, value.count);
+}
+
+void visitFields(auto&& visit, Fields<CellId> auto& value)
+{
+    visit(value.service, value.dataCentre, value.part);
+}
+
 void visitFields(auto&& visit, Fields<MinionLife> auto& value)
 {
     visit(value.minion, value.birth);
@@ -31,7 +41,7 @@
 
 void visitFields(auto&& visit, Fields<MinionReport> auto& value)
 {
-    visit(value.life, value.sequence, value.cell, value.endpoint, value.capacity, value.labels, value.state);
+    visit(value.life, value.sequence, value.pool, value.endpoint, value.capacity, value.labels, value.state);
 }
 
 void visitFields(auto&& visit, Fields<CellGrant> auto& value)
@@ -41,7 +51,7 @@
 
 void visitFields(auto&& visit, Fields<DaemonPulse> auto& value)
 {
-    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.newsFrom, value.newsNumber);
+    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.newsFrom, value.newsNumber, value.milliCores);
 }
 
 void visitFields(auto&& visit, Fields<DaemonNote> auto& value)
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -9,6 +9,8 @@
 
     constexpr uint32_t maxPort = 65535;
     constexpr uint32_t maxLostDisks = 2;
+    constexpr double minCores = 0.001;
+    constexpr double maxCores = 1024;
 
     YamlParser<std::vector<Endpoint>> endpointsValue()
     {
@@ -44,6 +46,7 @@
             optionalKey("callers", &FleetSettings::callers, optionalEndpointValue()),
             optionalKey("readiness", &FleetSettings::readiness, optionalEndpointValue()),
             optionalKey("control", &FleetSettings::control, optionalEndpointValue()),
+            optionalKey("cores", &FleetSettings::cores, fractionValue(minCores, maxCores)),
             optionalKey("metrics_port", &FleetSettings::metricsPort, numberValue(0, maxPort)),
             optionalKey("data_folder", &FleetSettings::dataFolder, textValue()),
             optionalKey("founding", &FleetSettings::isFounding, flagValue()),
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -20,17 +20,20 @@
 
     bool isSameToOthers(const MinionReport& a, const MinionReport& b)
     {
-        return a.life == b.life && a.cell == b.cell && a.endpoint == b.endpoint && a.capacity == b.capacity && a.labels == b.labels && a.state == b.state;
+        return a.life == b.life && a.pool == b.pool && a.endpoint == b.endpoint && a.capacity == b.capacity && a.labels == b.labels && a.state == b.state;
     }
 
 } // namespace
 
 bool FleetRegistry::reported(const MinionReport& report)
 {
-    cells_.insert(report.cell);
+    notePool(report.pool);
     Entry& entry = minions_[report.life.minion];
     if (entry.number > 0 && !isLater(report, entry.report))
         return false;
+    if (entry.number > 0)
+        --pools_[entry.report.pool];
+    ++pools_[report.pool];
     const bool isChange = entry.number == 0 || !isSameToOthers(entry.report, report);
     entry.report = report;
     if (isChange)
@@ -47,6 +50,7 @@
     departures_.push_back({ life, ++number_ });
     if (departures_.size() > maxDepartures)
         departures_.erase(departures_.begin());
+    --pools_[found->second.report.pool];
     minions_.erase(found);
     return life;
 }
@@ -70,6 +74,7 @@
         daemon.steadySince = now;
     daemon.heardAt = now;
     daemon.routing = pulse.routing;
+    daemon.milliCores = pulse.milliCores > 0 ? pulse.milliCores : defaultMilliCores;
     daemon.hasNews = pulse.newsFrom == self_.incarnation ? pulse.newsNumber : 0;
     if (std::erase_if(daemons_, [&](const auto& entry) { return now - entry.second.heardAt > daemonLife; }) > 0)
         daemonsNumber_ = ++number_;
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -7,7 +7,6 @@
 
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -15,6 +14,9 @@
 /// A daemon that was silent for longer is taken for gone. Signs of life come every 250 to 500 ms.
 inline constexpr absl::Duration daemonSilence = absl::Milliseconds(850);
 
+/// The processor of a daemon that doesn't say what it has, in thousandths of a core.
+inline constexpr uint32_t defaultMilliCores = 1000;
+
 /// A daemon that a keeper hears.
 struct HeardDaemon {
     DaemonNote note;
@@ -27,6 +29,8 @@
     uint64_t sentNews = 0;
     absl::Time sentAt = absl::InfinitePast();
     RoutingVersion routing;
+    /// Its processor, in thousandths of a core.
+    uint32_t milliCores = defaultMilliCores;
 };
 
 /// What a keeper knows beside the log: the minions that report to it, and the daemons that it hears.
@@ -54,9 +58,10 @@
     std::vector<std::pair<DaemonId, FleetNews>> takeNews(absl::Time now);
 
     const std::map<DaemonId, HeardDaemon>& daemons() const { return daemons_; }
-    /// Takes note of cells that other keepers' minions belong to.
-    void noteCell(const CellId& cell) { cells_.insert(cell); }
-    const std::set<CellId>& cells() const { return cells_; }
+    /// Takes note of a pool that other keepers' minions belong to.
+    void notePool(const PoolId& pool) { pools_.try_emplace(pool, 0); }
+    /// @return how many minions of each pool this keeper knows.
+    const std::map<PoolId, size_t>& pools() const { return pools_; }
     RoutingVersion routingVersion() const { return routing_.version; }
     size_t minionCount() const { return minions_.size(); }
 
@@ -78,7 +83,7 @@
     };
     std::vector<Departure> departures_;
     std::map<DaemonId, HeardDaemon> daemons_;
-    std::set<CellId> cells_;
+    std::map<PoolId, size_t> pools_;
     RoutingDocument routing_;
     std::vector<CellGrant> grants_;
     uint64_t grantsNumber_ = 0;
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -12,10 +12,16 @@
 
 bool FleetState::apply(const GrantRecord& record, LogIndex index)
 {
-    CellGrant& grant = grants_[record.cell];
-    if (grant.epoch != record.previous)
+    const auto known = grants_.find(record.cell);
+    if ((known == grants_.end() ? OwnerEpoch(0) : known->second.epoch) != record.previous)
         return false;
+    CellGrant& grant = grants_[record.cell];
     grant = { record.cell, record.owner, OwnerEpoch(index.value()) };
+    // The first grant of a new division ends the earlier one: a minion has one owner.
+    std::erase_if(grants_, [&](const auto& entry) {
+        const CellId& other = entry.first;
+        return other.pool() == record.cell.pool() && other.part.count != record.cell.part.count;
+    });
     return true;
 }
 
--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -24,8 +24,35 @@
     /// entry. Longer than the time in which two owners may not take turns.
     constexpr absl::Duration settledAfter = absl::Seconds(4);
 
+    /// The minions of a cell when its pool is divided. At the usual 7 to 8 starts a second each, an owner spends
+    /// 0.02 cores on them, a quarter of a small entry's processor.
+    constexpr size_t minionsPerCell = 16;
+    /// A pool is divided anew beyond this. Dividing ends the jobs that are under way in the pool, so pools that grow
+    /// and shrink a little keep their cells.
+    constexpr size_t maxMinionsPerCell = 32;
+    /// Minions report every 1.5 s, so a pool that has just started is known as a whole by then.
+    constexpr absl::Duration crowdedTime = absl::Seconds(2);
+
+    /// @return the number of cells that the pool is divided into now; 0 if none was granted yet.
+    uint32_t partsInForce(const PoolId& pool, const std::map<CellId, CellGrant>& grants)
+    {
+        const auto found = std::find_if(grants.begin(), grants.end(), [&](const auto& entry) { return entry.first.pool() == pool; });
+        return found == grants.end() ? 0 : found->first.part.count;
+    }
+
 } // namespace
 
+uint32_t OwnerAssigner::partCount(const PoolId& pool, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now)
+{
+    const uint32_t present = std::max<uint32_t>(1, partsInForce(pool, grants));
+    if (minions <= present * maxMinionsPerCell) {
+        crowdedSince_.erase(pool);
+        return present;
+    }
+    const absl::Time since = crowdedSince_.try_emplace(pool, now).first->second;
+    return now < since + crowdedTime ? present : static_cast<uint32_t>((minions + minionsPerCell - 1) / minionsPerCell);
+}
+
 bool OwnerAssigner::isHeard(const HeardDaemon& daemon, absl::Time now) const
 {
     return now - daemon.heardAt < daemonSilence;
@@ -41,6 +68,14 @@
 
 const HeardDaemon* OwnerAssigner::chooseOwner(const FleetRegistry& registry, const CellId& cell, const std::map<CellId, CellGrant>& grants, absl::Time now) const
 {
+    // An owner that has just started again keeps its cells, so that a restart of all doesn't pile them up on those
+    // that are heard first.
+    if (const auto grant = grants.find(cell); grant != grants.end()) {
+        const auto owner = registry.daemons().find(grant->second.owner.daemon);
+        if (owner != registry.daemons().end() && owner->second.note.run != grant->second.owner && owner->second.note.isEntry
+            && !owner->second.note.isDraining && owner->second.note.dataCentre == cell.dataCentre && isHeard(owner->second, now))
+            return &owner->second;
+    }
     const HeardDaemon* best = nullptr;
     auto owned = [&](const HeardDaemon& daemon) {
         return std::count_if(grants.begin(), grants.end(), [&](const auto& grant) { return grant.second.owner == daemon.note.run; });
@@ -49,9 +84,9 @@
         const bool isAtHome = a.note.dataCentre == cell.dataCentre;
         if (isAtHome != (b.note.dataCentre == cell.dataCentre))
             return isAtHome;
-        if (owned(a) != owned(b))
-            return owned(a) < owned(b);
-        return a.since < b.since;
+        const auto costA = static_cast<uint64_t>(owned(a) + 1) * b.milliCores;
+        const auto costB = static_cast<uint64_t>(owned(b) + 1) * a.milliCores;
+        return costA != costB ? costA < costB : a.since < b.since;
     };
     for (const auto& [id, daemon] : registry.daemons()) {
         if (daemon.note.isEntry && !daemon.note.isDraining && isHeard(daemon, now) && (!best || isBetter(daemon, *best)))
@@ -81,27 +116,43 @@
     return std::nullopt;
 }
 
+std::optional<GrantProposal> OwnerAssigner::decideCell(const FleetRegistry& registry, const CellId& cell, const std::map<CellId, CellGrant>& grants, absl::Time now) const
+{
+    const HeardDaemon* candidate = chooseOwner(registry, cell, grants, now);
+    if (!candidate)
+        return std::nullopt;
+    GrantProposal proposal { { cell, candidate->note.run, OwnerEpoch(0) }, GrantReason::Unowned, absl::ZeroDuration() };
+    const auto grant = grants.find(cell);
+    if (grant == grants.end())
+        return proposal;
+    const std::optional<GrantReason> reason = reasonToMove(registry, grant->second, *candidate, now);
+    if (!reason)
+        return std::nullopt;
+    proposal.record.previous = grant->second.epoch;
+    proposal.reason = *reason;
+    const auto owner = registry.daemons().find(grant->second.owner.daemon);
+    proposal.ownerSilence = owner == registry.daemons().end() ? absl::InfiniteDuration() : now - owner->second.heardAt;
+    return proposal;
+}
+
 std::vector<GrantProposal> OwnerAssigner::decide(const FleetRegistry& registry, const std::map<CellId, CellGrant>& grants, absl::Time now)
 {
     std::vector<GrantProposal> proposals;
-    for (const CellId& cell : registry.cells()) {
-        if (const auto proposed = proposedAt_.find(cell); proposed != proposedAt_.end() && now < proposed->second + proposalRepeat)
-            continue;
-        const HeardDaemon* candidate = chooseOwner(registry, cell, grants, now);
-        if (!candidate)
-            continue;
-        GrantProposal proposal { { cell, candidate->note.run, OwnerEpoch(0) }, GrantReason::Unowned, absl::ZeroDuration() };
-        if (const auto grant = grants.find(cell); grant != grants.end()) {
-            const std::optional<GrantReason> reason = reasonToMove(registry, grant->second, *candidate, now);
-            if (!reason)
+    // Proposals of this round count as granted, so that the cells of a pool are spread.
+    std::map<CellId, CellGrant> planned = grants;
+    for (const auto& [pool, minions] : registry.pools()) {
+        const uint32_t count = partCount(pool, minions, grants, now);
+        for (uint32_t index = 0; index < count; ++index) {
+            const CellId cell { pool.service, pool.dataCentre, { index, count } };
+            if (const auto proposed = proposedAt_.find(cell); proposed != proposedAt_.end() && now < proposed->second + proposalRepeat)
+                continue;
+            std::optional<GrantProposal> proposal = decideCell(registry, cell, planned, now);
+            if (!proposal)
                 continue;
-            proposal.record.previous = grant->second.epoch;
-            proposal.reason = *reason;
-            const auto owner = registry.daemons().find(grant->second.owner.daemon);
-            proposal.ownerSilence = owner == registry.daemons().end() ? absl::InfiniteDuration() : now - owner->second.heardAt;
+            planned[cell].owner = proposal->record.owner;
+            proposedAt_[cell] = now;
+            proposals.push_back(*std::move(proposal));
         }
-        proposedAt_[cell] = now;
-        proposals.push_back(proposal);
     }
     return proposals;
 }
--- a/Source/Control/OwnerAssigner.h
+++ b/Source/Control/OwnerAssigner.h
@@ -29,7 +29,10 @@
     absl::Duration ownerSilence;
 };
 
-/// Decides, at the leading keeper, which entry owns each cell.
+/// Decides, at the leading keeper, how pools are divided into cells and which entry owns each cell.
+///
+/// An owner's work grows with its minions, so a large pool is divided into cells of a size that a small entry can
+/// carry, and entries get cells in proportion to their processors.
 ///
 /// A cell keeps its owner as long as that is heard. A data centre of which nothing at all is heard is cut
 /// off rather than dead, so its cells stay as they are: their owners serve on. The same holds for a moment
@@ -46,12 +49,17 @@
     bool isHeard(const HeardDaemon&, absl::Time now) const;
     /// Whether a daemon of the data centre has been heard since the time given, and for a while without a gap.
     bool isDataCentreInTouch(const FleetRegistry&, const DataCentreId&, absl::Time since, absl::Time now) const;
+    /// @return into how many cells the pool is to be divided.
+    uint32_t partCount(const PoolId&, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now);
+    std::optional<GrantProposal> decideCell(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>& grants, absl::Time now) const;
     /// @return why the cell should go to the candidate, if it should.
     std::optional<GrantReason> reasonToMove(const FleetRegistry&, const CellGrant&, const HeardDaemon& candidate, absl::Time now) const;
     const HeardDaemon* chooseOwner(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>&, absl::Time now) const;
 
     absl::Time leadingSince_ = absl::InfinitePast();
     std::map<CellId, absl::Time> proposedAt_;
+    /// Since when a pool has had more minions than its cells are meant for.
+    std::map<PoolId, absl::Time> crowdedSince_;
 };
 
 } // namespace trefoilwing
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -38,6 +38,8 @@
     constexpr absl::Duration longestDrain = absl::Milliseconds(5600);
     constexpr absl::Duration drainPoll = absl::Milliseconds(50);
 
+    constexpr double milliCoresPerCore = 1000;
+
     constexpr uint64_t maxCallerBody = 256U << 10U;
     constexpr size_t maxCallerSessions = 3000;
     constexpr size_t maxReadinessSessions = 16;
@@ -58,6 +60,11 @@
         { "cell_jobs_turned_down", &CellTotals::turnedDown },
     } };
 
+    bool isOfOlderDivision(const CellId& cell, const CellId& granted)
+    {
+        return cell.pool() == granted.pool() && cell.part.count != granted.part.count;
+    }
+
     bool hasAmpleRoom(const CellLoad& load)
     {
         return load.queuedTasks.empty() && static_cast<double>(load.freeMilliCores) >= ampleShare * static_cast<double>(load.totalMilliCores);
@@ -228,11 +235,11 @@
     if (change.routing)
         takeRouting(*change.routing);
     for (const MinionReport& report : change.gone) {
-        if (const CellPtr cell = findCell(report.cell))
+        if (const CellPtr cell = findCellOf(report))
             cell->minionLeft(report.life);
     }
     for (const MinionReport& report : change.minions) {
-        if (const CellPtr cell = findCell(report.cell))
+        if (const CellPtr cell = findCellOf(report))
             cell->minionReported(report);
     }
     for (const CellGrant& grant : grants)
@@ -263,7 +270,7 @@
 
 void FleetEntry::takeGrant(const CellGrant& grant)
 {
-    log_.write(Severity::Info, "cell_granted", { { "service", grant.cell.service.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+    log_.write(Severity::Info, "cell_granted", { { "service", grant.cell.service.value() }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
     std::vector<EarlyOffer> offers;
     CellPtr cell;
     {
@@ -273,6 +280,7 @@
             return;
         if (held != cells_.end())
             cells_.erase(held);
+        std::erase_if(cells_, [&](const auto& entry) { return isOfOlderDivision(entry.first, grant.cell); });
         if (grant.owner == link_.self()) {
             const auto owned = std::make_shared<OwnedCell>(grant, policy_, order_, *this);
             cell = CellPtr(owned, &owned->shard);
@@ -295,6 +303,7 @@
             cell->offered(early.offer, early.from);
     }
     desk_.moved(grant);
+    desk_.divided(grant.cell);
 }
 
 void FleetEntry::receive(const DaemonId& from, const CellLoad& load)
@@ -375,6 +384,13 @@
     return found == cells_.end() ? nullptr : found->second;
 }
 
+FleetEntry::CellPtr FleetEntry::findCellOf(const MinionReport& report) const
+{
+    MutexLock lock(cellsMutex_);
+    const auto found = std::find_if(cells_.begin(), cells_.end(), [&](const auto& entry) { return isInCell(report, entry.first); });
+    return found == cells_.end() ? nullptr : found->second;
+}
+
 std::vector<FleetEntry::CellPtr> FleetEntry::allCells() const
 {
     MutexLock lock(cellsMutex_);
@@ -450,7 +466,7 @@
     std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
     {
         MutexLock lock(viewMutex_);
-        const DaemonPulse own { link_.self(), settings_.dataCentre, true, isDraining_, {}, {}, 0 };
+        const DaemonPulse own { link_.self(), settings_.dataCentre, true, isDraining_, {}, {}, 0, static_cast<uint32_t>(settings_.cores * milliCoresPerCore) };
         std::set<DaemonId> owners;
         for (const auto& [cell, grant] : chooser_.grants())
             owners.insert(grant.owner.daemon);
@@ -501,7 +517,7 @@
 void FleetEntry::publishMetrics()
 {
     for (const CellPtr& cell : allCells()) {
-        const MetricLabels labels { cell->cell().service, {}, TaskKindId(cell->cell().dataCentre.value()) };
+        const MetricLabels labels { cell->cell().service, {}, TaskKindId(nameOf(cell->cell())) };
         const CellTotals totals = cell->totals();
         metrics_.set("cell_epoch", labels, static_cast<double>(cell->epoch().value()));
         metrics_.set("cell_minions", labels, static_cast<double>(cell->minionCount()));
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -91,6 +91,8 @@
     /// Logs and publishes how late this process runs, and what became of its orders.
     void watchLateness();
     CellPtr findCell(const CellId&) const;
+    /// @return the cell that the minion belongs to, if this entry owns it.
+    CellPtr findCellOf(const MinionReport&) const;
     std::vector<CellPtr> allCells() const;
     std::shared_ptr<const RoutingTable> table() const;
 
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -150,7 +150,7 @@
     }
     if (!isChange)
         return;
-    log_.write(Severity::Info, "minion_reported", { { "minion", report.life.minion.value() }, { "birth", report.life.birth.value() }, { "sequence", report.sequence }, { "service", report.cell.service.value() }, { "cell", report.cell.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
+    log_.write(Severity::Info, "minion_reported", { { "minion", report.life.minion.value() }, { "birth", report.life.birth.value() }, { "sequence", report.sequence }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
     sendNews();
     group_->remember(report);
 }
@@ -190,7 +190,7 @@
             grants_ = state.grants();
             std::vector<CellGrant> grants;
             for (const auto& [cell, grant] : grants_) {
-                registry_.noteCell(cell);
+                registry_.notePool(cell.pool());
                 grants.push_back(grant);
             }
             registry_.setGrants(std::move(grants));
@@ -237,7 +237,7 @@
     MutexLock lock(mutex_);
     const FleetChange change = others_.receive(from, news, link_.clock().now());
     for (const MinionReport& report : change.minions)
-        registry_.noteCell(report.cell);
+        registry_.notePool(report.pool);
 }
 
 void FleetKeeper::sendNews()
@@ -312,7 +312,7 @@
     }
     for (const GrantProposal& proposal : proposals) {
         const GrantRecord& record = proposal.record;
-        log_.write(Severity::Info, "grant_proposed", { { "service", record.cell.service.value() }, { "cell", record.cell.dataCentre.value() }, { "owner", record.owner.daemon.value() }, { "previous_epoch", record.previous.value() }, { "reason", std::string(reasonName(proposal.reason)) }, { "owner_silent_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(std::min(proposal.ownerSilence, daemonSilenceLogged))) } });
+        log_.write(Severity::Info, "grant_proposed", { { "service", record.cell.service.value() }, { "cell", nameOf(record.cell) }, { "owner", record.owner.daemon.value() }, { "previous_epoch", record.previous.value() }, { "reason", std::string(reasonName(proposal.reason)) }, { "owner_silent_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(std::min(proposal.ownerSilence, daemonSilenceLogged))) } });
         group_->grant(record);
     }
 }
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -21,6 +21,14 @@
 
 bool CellChooser::granted(const CellGrant& grant)
 {
+    // A pool is divided in one way at a time: the way of its newest grant.
+    const auto isOfOtherDivision = [&](const auto& entry) { return entry.first.pool() == grant.cell.pool() && entry.first.part.count != grant.cell.part.count; };
+    for (const auto& entry : grants_) {
+        if (isOfOtherDivision(entry) && entry.second.epoch > grant.epoch)
+            return false;
+    }
+    std::erase_if(grants_, isOfOtherDivision);
+    std::erase_if(standings_, isOfOtherDivision);
     CellGrant& known = grants_[grant.cell];
     if (grant.epoch <= known.epoch)
         return false;
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -161,7 +161,7 @@
 {
     std::vector<MinionReport> reports;
     for (const auto& [id, report] : minions_) {
-        if (report.cell == cell)
+        if (isInCell(report, cell))
             reports.push_back(report);
     }
     return reports;
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -102,7 +102,7 @@
         firstTask += share.taskCount;
         offer(part);
         effects_.add([this, offer = part.offer, grant = share.grant] {
-            ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilGivenUp) }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+            ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilGivenUp) }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
         });
         open.parts.push_back(std::move(part));
     }
@@ -201,11 +201,11 @@
     for (const Ticket& ticket : job.tickets)
         tickets_.erase(ticket);
     const Part& first = job.parts.front();
-    effects_.add([this, key, request = job.requestId, outcome, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner, cell = first.offer.cell.dataCentre, parts = uint64_t { job.parts.size() }, service = first.offer.cell.service, route = first.offer.route, isLate = now > job.lateAt] {
+    effects_.add([this, key, request = job.requestId, outcome, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner, cell = first.offer.cell, parts = uint64_t { job.parts.size() }, route = first.offer.route, isLate = now > job.lateAt] {
         for (const Ticket& ticket : tickets)
             ports_.replies.reply(ticket, outcome.answer);
-        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome.name }, { "cell", cell.value() }, { "owner", owner.value() }, { "parts", parts }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
-        const MetricLabels labels { service, {}, TaskKindId(route.value()) };
+        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome.name }, { "cell", nameOf(cell) }, { "owner", owner.value() }, { "parts", parts }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
+        const MetricLabels labels { cell.service, {}, TaskKindId(route.value()) };
         ports_.metrics.count(absl::StrCat("jobs_", outcome.name), labels, 1);
         ports_.metrics.observe(metric::requestLatency, labels, taken);
         ports_.metrics.observe(metric::queueWait, labels, queued);
@@ -229,7 +229,7 @@
                 part.offer.untilGivenUp = job.givenUpAt - now;
                 offer(part);
                 effects_.add([this, key = key, request = job.requestId, grant] {
-                    ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "cell", grant.cell.dataCentre.value() }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+                    ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
                 });
             }
         }
@@ -237,6 +237,24 @@
     effects_.flush();
 }
 
+void JobDesk::divided(const CellId& cell)
+{
+    {
+        MutexLock lock(mutex_);
+        std::vector<JobKey> ended;
+        for (const auto& [key, job] : jobs_) {
+            const bool hasOldCell = std::any_of(job.parts.begin(), job.parts.end(), [&](const Part& part) {
+                return part.state == PartState::Open && part.offer.cell.pool() == cell.pool() && part.offer.cell.part.count != cell.part.count;
+            });
+            if (hasOldCell)
+                ended.push_back(key);
+        }
+        for (const JobKey& key : ended)
+            answer(key, { { AnswerKind::GaveUp, {} }, "cell_divided" });
+    }
+    effects_.flush();
+}
+
 void JobDesk::ownerHeard(const DaemonId& owner)
 {
     MutexLock lock(mutex_);
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -42,6 +42,9 @@
     void ended(const DaemonId& from, const JobEnded&);
     /// A cell has a new owner.
     void moved(const CellGrant&);
+    /// A pool is divided into other cells: its earlier cells have no owner any more.
+    /// @param cell one of the new division.
+    void divided(const CellId& cell);
     /// The owner of a cell gave a sign of life.
     void ownerHeard(const DaemonId&);
     /// Answers what has waited too long for its owner.
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -38,6 +38,8 @@
     /// What the sender has of the receiver's news: the receiver's run and the number of its latest news.
     Incarnation newsFrom;
     uint64_t newsNumber = 0;
+    /// The processor that the sender has, in thousandths of a core; 0 where it doesn't say.
+    uint32_t milliCores = 0;
 
     friend bool operator==(const DaemonPulse&, const DaemonPulse&) = default;
 };
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -25,6 +25,8 @@
     std::optional<Endpoint> readiness;
     /// Where minions and operators come; a keeper has it.
     std::optional<Endpoint> control;
+    /// The share of a core that the process may use.
+    double cores = 1;
     /// Where metrics are read; 0 serves none.
     uint32_t metricsPort = 0;
     /// Of a keeper.
--- /dev/null
+++ b/Source/Model/Runs.cpp
@@ -0,0 +1,19 @@
+#include "Model/Runs.h"
+
+#include "Base/StableHash.h"
+
+#include <absl/strings/str_cat.h>
+
+namespace trefoilwing {
+
+std::string nameOf(const CellId& cell)
+{
+    return cell.part.count <= 1 ? cell.dataCentre.value() : absl::StrCat(cell.dataCentre.value(), "/", cell.part.index + 1, "of", cell.part.count);
+}
+
+bool isInCell(const MinionReport& report, const CellId& cell)
+{
+    return report.pool == cell.pool() && (cell.part.count <= 1 || stableHash(report.life.minion.value()) % cell.part.count == cell.part.index);
+}
+
+} // namespace trefoilwing
--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -26,10 +26,33 @@
 /// The start of one life of a minion, in milliseconds of its own time of day.
 using MinionBirth = StrongId<struct MinionBirthTag, uint64_t>;
 
-/// The minions of one service in one data centre, which one entry gives orders to.
+/// The minions of one service in one data centre.
+struct PoolId {
+    ServiceId service;
+    DataCentreId dataCentre;
+
+    friend auto operator<=>(const PoolId&, const PoolId&) = default;
+    friend bool operator==(const PoolId&, const PoolId&) = default;
+};
+
+/// Which of the equal parts of a pool.
+struct CellPart {
+    uint32_t index = 0;
+    /// How many parts the pool is divided into.
+    uint32_t count = 1;
+
+    friend auto operator<=>(const CellPart&, const CellPart&) = default;
+    friend bool operator==(const CellPart&, const CellPart&) = default;
+};
+
+/// A part of a pool, which one entry gives orders to. Which minions belong to it follows from their ids, so that
+/// everybody who knows the cell agrees on them.
 struct CellId {
     ServiceId service;
     DataCentreId dataCentre;
+    CellPart part {};
+
+    PoolId pool() const { return { service, dataCentre }; }
 
     friend auto operator<=>(const CellId&, const CellId&) = default;
     friend bool operator==(const CellId&, const CellId&) = default;
@@ -37,10 +60,13 @@
     template <typename H>
     friend H AbslHashValue(H state, const CellId& id)
     {
-        return H::combine(std::move(state), id.service, id.dataCentre);
+        return H::combine(std::move(state), id.service, id.dataCentre, id.part.index, id.part.count);
     }
 };
 
+/// @return the cell's name for the log: its data centre, with its part where the pool is divided.
+std::string nameOf(const CellId&);
+
 /// One run of one task.
 struct RunId {
     JobKey job;
@@ -77,7 +103,7 @@
     MinionLife life;
     /// Orders the reports of one life.
     uint64_t sequence = 0;
-    CellId cell;
+    PoolId pool;
     Endpoint endpoint;
     Room capacity;
     std::vector<std::string> labels;
@@ -86,6 +112,9 @@
     friend bool operator==(const MinionReport&, const MinionReport&) = default;
 };
 
+/// @return whether the minion belongs to the cell.
+bool isInCell(const MinionReport&, const CellId&);
+
 /// @return whether a minion's report tells of a later life than the one known, or of the same and came later in it.
 inline bool isLater(const MinionReport& report, const MinionReport& known)
 {
--- a/Tests/Adapters/Msgpack/CodecTest.cpp
+++ b/Tests/Adapters/Msgpack/CodecTest.cpp
@@ -57,9 +57,9 @@
 TEST(Codec, EveryFleetMessageSurvives)
 {
     const DaemonRun run { DaemonId("10.0.0.1"), Incarnation(5) };
-    const CellGrant grant { { ServiceId("quotes"), DataCentreId("bole") }, run, OwnerEpoch(7) };
-    const MinionReport report { { MinionId("m-1"), MinionBirth(3) }, 9, grant.cell, { "10.0.0.2", 8080 }, { 16000, 65536, 1 }, { "a" }, MinionState::Leaving };
-    CHECK(survives(PeerMessage(DaemonPulse { run, DataCentreId("bole"), true, true, RoutingVersion(4), Incarnation(2), 6 })));
+    const CellGrant grant { { ServiceId("quotes"), DataCentreId("bole"), { 2, 5 } }, run, OwnerEpoch(7) };
+    const MinionReport report { { MinionId("m-1"), MinionBirth(3) }, 9, grant.cell.pool(), { "10.0.0.2", 8080 }, { 16000, 65536, 1 }, { "a" }, MinionState::Leaving };
+    CHECK(survives(PeerMessage(DaemonPulse { run, DataCentreId("bole"), true, true, RoutingVersion(4), Incarnation(2), 6, 90 })));
     CHECK(survives(PeerMessage(FleetNews { Incarnation(5), true, 8, 2, RoutingDocument { RoutingVersion(4), "{}" }, { grant }, { report }, { report.life }, { { { run, DataCentreId("bole"), false, true } } } })));
     CHECK(survives(PeerMessage(JobOffer { grant.cell, JobKey("job"), "request", 3, RouteName("route"), 5, 2, { 7000, 64, 0 }, absl::Milliseconds(51), "spec", absl::Milliseconds(141), absl::Seconds(2), 1, 4, true })));
     CHECK(survives(PeerMessage(JobCancel { grant.cell, JobKey("job"), 3 })));
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -37,6 +37,19 @@
     LONGS_EQUAL(9, state.grants().at(cell).epoch.value());
 }
 
+// Pattern: a leader divides a pool while grants of the earlier division are on their way.
+TEST(FleetState, APoolIsDividedInOneWayAtATime)
+{
+    const DaemonRun owner { DaemonId("a"), Incarnation(1) };
+    CellId half = cell;
+    half.part = { 1, 2 };
+    CHECK(state.apply(GrantRecord { cell, owner, OwnerEpoch(0) }, LogIndex(7)));
+    CHECK(state.apply(GrantRecord { half, owner, OwnerEpoch(0) }, LogIndex(8)));
+    CHECK_FALSE(state.apply(GrantRecord { cell, owner, OwnerEpoch(7) }, LogIndex(9)));
+    LONGS_EQUAL(1, state.grants().size());
+    LONGS_EQUAL(8, state.grants().at(half).epoch.value());
+}
+
 TEST(FleetState, TheNewestLifeAtAnAddressIsRemembered)
 {
     CHECK(state.apply(minion("a", 1, 1, "10.0.0.1")));
--- a/Tests/Control/LargePoolTest.cpp
+++ b/Tests/Control/LargePoolTest.cpp
@@ -1,3 +1,4 @@
+#include "Control/FleetState.h"
 #include "Control/OwnerAssigner.h"
 
 #include <algorithm>
@@ -12,8 +13,9 @@
     absl::Time now = absl::FromUnixSeconds(1000);
     FleetRegistry registry { { DaemonId("keeper"), Incarnation(1) } };
     OwnerAssigner assigner;
-    std::map<CellId, CellGrant> grants;
-    const CellId cell { ServiceId("service"), DataCentreId("home") };
+    FleetState state;
+    uint64_t lastIndex = 0;
+    const PoolId pool { ServiceId("service"), DataCentreId("home") };
     std::vector<MinionReport> minions;
 
     void setup() override
@@ -24,36 +26,67 @@
     void reportMinions(uint64_t count)
     {
         for (uint64_t i = 0; i < count; ++i) {
-            minions.push_back({ { MinionId("minion-" + std::to_string(i)), MinionBirth(1) }, 1, cell, { "10.1.0." + std::to_string(i), 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving });
+            minions.push_back({ { MinionId("minion-" + std::to_string(i)), MinionBirth(1) }, 1, pool, { "10.1.0." + std::to_string(i), 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving });
             registry.reported(minions.back());
         }
     }
 
+    void hearEntry(const std::string& name, uint32_t milliCores = 0, uint64_t run = 1)
+    {
+        registry.heard({ { DaemonId(name), Incarnation(run) }, DataCentreId("home"), true, false, {}, {}, 0, milliCores }, now);
+    }
+
     void hearEntries(uint64_t count)
     {
         for (uint64_t i = 0; i < count; ++i)
-            registry.heard({ { DaemonId("entry-" + std::to_string(i)), Incarnation(1) }, DataCentreId("home"), true, false, {}, {}, 0 }, now);
+            hearEntry("entry-" + std::to_string(i));
     }
 
-    /// Puts what the assigner proposes in force until it proposes nothing more.
+    /// Puts what the assigner proposes in force, for some seconds in which all entries are heard, until it proposes
+    /// nothing more.
     void settle()
     {
-        for (uint64_t round = 1; round < 10; ++round) {
-            const std::vector<GrantProposal> proposals = assigner.decide(registry, grants, now);
-            if (proposals.empty())
-                return;
-            for (const GrantProposal& proposal : proposals)
-                grants[proposal.record.cell] = { proposal.record.cell, proposal.record.owner, OwnerEpoch(round) };
+        for (int round = 0; round < 40; ++round) {
+            apply();
+            now += absl::Milliseconds(250);
+            for (const auto& [id, daemon] : std::map(registry.daemons()))
+                registry.heard({ daemon.note.run, daemon.note.dataCentre, true, false, {}, {}, 0, daemon.milliCores }, now);
         }
-        FAIL("the owners change again and again");
+        CHECK_FALSE(apply());
+    }
+
+    /// @return whether anything was proposed.
+    bool apply()
+    {
+        const std::vector<GrantProposal> proposals = assigner.decide(registry, state.grants(), now);
+        for (const GrantProposal& proposal : proposals)
+            CHECK(state.apply(proposal.record, LogIndex(++lastIndex)));
+        return !proposals.empty();
     }
 
     /// @return how many minions each entry gives orders to.
     std::map<DaemonId, size_t> minionsByOwner()
     {
         std::map<DaemonId, size_t> counts;
-        for (const MinionReport& minion : minions)
-            ++counts[grants.at(minion.cell).owner.daemon];
+        for (const MinionReport& minion : minions) {
+            size_t owners = 0;
+            for (const auto& [cell, grant] : state.grants()) {
+                if (!isInCell(minion, cell))
+                    continue;
+                ++owners;
+                ++counts[grant.owner.daemon];
+            }
+            LONGS_EQUAL(1, owners);
+        }
+        return counts;
+    }
+
+    /// @return how many cells each entry owns.
+    std::map<DaemonId, size_t> cellsByOwner() const
+    {
+        std::map<DaemonId, size_t> counts;
+        for (const auto& [cell, grant] : state.grants())
+            ++counts[grant.owner.daemon];
         return counts;
     }
 };
@@ -70,3 +103,50 @@
         most = std::max(most, count);
     CHECK_COMPARE(most, <=, minions.size() / 4);
 }
+
+TEST(LargePool, EntriesGetCellsInProportionToTheirProcessors)
+{
+    reportMinions(117);
+    hearEntry("large-1", 300);
+    hearEntry("large-2", 300);
+    for (int i = 0; i < 10; ++i)
+        hearEntry("small-" + std::to_string(i), 90);
+    settle();
+    for (const auto& [owner, count] : cellsByOwner())
+        CHECK_COMPARE(count, <=, owner.value().starts_with("large") ? 3 : 1);
+}
+
+TEST(LargePool, ASmallPoolIsOneCell)
+{
+    reportMinions(16);
+    hearEntries(3);
+    settle();
+    LONGS_EQUAL(1, state.grants().size());
+}
+
+// Dividing ends what is under way, so minions that come and go don't cause it.
+TEST(LargePool, ADividedPoolKeepsItsCellsWhileItGrowsByHalf)
+{
+    reportMinions(117);
+    hearEntries(13);
+    settle();
+    const std::map<CellId, CellGrant> before = state.grants();
+    reportMinions(58);
+    settle();
+    CHECK(before == state.grants());
+}
+
+// Pattern: all processes lose power and are heard again one after the other.
+TEST(LargePool, OwnersThatStartAgainKeepTheirCells)
+{
+    reportMinions(117);
+    hearEntries(13);
+    settle();
+    const auto before = cellsByOwner();
+    for (int i = 0; i < 13; ++i) {
+        hearEntry("entry-" + std::to_string(i), 0, 2);
+        now += absl::Milliseconds(20);
+        apply();
+    }
+    CHECK(before == cellsByOwner());
+}
--- a/Tests/Control/OwnerAssignerTest.cpp
+++ b/Tests/Control/OwnerAssignerTest.cpp
@@ -16,7 +16,7 @@
     void setup() override
     {
         assigner.beganLeading(now);
-        registry.noteCell(cell);
+        registry.notePool(cell.pool());
     }
 
     void hear(const std::string& daemon, uint64_t run, const std::string& dataCentre, bool isEntry = true, bool isDraining = false)
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -55,6 +55,17 @@
     CHECK(chooser.grants().at(newer.cell) == newer);
 }
 
+TEST(CellChooser, CellsOfAnEarlierDivisionGetNoJobs)
+{
+    load("home", 1, 50000, 0);
+    CellId half = cell("home");
+    half.part = { 0, 2 };
+    const DaemonRun owner { DaemonId("1"), Incarnation(1) };
+    CHECK(chooser.granted({ half, owner, OwnerEpoch(9) }));
+    CHECK_FALSE(chooser.granted({ cell("home"), owner, OwnerEpoch(4) }));
+    STRCMP_EQUAL("none", choose().c_str());
+}
+
 TEST(CellChooser, HomeIsChosenWhileItHasRoom)
 {
     load("home", 1, 50000, 0);
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -12,7 +12,7 @@
 
 MinionReport minion(const std::string& id, uint64_t sequence = 1, uint64_t birth = 1)
 {
-    return { { MinionId(id), MinionBirth(birth) }, sequence, cell, { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving };
+    return { { MinionId(id), MinionBirth(birth) }, sequence, cell.pool(), { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving };
 }
 
 } // namespace
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -244,3 +244,22 @@
     CHECK(replies.answers.front().second.kind == AnswerKind::GaveUp);
     LONGS_EQUAL(1, peers.take<JobCancel>().size());
 }
+
+// Pattern: a pool grows until it is divided anew, while jobs are under way in it.
+TEST(JobDesk, JobsOfACellThatIsDividedAreAnsweredAtOnce)
+{
+    open(1, "job");
+    CellId part = grant.cell;
+    part.part = { 0, 4 };
+    desk.divided(part);
+    LONGS_EQUAL(1, replies.answers.size());
+    CHECK(replies.answers.back().second.kind == AnswerKind::GaveUp);
+}
+
+TEST(JobDesk, JobsOfOtherPoolsGoOnWhenOneIsDivided)
+{
+    open(1, "job");
+    desk.divided({ grant.cell.service, DataCentreId("far"), { 0, 4 } });
+    desk.divided(grant.cell);
+    LONGS_EQUAL(0, replies.answers.size());
+}
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -33,7 +33,7 @@
 void CellFixture::reportMinion(const std::string& id, int64_t milliCores, uint64_t birth, MinionState state)
 {
     static uint64_t sequence = 0;
-    cell_.minionReported({ life(id, birth), ++sequence, cellId, { id, 80 }, { milliCores, 65536, 0 }, {}, state }, now_);
+    cell_.minionReported({ life(id, birth), ++sequence, cellId.pool(), { id, 80 }, { milliCores, 65536, 0 }, {}, state }, now_);
     collect();
 }
 
--- a/Tests/Placement/MinionChooserTest.cpp
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -18,7 +18,7 @@
     LeasedMinion& add(const std::string& id, double slowness)
     {
         const CellId cell { ServiceId("service"), DataCentreId("centre") };
-        auto minion = std::make_unique<LeasedMinion>(MinionReport { { MinionId(id), MinionBirth(1) }, 1, cell, { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving }, policy);
+        auto minion = std::make_unique<LeasedMinion>(MinionReport { { MinionId(id), MinionBirth(1) }, 1, cell.pool(), { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving }, policy);
         minion->isFenced = true;
         for (int i = 0; i < 50; ++i)
             minion->noteRunTime(absl::Seconds(1), absl::Seconds(slowness));
--- a/Tests/Platform/BeatCodecTest.cpp
+++ b/Tests/Platform/BeatCodecTest.cpp
@@ -29,7 +29,7 @@
     LONGS_EQUAL(4, minion.sequence);
     STRCMP_EQUAL("10.128.0.9", minion.endpoint.address.c_str());
     LONGS_EQUAL(8080, minion.endpoint.port);
-    STRCMP_EQUAL("ub-sukhbaatar", minion.cell.dataCentre.value().c_str());
+    STRCMP_EQUAL("ub-sukhbaatar", minion.pool.dataCentre.value().c_str());
     LONGS_EQUAL(16000, minion.capacity.milliCores);
     CHECK(minion.state == MinionState::Serving);
     CHECK(minion.life.birth == MinionBirth(1791244542000));
