Don't take a process's own lateness for its servers' silence

What callers saw: an owner that was late kept stopping and starting runs, so that overload outlived the crest.

Cause: the time of a call to a minion ran from when it was queued, and the timer that ends calls didn't know how late it ran itself. The class of fault: silence measured by a clock that goes on while the one who listens doesn't run.

Fix: the time runs from when the request is written, by RunningTime, which leaves out what the loop's timer shows to be lost, and a call whose answer has arrived is never given up.

--- a/Source/Adapters/Beast/HttpClient.cpp
+++ b/Source/Adapters/Beast/HttpClient.cpp
@@ -25,12 +25,19 @@
     /// Deadlines are looked at this often while calls are under way; they are 150 ms and more.
     constexpr std::chrono::milliseconds sweepInterval { 40 };
 
+    absl::Time steadyNow()
+    {
+        return absl::UnixEpoch() + absl::FromChrono(Clock::now().time_since_epoch());
+    }
+
 } // namespace
 
 /// A call that waits for a connection or a response.
 struct HttpClient::Call {
     WebRequest request;
-    Clock::time_point deadline;
+    absl::Duration timeout;
+    /// While the call waits for a connection the clock's time, then the loop's running time.
+    absl::Time deadline;
     Callback done;
 
     void finish(HttpResult result)
@@ -62,11 +69,13 @@
     const Endpoint& endpoint() const { return endpoint_; }
     bool isOpen() const { return socket_.is_open(); }
     bool isStale(Clock::time_point now, absl::Duration life) const { return now - idleSince_ > absl::ToChronoNanoseconds(life); }
-    bool isOverdue(Clock::time_point now) const { return call_ && now >= call_->deadline; }
+    /// @param now by the loop's running time.
+    bool isOverdue(absl::Time now) const { return call_ && now >= call_->deadline; }
 
     void start(std::shared_ptr<Call> call)
     {
         call_ = std::move(call);
+        call_->deadline = client_.running_.at(steadyNow()) + call_->timeout;
         isSent_ = false;
         if (socket_.is_open())
             write();
@@ -183,7 +192,7 @@
 
 void HttpClient::call(const Endpoint& endpoint, WebRequest request, absl::Duration timeout, Callback done)
 {
-    auto call = std::make_shared<Call>(Call { std::move(request), Clock::now() + absl::ToChronoNanoseconds(timeout), std::move(done) });
+    auto call = std::make_shared<Call>(Call { std::move(request), timeout, absl::InfiniteFuture(), std::move(done) });
     loop_.run([this, endpoint, call = std::move(call)] { startCall(endpoint, call); });
 }
 
@@ -201,6 +210,7 @@
         }
     }
     if (!connection && pool.busy.size() >= options_.maxConnections) {
+        call->deadline = steadyNow() + call->timeout;
         pool.waiting.push_back(std::move(call));
         return;
     }
@@ -221,7 +231,7 @@
         pool.idle.push_back(connection);
     else
         connection->close();
-    const auto now = Clock::now();
+    const absl::Time now = steadyNow();
     while (!pool.waiting.empty()) {
         const std::shared_ptr<Call> call = pool.waiting.front();
         pool.waiting.pop_front();
@@ -244,6 +254,7 @@
         if (error)
             return;
         const auto lateness = std::chrono::duration_cast<std::chrono::nanoseconds>(Clock::now() - sweepTimer_->expiry());
+        running_.ranLate(absl::FromChrono(lateness));
         if (lateness.count() > worstLatenessNs_)
             worstLatenessNs_ = lateness.count();
         sweep();
@@ -254,7 +265,7 @@
 
 void HttpClient::sweep()
 {
-    const auto now = Clock::now();
+    const absl::Time now = running_.at(steadyNow());
     std::vector<std::shared_ptr<Connection>> overdue;
     for (const auto& [endpoint, pool] : pools_) {
         for (const std::shared_ptr<Connection>& connection : pool.busy) {
@@ -263,7 +274,11 @@
         }
     }
     for (const std::shared_ptr<Connection>& connection : overdue) {
-        ++(connection->hasUnread() ? unread_ : unanswered_);
+        if (connection->hasUnread()) {
+            ++unread_;
+            continue;
+        }
+        ++unanswered_;
         connection->fail();
     }
 }
--- a/Source/Adapters/Beast/HttpClient.h
+++ b/Source/Adapters/Beast/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include "Adapters/Beast/HttpLoop.h"
 #include "Adapters/Beast/WebMessage.h"
+#include "Base/RunningTime.h"
 #include "Model/MinionMessages.h"
 
 #include <absl/time/time.h>
@@ -40,7 +41,7 @@
     uint64_t connects = 0;
     /// Calls that were given up without a byte of a response.
     uint64_t unanswered = 0;
-    /// Calls that were given up though bytes of the response had arrived and waited to be read.
+    /// Calls whose time was over, but whose response had arrived and waited to be read.
     uint64_t unread = 0;
     /// How late the loop ran its timer, at the worst since the totals were last taken.
     absl::Duration worstLateness;
@@ -58,6 +59,7 @@
     HttpClient(const HttpClient&) = delete;
     HttpClient& operator=(const HttpClient&) = delete;
 
+    /// @param timeout from when the request is sent; time in which the loop didn't run doesn't count.
     /// @param done is called once, on the loop's thread.
     void call(const Endpoint&, WebRequest, absl::Duration timeout, Callback done);
 
@@ -81,6 +83,7 @@
     std::map<Endpoint, Pool> pools_;
     size_t busy_ = 0;
     std::unique_ptr<boost::asio::steady_timer> sweepTimer_;
+    RunningTime running_;
     bool isSweeping_ = false;
     std::atomic<uint64_t> connects_ { 0 };
     std::atomic<uint64_t> unanswered_ { 0 };
