Tell far entries loads less often, and give signs of life only to owners of open jobs

Cause: with more owners, messages between entries grow with owners times entries: each owner told each change to all 36 entries within 30 ms, and each entry gave signs of life to all owners. Each message wakes its receiver up.

Change: entries of other data centres, which send jobs only where their own has no room, are told at most every 120 ms; an entry gives signs of life to the owners that have open jobs of it, and for its first 5 s to all, as they may still run jobs of its earlier run.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -18,10 +18,15 @@
     constexpr absl::Duration pumpInterval = absl::Milliseconds(30);
     /// While it starts, so that the keepers tell it of the fleet and grant it cells soon.
     constexpr absl::Duration startingPulseInterval = absl::Milliseconds(60);
+    /// Owners and keepers have been reached by then.
+    constexpr absl::Duration startingTime = absl::Seconds(5);
     /// A cell's load is told again after so long, as the owner's sign of life.
     constexpr absl::Duration longestLoadInterval = absl::Milliseconds(250);
-    /// And no sooner than this after a change that may send jobs elsewhere.
+    /// And to entries of the same data centre no sooner than this after a change that may send jobs elsewhere.
     constexpr absl::Duration shortestLoadInterval = absl::Milliseconds(30);
+    /// Entries of other data centres send jobs here only where their own has no room, and are told less often: each
+    /// message wakes its receiver up, and there are many more of them.
+    constexpr absl::Duration shortestFarLoadInterval = absl::Milliseconds(120);
     /// A cell with this share of its room free takes whatever comes, so how much exactly doesn't matter.
     constexpr double ampleShare = 0.6;
     /// Offers for a cell whose grant hasn't reached this entry yet wait so long for it.
@@ -93,7 +98,8 @@
     , desk_({ door_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
     , view_(seedDaemons(settings))
     , chooser_(settings.dataCentre)
-    , gate_(link_.clock().now())
+    , startedAt_(link_.clock().now())
+    , gate_(startedAt_)
 {
     door_.setIntake(*this);
 }
@@ -464,12 +470,15 @@
 void FleetEntry::pulse()
 {
     std::vector<std::pair<DaemonId, DaemonPulse>> pulses;
+    std::set<DaemonId> owners = desk_.openOwners();
     {
         MutexLock lock(viewMutex_);
         const DaemonPulse own { link_.self(), settings_.dataCentre, true, isDraining_, {}, {}, 0, static_cast<uint32_t>(settings_.cores * milliCoresPerCore) };
-        std::set<DaemonId> owners;
-        for (const auto& [cell, grant] : chooser_.grants())
-            owners.insert(grant.owner.daemon);
+        // Owners may still run jobs of an earlier run of this entry, which they give up when they hear of this one.
+        if (link_.clock().now() < startedAt_ + startingTime) {
+            for (const auto& [cell, grant] : chooser_.grants())
+                owners.insert(grant.owner.daemon);
+        }
         pulses = view_.nextPulses(own);
         for (const DaemonId& owner : owners)
             pulses.emplace_back(owner, own);
@@ -478,24 +487,35 @@
         link_.peers().send(to, message);
 }
 
+bool FleetEntry::isTellDue(ToldLoad& told, const CellLoad& load, absl::Duration shortestInterval, absl::Time now)
+{
+    if (now < told.at + longestLoadInterval && (now < told.at + shortestInterval || !differsMuch(told.load, load)))
+        return false;
+    told = { load, now };
+    return true;
+}
+
 void FleetEntry::tellLoads(absl::Time now)
 {
-    for (const CellPtr& cell : allCells()) {
-        auto& [told, toldAt] = toldLoads_[cell->cell()];
+    const std::vector<CellPtr> cells = allCells();
+    if (cells.empty())
+        return;
+    std::map<DaemonId, DataCentreId> entries;
+    {
+        MutexLock lock(viewMutex_);
+        entries = view_.entries();
+    }
+    entries[link_.self().daemon] = settings_.dataCentre;
+    for (const CellPtr& cell : cells) {
         const CellLoad load = cell->load();
-        const bool isDue = now >= toldAt + longestLoadInterval || (differsMuch(told, load) && now >= toldAt + shortestLoadInterval);
-        if (!isDue)
-            continue;
-        told = load;
-        toldAt = now;
-        std::set<DaemonId> entries { link_.self().daemon };
-        {
-            MutexLock lock(viewMutex_);
-            for (const DaemonId& entry : view_.entries())
-                entries.insert(entry);
+        ToldLoads& told = toldLoads_[cell->cell()];
+        const bool tellsNear = isTellDue(told.near, load, shortestLoadInterval, now);
+        const bool tellsFar = isTellDue(told.far, load, shortestFarLoadInterval, now);
+        for (const auto& [entry, dataCentre] : entries) {
+            const bool isNear = dataCentre == settings_.dataCentre;
+            if (isNear ? tellsNear : tellsFar)
+                link_.peers().send(entry, load);
         }
-        for (const DaemonId& entry : entries)
-            link_.peers().send(entry, load);
     }
 }
 
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -55,6 +55,15 @@
         SeededRandom random;
         CellShard shard;
     };
+    struct ToldLoad {
+        CellLoad load;
+        absl::Time at = absl::InfinitePast();
+    };
+    /// What was last told of a cell, to the entries of this data centre and of the others.
+    struct ToldLoads {
+        ToldLoad near;
+        ToldLoad far;
+    };
     struct EarlyOffer {
         JobOffer offer;
         DaemonId from;
@@ -83,6 +92,9 @@
     void takeGrant(const CellGrant&);
     void pulse();
     void tellLoads(absl::Time now);
+    /// Takes note that the load is told now.
+    /// @return whether it is.
+    static bool isTellDue(ToldLoad&, const CellLoad&, absl::Duration shortestInterval, absl::Time now);
     std::vector<EarlyOffer> takeEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken) ABSL_EXCLUSIVE_LOCKS_REQUIRED(cellsMutex_);
     /// Tells those who offered that nothing of their jobs ran here.
     void refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused);
@@ -135,8 +147,9 @@
     absl::Time pumpDue_ = absl::InfiniteFuture();
     absl::Duration worstPumpLateness_;
     bool hearsKeepers_ = false;
+    const absl::Time startedAt_;
     StartGate gate_;
-    std::map<CellId, std::pair<CellLoad, absl::Time>> toldLoads_;
+    std::map<CellId, ToldLoads> toldLoads_;
     WorkSignal signal_;
     std::unique_ptr<PumpThread> thread_;
 };
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -143,18 +143,18 @@
     });
 }
 
-std::vector<DaemonId> FleetView::entries() const
+std::map<DaemonId, DataCentreId> FleetView::entries() const
 {
-    std::set<DaemonId> entries;
+    std::map<DaemonId, DataCentreId> entries;
     for (const auto& [keeper, news] : news_) {
         if (news.heardAt + noteLife < heardAt_)
             continue;
         for (const DaemonNote& note : news.daemons) {
             if (note.isEntry)
-                entries.insert(note.run.daemon);
+                entries.emplace(note.run.daemon, note.dataCentre);
         }
     }
-    return { entries.begin(), entries.end() };
+    return entries;
 }
 
 std::vector<MinionReport> FleetView::minionsOf(const CellId& cell) const
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -48,8 +48,8 @@
     bool isLeading(const DaemonId& keeper) const;
     /// @return the keepers to tell signs of life to.
     std::vector<DaemonId> keepers() const;
-    /// @return the entries that some keeper hears.
-    std::vector<DaemonId> entries() const;
+    /// @return the entries that some keeper hears, and where they are.
+    std::map<DaemonId, DataCentreId> entries() const;
     std::vector<MinionReport> minionsOf(const CellId&) const;
     RoutingVersion routingVersion() const { return routing_; }
     /// @return whether all that the known keepers have to tell has come. A keeper that has just fallen silent
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -307,4 +307,17 @@
     return jobs_.size();
 }
 
+std::set<DaemonId> JobDesk::openOwners() const
+{
+    MutexLock lock(mutex_);
+    std::set<DaemonId> owners;
+    for (const auto& [key, job] : jobs_) {
+        for (const Part& part : job.parts) {
+            if (part.state == PartState::Open)
+                owners.insert(part.owner);
+        }
+    }
+    return owners;
+}
+
 } // namespace trefoilwing
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -12,6 +12,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -54,6 +55,8 @@
     void giveUpAll();
 
     size_t openCount() const;
+    /// @return the owners that have the last word on an open job.
+    std::set<DaemonId> openOwners() const;
 
 private:
     enum class PartState {
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -263,3 +263,13 @@
     desk.divided(grant.cell);
     LONGS_EQUAL(0, replies.answers.size());
 }
+
+TEST(JobDesk, OnlyOwnersOfOpenPartsWaitForSignsOfLife)
+{
+    openShared(1, "job");
+    LONGS_EQUAL(2, desk.openOwners().size());
+    end("owner", "job", 101, JobEnd::Completed);
+    CHECK(desk.openOwners() == std::set<DaemonId> { DaemonId("other") });
+    end("other", "job", 102, JobEnd::Completed);
+    CHECK(desk.openOwners().empty());
+}
