Don't take owners for silent for time in which the entry itself didn't run

CellChooser and JobDesk now measure silence by RunningTime, with a test each.

Not changed: an owner stops the jobs of an entry that was silent for 0.8 s by the clock, since a new owner counts on it (takeoverLimit); and keepers, which have processor to spare and judge an owner only if others of its data centre are heard.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -428,7 +428,7 @@
 
 absl::Time FleetEntry::pump(absl::Time now)
 {
-    worstPumpLateness_ = std::max(worstPumpLateness_, now - pumpDue_);
+    noteLateness(now - pumpDue_);
     if (isStarting_)
         openGate(now);
     const std::vector<CellPtr> cells = allCells();
@@ -453,6 +453,16 @@
     return pumpDue_;
 }
 
+void FleetEntry::noteLateness(absl::Duration lateness)
+{
+    worstPumpLateness_ = std::max(worstPumpLateness_, lateness);
+    if (lateness <= RunningTime::usualLateness)
+        return;
+    desk_.ranLate(lateness);
+    MutexLock lock(viewMutex_);
+    chooser_.ranLate(lateness);
+}
+
 void FleetEntry::openGate(absl::Time now)
 {
     if (gate_.isClosed(isReady(), now))
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -100,6 +100,8 @@
     void refuseEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRefused);
     void watchKeepers(absl::Time now);
     void publishMetrics();
+    /// @param lateness of the pump; below 0 if it was woken up before it was due.
+    void noteLateness(absl::Duration lateness);
     /// Logs and publishes how late this process runs, and what became of its orders.
     void watchLateness();
     CellPtr findCell(const CellId&) const;
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -42,12 +42,17 @@
     const auto grant = grants_.find(load.grant.cell);
     if (grant == grants_.end() || grant->second.epoch != load.grant.epoch)
         return;
-    standings_[load.grant.cell] = { load, now, 0 };
+    standings_[load.grant.cell] = { load, running_.at(now), 0 };
+}
+
+bool CellChooser::isHeard(const Standing& standing, absl::Time now) const
+{
+    return running_.at(now) - standing.heardAt < ownerSilence;
 }
 
 bool CellChooser::hearsAnyOwner(absl::Time now) const
 {
-    return std::any_of(standings_.begin(), standings_.end(), [&](const auto& entry) { return now - entry.second.heardAt < ownerSilence; });
+    return std::any_of(standings_.begin(), standings_.end(), [&](const auto& entry) { return isHeard(entry.second, now); });
 }
 
 std::vector<CellChooser::Candidate> CellChooser::candidates(const ServiceId& service, int64_t taskMilliCores, uint32_t priority, absl::Time now)
@@ -55,7 +60,7 @@
     std::vector<Candidate> found;
     for (const auto& [cell, grant] : grants_) {
         const auto standing = standings_.find(cell);
-        if (cell.service != service || standing == standings_.end() || now - standing->second.heardAt >= ownerSilence)
+        if (cell.service != service || standing == standings_.end() || !isHeard(standing->second, now))
             continue;
         const CellLoad& load = standing->second.load;
         Candidate candidate { &grant, &standing->second, 0, 0 };
--- a/Source/Intake/CellChooser.h
+++ b/Source/Intake/CellChooser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Base/RunningTime.h"
 #include "Model/FleetMessages.h"
 
 #include <absl/time/time.h>
@@ -23,6 +24,8 @@
     /// @return whether the grant is newer than the one held.
     bool granted(const CellGrant&);
     void loadHeard(const CellLoad&, absl::Time now);
+    /// This process ran late, so that loads waited unread.
+    void ranLate(absl::Duration lateness) { running_.ranLate(lateness); }
 
     /// @param priority of the job's route; lower goes first.
     /// @return the cells that share the job's tasks; none where no owner is heard.
@@ -35,6 +38,7 @@
 private:
     struct Standing {
         CellLoad load;
+        /// By the running time.
         absl::Time heardAt = absl::InfinitePast();
         int64_t sentMilliCores = 0;
     };
@@ -52,7 +56,10 @@
     /// @return the expected wait of one more task, and what else it costs.
     absl::Duration costOfOneMore(const Candidate&, bool isFirst) const;
 
+    bool isHeard(const Standing& standing, absl::Time now) const;
+
     const DataCentreId home_;
+    RunningTime running_;
     std::map<CellId, CellGrant> grants_;
     std::map<CellId, Standing> standings_;
 };
--- a/Source/Intake/JobDesk.cpp
+++ b/Source/Intake/JobDesk.cpp
@@ -96,7 +96,7 @@
     for (const CellShare& share : shares) {
         Part part;
         part.owner = share.grant.owner.daemon;
-        part.offeredAt = now;
+        part.offeredAt = running_.at(now);
         part.offer = JobOffer { share.grant.cell, job.key, job.requestId, ++lastLife_, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
             open.lateAt - now, open.givenUpAt - now, route.priority, route.maxAttempts, false };
         firstTask += share.taskCount;
@@ -223,7 +223,7 @@
                     continue;
                 cancel(part);
                 part.owner = grant.owner.daemon;
-                part.offeredAt = now;
+                part.offeredAt = running_.at(now);
                 part.offer.isTakeover = true;
                 part.offer.untilLate = job.lateAt - now;
                 part.offer.untilGivenUp = job.givenUpAt - now;
@@ -258,7 +258,13 @@
 void JobDesk::ownerHeard(const DaemonId& owner)
 {
     MutexLock lock(mutex_);
-    ownersHeard_[owner] = ports_.clock.now();
+    ownersHeard_[owner] = running_.at(ports_.clock.now());
+}
+
+void JobDesk::ranLate(absl::Duration lateness)
+{
+    MutexLock lock(mutex_);
+    running_.ranLate(lateness);
 }
 
 bool JobDesk::isOwnerSilent(const OpenJob& job, absl::Time now) const
@@ -266,7 +272,7 @@
     for (const Part& part : job.parts) {
         const auto heard = ownersHeard_.find(part.owner);
         const absl::Time last = heard == ownersHeard_.end() ? part.offeredAt : std::max(heard->second, part.offeredAt);
-        if (part.state == PartState::Open && now - last > ownerSilence)
+        if (part.state == PartState::Open && running_.at(now) - last > ownerSilence)
             return true;
     }
     return false;
--- a/Source/Intake/JobDesk.h
+++ b/Source/Intake/JobDesk.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/EffectQueue.h"
+#include "Base/RunningTime.h"
 #include "Model/FleetMessages.h"
 #include "Model/IncomingJob.h"
 #include "Ports/CallerReplies.h"
@@ -48,6 +49,8 @@
     void divided(const CellId& cell);
     /// The owner of a cell gave a sign of life.
     void ownerHeard(const DaemonId&);
+    /// This process ran late, so that signs of life waited unread.
+    void ranLate(absl::Duration lateness);
     /// Answers what has waited too long for its owner.
     void tick();
 
@@ -71,7 +74,7 @@
     struct Part {
         JobOffer offer;
         DaemonId owner;
-        /// When it was offered to this owner.
+        /// When it was offered to this owner, by the running time.
         absl::Time offeredAt;
         PartState state = PartState::Open;
     };
@@ -115,6 +118,8 @@
     uint64_t lastLife_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<JobKey, OpenJob> jobs_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<Ticket, JobKey> tickets_ ABSL_GUARDED_BY(mutex_);
+    RunningTime running_ ABSL_GUARDED_BY(mutex_);
+    /// By the running time.
     absl::flat_hash_map<DaemonId, absl::Time> ownersHeard_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -66,6 +66,17 @@
     STRCMP_EQUAL("none", choose().c_str());
 }
 
+// Guards against an entry without processor that takes owners for silent whose loads it hasn't read yet.
+TEST(CellChooser, OwnersAreNotSilentForTimeInWhichThisEntryDidNotRun)
+{
+    load("home", 1, 50000, 0);
+    now += absl::Seconds(2);
+    CHECK_FALSE(chooser.hearsAnyOwner(now));
+    chooser.ranLate(absl::Milliseconds(1800));
+    CHECK(chooser.hearsAnyOwner(now));
+    STRCMP_EQUAL("home", choose().c_str());
+}
+
 TEST(CellChooser, HomeIsChosenWhileItHasRoom)
 {
     load("home", 1, 50000, 0);
--- a/Tests/Intake/JobDeskTest.cpp
+++ b/Tests/Intake/JobDeskTest.cpp
@@ -273,3 +273,18 @@
     end("other", "job", 102, JobEnd::Completed);
     CHECK(desk.openOwners().empty());
 }
+
+// Guards against an entry without processor that gives up jobs of owners whose signs of life it hasn't read yet.
+TEST(JobDesk, OwnersAreNotSilentForTimeInWhichThisEntryDidNotRun)
+{
+    open(1, "job");
+    clock.time += absl::Seconds(2);
+    desk.ranLate(absl::Milliseconds(1800));
+    desk.tick();
+    LONGS_EQUAL(0, replies.answers.size());
+    clock.time += absl::Seconds(1);
+    desk.ownerHeard(DaemonId("owner"));
+    clock.time += absl::Seconds(2);
+    desk.tick();
+    LONGS_EQUAL(1, replies.answers.size());
+}
