Move cells to entries that come back, one by one

Cause: owners that die lose their cells to the survivors, and nothing moves back: after half of a data centre's entries were killed the others kept all of its cells, and an entry with far more cells than its processor carries is the fault of this incident again. Found by asking where the same cause can come back.

Change: a cell moves to an entry of its data centre that has been heard for 4 s if that one would then have less than half of the present owner's cells for its processor; one cell each 0.5 s, by a drained owner's way. With one cell a data centre nothing changes. LargePool.EntriesThatComeBackTakeCellsFromCrowdedOnes failed before (4 cells at one entry of 8).

--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -33,6 +33,22 @@
     /// Minions report every 1.5 s, so a pool that has just started is known as a whole by then.
     constexpr absl::Duration crowdedTime = absl::Seconds(2);
 
+    /// While cells are moved to entries with less to do, one goes at a time: each is without an owner for a moment.
+    constexpr absl::Duration rebalanceInterval = absl::Milliseconds(500);
+    /// A cell is moved only if the new owner then has less than this share of the old one's cells for its processor.
+    constexpr double rebalanceShare = 0.5;
+
+    size_t cellsOwned(const std::map<CellId, CellGrant>& grants, const HeardDaemon& daemon)
+    {
+        return static_cast<size_t>(std::count_if(grants.begin(), grants.end(), [&](const auto& grant) { return grant.second.owner == daemon.note.run; }));
+    }
+
+    /// @return the daemon's burden if it had so many cells, in cells for a core.
+    double burden(size_t cells, const HeardDaemon& daemon)
+    {
+        return static_cast<double>(cells) * defaultMilliCores / daemon.milliCores;
+    }
+
     /// @return the number of cells that the pool is divided into now; 0 if none was granted yet.
     uint32_t partsInForce(const PoolId& pool, const std::map<CellId, CellGrant>& grants)
     {
@@ -77,16 +93,13 @@
             return &owner->second;
     }
     const HeardDaemon* best = nullptr;
-    auto owned = [&](const HeardDaemon& daemon) {
-        return std::count_if(grants.begin(), grants.end(), [&](const auto& grant) { return grant.second.owner == daemon.note.run; });
-    };
     auto isBetter = [&](const HeardDaemon& a, const HeardDaemon& b) {
         const bool isAtHome = a.note.dataCentre == cell.dataCentre;
         if (isAtHome != (b.note.dataCentre == cell.dataCentre))
             return isAtHome;
-        const auto costA = static_cast<uint64_t>(owned(a) + 1) * b.milliCores;
-        const auto costB = static_cast<uint64_t>(owned(b) + 1) * a.milliCores;
-        return costA != costB ? costA < costB : a.since < b.since;
+        const double burdenA = burden(cellsOwned(grants, a) + 1, a);
+        const double burdenB = burden(cellsOwned(grants, b) + 1, b);
+        return burdenA != burdenB ? burdenA < burdenB : a.since < b.since;
     };
     for (const auto& [id, daemon] : registry.daemons()) {
         if (daemon.note.isEntry && !daemon.note.isDraining && isHeard(daemon, now) && (!best || isBetter(daemon, *best)))
@@ -95,7 +108,7 @@
     return best;
 }
 
-std::optional<GrantReason> OwnerAssigner::reasonToMove(const FleetRegistry& registry, const CellGrant& grant, const HeardDaemon& candidate, absl::Time now) const
+std::optional<GrantReason> OwnerAssigner::reasonToMove(const FleetRegistry& registry, const CellGrant& grant, const HeardDaemon& candidate, const std::map<CellId, CellGrant>& grants, absl::Time now) const
 {
     const auto found = registry.daemons().find(grant.owner.daemon);
     const HeardDaemon* owner = found == registry.daemons().end() ? nullptr : &found->second;
@@ -105,9 +118,14 @@
             return GrantReason::OwnerRestarted;
         if (owner->note.isDraining)
             return GrantReason::OwnerDrains;
-        const bool isWayHome = owner->note.dataCentre != grant.cell.dataCentre && candidate.note.dataCentre == grant.cell.dataCentre;
-        if (isWayHome && now > candidate.since + settledAfter && now >= leadingSince_ + leaderGrace)
+        const bool isCandidateHome = candidate.note.dataCentre == grant.cell.dataCentre;
+        if (!isCandidateHome || now <= candidate.since + settledAfter || now < leadingSince_ + leaderGrace)
+            return std::nullopt;
+        if (owner->note.dataCentre != grant.cell.dataCentre)
             return GrantReason::GoesHome;
+        const bool isFarLighter = burden(cellsOwned(grants, candidate) + 1, candidate) < rebalanceShare * burden(cellsOwned(grants, *owner), *owner);
+        if (isFarLighter && now >= rebalancedAt_ + rebalanceInterval)
+            return GrantReason::Rebalanced;
         return std::nullopt;
     }
     const absl::Time lastSign = owner ? owner->heardAt : absl::InfinitePast();
@@ -125,7 +143,7 @@
     const auto grant = grants.find(cell);
     if (grant == grants.end())
         return proposal;
-    const std::optional<GrantReason> reason = reasonToMove(registry, grant->second, *candidate, now);
+    const std::optional<GrantReason> reason = reasonToMove(registry, grant->second, *candidate, grants, now);
     if (!reason)
         return std::nullopt;
     proposal.record.previous = grant->second.epoch;
@@ -149,6 +167,8 @@
             std::optional<GrantProposal> proposal = decideCell(registry, cell, planned, now);
             if (!proposal)
                 continue;
+            if (proposal->reason == GrantReason::Rebalanced)
+                rebalancedAt_ = now;
             planned[cell].owner = proposal->record.owner;
             proposedAt_[cell] = now;
             proposals.push_back(*std::move(proposal));
--- a/Source/Control/OwnerAssigner.h
+++ b/Source/Control/OwnerAssigner.h
@@ -19,6 +19,8 @@
     OwnerDrains,
     /// An entry of the cell's own data centre is back.
     GoesHome,
+    /// Its owner has far more cells for its processor than another entry of the data centre.
+    Rebalanced,
 };
 
 /// A grant to propose to the log, and what led to it.
@@ -53,11 +55,12 @@
     uint32_t partCount(const PoolId&, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now);
     std::optional<GrantProposal> decideCell(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>& grants, absl::Time now) const;
     /// @return why the cell should go to the candidate, if it should.
-    std::optional<GrantReason> reasonToMove(const FleetRegistry&, const CellGrant&, const HeardDaemon& candidate, absl::Time now) const;
+    std::optional<GrantReason> reasonToMove(const FleetRegistry&, const CellGrant&, const HeardDaemon& candidate, const std::map<CellId, CellGrant>& grants, absl::Time now) const;
     const HeardDaemon* chooseOwner(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>&, absl::Time now) const;
 
     absl::Time leadingSince_ = absl::InfinitePast();
     std::map<CellId, absl::Time> proposedAt_;
+    absl::Time rebalancedAt_ = absl::InfinitePast();
     /// Since when a pool has had more minions than its cells are meant for.
     std::map<PoolId, absl::Time> crowdedSince_;
 };
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -40,7 +40,7 @@
 
     std::string_view reasonName(GrantReason reason)
     {
-        static constexpr std::array<std::string_view, 5> names { "unowned", "owner_silent", "owner_restarted", "owner_drains", "goes_home" };
+        static constexpr std::array<std::string_view, 6> names { "unowned", "owner_silent", "owner_restarted", "owner_drains", "goes_home", "rebalanced" };
         return names.at(static_cast<size_t>(reason));
     }
 
--- a/Tests/Control/LargePoolTest.cpp
+++ b/Tests/Control/LargePoolTest.cpp
@@ -150,3 +150,40 @@
     }
     CHECK(before == cellsByOwner());
 }
+
+// Pattern: many entries are killed at the same moment and come back. Guards against the survivors keeping all cells,
+// more than their processors carry, once the others are back.
+TEST(LargePool, EntriesThatComeBackTakeCellsFromCrowdedOnes)
+{
+    reportMinions(117);
+    hearEntries(8);
+    settle();
+    for (int i = 0; i < 16; ++i) {
+        now += absl::Milliseconds(250);
+        hearEntry("entry-0");
+        hearEntry("entry-1");
+        apply();
+    }
+    LONGS_EQUAL(2, cellsByOwner().size());
+    for (int i = 2; i < 8; ++i)
+        hearEntry("entry-" + std::to_string(i), 0, 2);
+    settle();
+    for (const auto& [owner, count] : cellsByOwner())
+        CHECK_COMPARE(count, <=, 2U);
+}
+
+TEST(LargePool, CellsMoveOneByOneToEntriesThatComeBack)
+{
+    reportMinions(117);
+    hearEntries(1);
+    settle();
+    for (int i = 1; i < 8; ++i)
+        hearEntry("entry-" + std::to_string(i));
+    now += absl::Seconds(4);
+    for (int round = 0; round < 8; ++round) {
+        now += absl::Milliseconds(600);
+        for (int i = 0; i < 8; ++i)
+            hearEntry("entry-" + std::to_string(i));
+        CHECK_COMPARE(assigner.decide(registry, state.grants(), now).size(), <=, 1U);
+    }
+}
