Test with real processes that a pool is divided while it serves

Each of 300 jobs gets one answer, no task starts twice, and all of the 100 jobs that come after the division complete.

--- a/Tests/Fleet/Fleet.cpp
+++ b/Tests/Fleet/Fleet.cpp
@@ -23,7 +23,7 @@
     constexpr int readinessPort = 8167;
     constexpr int controlPort = 8166;
     constexpr int minionPort = 8080;
-    constexpr int minionCount = 6;
+    constexpr int usualMinionCount = 6;
     constexpr absl::Duration taskTime = absl::Milliseconds(30);
     constexpr absl::Duration serviceTimeout = absl::Seconds(60);
     constexpr absl::Duration pollInterval = absl::Milliseconds(50);
@@ -74,8 +74,7 @@
     for (const std::string& keeper : keepers())
         keeperEndpoints.push_back(control(keeper));
     minions_ = std::make_unique<FleetMinions>(keeperEndpoints, taskTime);
-    for (int i = 0; i < minionCount; ++i)
-        minions_->add(absl::StrCat("minion-", i), { absl::StrCat(network_, 100 + i), minionPort }, i % 2 == 0 ? "bole" : "merkato");
+    addMinions(usualMinionCount);
 }
 
 Fleet::~Fleet()
@@ -112,6 +111,12 @@
     return { addressOf(keeper), controlPort };
 }
 
+void Fleet::addMinions(int count)
+{
+    for (int i = 0; i < count; ++i, ++minionCount_)
+        minions_->add(absl::StrCat("minion-", minionCount_), { absl::StrCat(network_, 100 + minionCount_), minionPort }, minionCount_ % 2 == 0 ? "bole" : "merkato");
+}
+
 void Fleet::startAll()
 {
     for (const NodeRow& row : nodeRows)
@@ -192,6 +197,15 @@
     return owner;
 }
 
+bool Fleet::awaitGrant(const std::string& entry, const std::string& cell) const
+{
+    const std::string line = absl::StrCat("cell=", cell, " ");
+    const absl::Time end = absl::Now() + serviceTimeout;
+    while (!absl::StrContains(logOf(entry), line) && absl::Now() < end)
+        absl::SleepFor(pollInterval);
+    return absl::StrContains(logOf(entry), line);
+}
+
 std::string Fleet::loggedOwnerOf(const std::string& dataCentre) const
 {
     uint64_t highest = 0;
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -19,6 +19,8 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
+    /// Adds minions to both data centres; before startAll().
+    void addMinions(int count);
     void startAll();
     void startNode(const std::string& name, bool isFounding);
     ChildProcess& node(const std::string& name) { return *processes_.at(name); }
@@ -39,6 +41,8 @@
     bool awaitService(const std::vector<std::string>& entries);
     /// @return the entry that owns the cell of a data centre, by the log.
     std::string ownerOf(const std::string& dataCentre);
+    /// Waits until an entry's log says that a cell of this name was granted.
+    bool awaitGrant(const std::string& entry, const std::string& cell) const;
 
 private:
     std::string loggedOwnerOf(const std::string& dataCentre) const;
@@ -48,6 +52,7 @@
     const std::string folder_;
     FleetCaller caller_;
     std::unique_ptr<FleetMinions> minions_;
+    int minionCount_ = 0;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -111,6 +111,27 @@
     CHECK_TEXT(fleet.awaitService(others), "the others serve");
 }
 
+// Pattern: a data centre has far more minions than one entry carries. The pool is divided while callers are served;
+// only jobs that are under way just then may be given up.
+TEST(FleetSystem, ALargePoolIsDividedWhileItServes)
+{
+    fleet.addMinions(66);
+    begin();
+    submit(Fleet::entries(), 200, absl::Milliseconds(20));
+    CHECK_TEXT(fleet.awaitGrant("entry-4", "bole/3of3"), "the pool of bole is divided");
+    CHECK_TEXT(fleet.awaitGrant("entry-4", "merkato/3of3"), "the pool of merkato is divided");
+    CHECK(fleet.awaitService(Fleet::entries()));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(0, tally.count(0));
+    CHECK(tally.count(200) + tally.count(429) + tally.count(503) + tally.count(504) == 200);
+    CHECK_TEXT(tally.count(200) >= 160, "most jobs are served while the pools are divided");
+    const size_t served = tally.count(200);
+    submit(Fleet::entries(), 100, absl::Milliseconds(20));
+    CHECK(tally.awaitAll());
+    LONGS_EQUAL(served + 100, tally.count(200));
+    LONGS_EQUAL(0, fleet.minions().totals().startedTwice);
+}
+
 TEST(FleetSystem, CallersOfAnEntryThatJustStartedWaitUntilItServes)
 {
     begin();
