Divide a pool into as few cells as its entries carry

Cause: cells of 16 minions are smaller than strong entries need.

Change: a whole core is meant for 200 minions, so that the minions take a fifth of it; a pool is divided into the smallest number of equal cells that the data centre's entries can carry, and anew only if its cells have 1.5 times what the strongest entry is meant for, for 2 s (6 s once it is divided: strong entries that restart are back by then). New tests: strong entries carry large cells, a whole core carries the pool, and a pool whose strong entries are lost is divided anew.

--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -1,6 +1,7 @@
 #include "Control/OwnerAssigner.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace trefoilwing {
 
@@ -24,14 +25,18 @@
     /// entry. Longer than the time in which two owners may not take turns.
     constexpr absl::Duration settledAfter = absl::Seconds(4);
 
-    /// The minions of a cell when its pool is divided. At the usual 7 to 8 starts a second each, an owner spends
-    /// 0.02 cores on them, a quarter of a small entry's processor.
-    constexpr size_t minionsPerCell = 16;
-    /// A pool is divided anew beyond this. Dividing ends the jobs that are under way in the pool, so pools that grow
-    /// and shrink a little keep their cells.
-    constexpr size_t maxMinionsPerCell = 32;
+    /// How many minions an entry with a whole core is given. At the usual 7 to 8 starts a second each they take a
+    /// fifth of it; the rest is for crests, which are twice as high, and for the entry's own callers.
+    constexpr double minionsPerCore = 200;
+    /// A pool isn't divided into smaller cells than this: a job of usual width wouldn't fit into one.
+    constexpr size_t minMinionsPerCell = 8;
+    /// Dividing ends the jobs that are under way in the pool, so it waits until cells have so many times the minions
+    /// that the strongest entry is meant for.
+    constexpr double crowdedFactor = 1.5;
     /// Minions report every 1.5 s, so a pool that has just started is known as a whole by then.
-    constexpr absl::Duration crowdedTime = absl::Seconds(2);
+    constexpr absl::Duration firstCrowdedTime = absl::Seconds(2);
+    /// Strong entries that restart are back by then.
+    constexpr absl::Duration crowdedTime = absl::Seconds(6);
 
     /// While cells are moved to entries with less to do, one goes at a time: each is without an owner for a moment.
     constexpr absl::Duration rebalanceInterval = absl::Milliseconds(500);
@@ -56,17 +61,53 @@
         return found == grants.end() ? 0 : found->first.part.count;
     }
 
+    /// @return how many minions an entry is meant to give orders to.
+    double carriedMinions(uint32_t milliCores)
+    {
+        return minionsPerCore * milliCores / defaultMilliCores;
+    }
+
+    /// @param entries the processors of the data centre's entries, in thousandths of a core.
+    /// @return the smallest number of equal cells that the entries can carry.
+    uint32_t fewestParts(size_t minions, const std::vector<uint32_t>& entries)
+    {
+        const auto most = static_cast<uint32_t>((minions + minMinionsPerCell - 1) / minMinionsPerCell);
+        for (uint32_t parts = 1; parts < most; ++parts) {
+            const double size = static_cast<double>(minions) / parts;
+            double carried = 0;
+            for (const uint32_t milliCores : entries)
+                carried += std::floor(carriedMinions(milliCores) / size);
+            if (carried >= parts)
+                return parts;
+        }
+        return most;
+    }
+
 } // namespace
 
-uint32_t OwnerAssigner::partCount(const PoolId& pool, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now)
+std::vector<uint32_t> OwnerAssigner::processors(const FleetRegistry& registry, const DataCentreId& dataCentre, absl::Time now) const
+{
+    std::vector<uint32_t> found;
+    for (const auto& [id, daemon] : registry.daemons()) {
+        if (daemon.note.isEntry && !daemon.note.isDraining && daemon.note.dataCentre == dataCentre && isHeard(daemon, now))
+            found.push_back(daemon.milliCores);
+    }
+    return found;
+}
+
+uint32_t OwnerAssigner::partCount(const FleetRegistry& registry, const PoolId& pool, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now)
 {
     const uint32_t present = std::max<uint32_t>(1, partsInForce(pool, grants));
-    if (minions <= present * maxMinionsPerCell) {
+    const std::vector<uint32_t> entries = processors(registry, pool.dataCentre, now);
+    const auto strongest = std::max_element(entries.begin(), entries.end());
+    if (strongest == entries.end() || static_cast<double>(minions) <= present * crowdedFactor * carriedMinions(*strongest)) {
         crowdedSince_.erase(pool);
         return present;
     }
     const absl::Time since = crowdedSince_.try_emplace(pool, now).first->second;
-    return now < since + crowdedTime ? present : static_cast<uint32_t>((minions + minionsPerCell - 1) / minionsPerCell);
+    if (now < since + (present == 1 ? firstCrowdedTime : crowdedTime))
+        return present;
+    return std::max(present, fewestParts(minions, entries));
 }
 
 bool OwnerAssigner::isHeard(const HeardDaemon& daemon, absl::Time now) const
@@ -159,7 +200,7 @@
     // Proposals of this round count as granted, so that the cells of a pool are spread.
     std::map<CellId, CellGrant> planned = grants;
     for (const auto& [pool, minions] : registry.pools()) {
-        const uint32_t count = partCount(pool, minions, grants, now);
+        const uint32_t count = partCount(registry, pool, minions, grants, now);
         for (uint32_t index = 0; index < count; ++index) {
             const CellId cell { pool.service, pool.dataCentre, { index, count } };
             if (const auto proposed = proposedAt_.find(cell); proposed != proposedAt_.end() && now < proposed->second + proposalRepeat)
--- a/Source/Control/OwnerAssigner.h
+++ b/Source/Control/OwnerAssigner.h
@@ -33,8 +33,9 @@
 
 /// Decides, at the leading keeper, how pools are divided into cells and which entry owns each cell.
 ///
-/// An owner's work grows with its minions, so a large pool is divided into cells of a size that a small entry can
-/// carry, and entries get cells in proportion to their processors.
+/// An owner's work grows with its minions, so a pool that is too large for one entry's processor is divided into
+/// cells, as few as the data centre's entries can carry: small cells make it harder to find room for a job. Entries
+/// get cells in proportion to their processors.
 ///
 /// A cell keeps its owner as long as that is heard. A data centre of which nothing at all is heard is cut
 /// off rather than dead, so its cells stay as they are: their owners serve on. The same holds for a moment
@@ -52,7 +53,9 @@
     /// Whether a daemon of the data centre has been heard since the time given, and for a while without a gap.
     bool isDataCentreInTouch(const FleetRegistry&, const DataCentreId&, absl::Time since, absl::Time now) const;
     /// @return into how many cells the pool is to be divided.
-    uint32_t partCount(const PoolId&, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now);
+    uint32_t partCount(const FleetRegistry&, const PoolId&, size_t minions, const std::map<CellId, CellGrant>& grants, absl::Time now);
+    /// @return the processors of the data centre's entries that may own cells, in thousandths of a core.
+    std::vector<uint32_t> processors(const FleetRegistry&, const DataCentreId&, absl::Time now) const;
     std::optional<GrantProposal> decideCell(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>& grants, absl::Time now) const;
     /// @return why the cell should go to the candidate, if it should.
     std::optional<GrantReason> reasonToMove(const FleetRegistry&, const CellGrant&, const HeardDaemon& candidate, const std::map<CellId, CellGrant>& grants, absl::Time now) const;
@@ -61,7 +64,7 @@
     absl::Time leadingSince_ = absl::InfinitePast();
     std::map<CellId, absl::Time> proposedAt_;
     absl::Time rebalancedAt_ = absl::InfinitePast();
-    /// Since when a pool has had more minions than its cells are meant for.
+    /// Since when a pool has had more minions to a cell than any entry there carries.
     std::map<PoolId, absl::Time> crowdedSince_;
 };
 
--- a/Tests/Control/LargePoolTest.cpp
+++ b/Tests/Control/LargePoolTest.cpp
@@ -31,7 +31,11 @@
         }
     }
 
-    void hearEntry(const std::string& name, uint32_t milliCores = 0, uint64_t run = 1)
+    static constexpr uint32_t smallEntry = 90;
+    static constexpr uint32_t largeEntry = 300;
+
+    /// @param milliCores its processor, in thousandths of a core.
+    void hearEntry(const std::string& name, uint32_t milliCores = smallEntry, uint64_t run = 1)
     {
         registry.heard({ { DaemonId(name), Incarnation(run) }, DataCentreId("home"), true, false, {}, {}, 0, milliCores }, now);
     }
@@ -107,15 +111,56 @@
 TEST(LargePool, EntriesGetCellsInProportionToTheirProcessors)
 {
     reportMinions(117);
-    hearEntry("large-1", 300);
-    hearEntry("large-2", 300);
+    hearEntry("large-1", largeEntry);
+    hearEntry("large-2", largeEntry);
     for (int i = 0; i < 10; ++i)
-        hearEntry("small-" + std::to_string(i), 90);
+        hearEntry("small-" + std::to_string(i));
     settle();
     for (const auto& [owner, count] : cellsByOwner())
         CHECK_COMPARE(count, <=, owner.value().starts_with("large") ? 3 : 1);
 }
 
+// Small cells make it harder to find room for a job, so a pool has no more of them than its entries need.
+TEST(LargePool, StrongEntriesCarryLargeCells)
+{
+    reportMinions(117);
+    hearEntry("large-1", largeEntry);
+    hearEntry("large-2", largeEntry);
+    for (int i = 0; i < 10; ++i)
+        hearEntry("small-" + std::to_string(i));
+    settle();
+    LONGS_EQUAL(2, state.grants().size());
+    for (const auto& [owner, count] : cellsByOwner())
+        CHECK(owner.value().starts_with("large"));
+}
+
+TEST(LargePool, AnEntryWithAWholeCoreCarriesThePool)
+{
+    reportMinions(117);
+    for (int i = 0; i < 3; ++i)
+        hearEntry("entry-" + std::to_string(i), defaultMilliCores);
+    settle();
+    LONGS_EQUAL(1, state.grants().size());
+}
+
+// Pattern: the strong entries are killed and don't come back.
+TEST(LargePool, IsDividedAnewWhenOnlySmallEntriesAreLeft)
+{
+    reportMinions(117);
+    hearEntry("large-1", largeEntry);
+    hearEntry("large-2", largeEntry);
+    hearEntries(10);
+    settle();
+    LONGS_EQUAL(2, state.grants().size());
+    for (int round = 0; round < 48; ++round) {
+        now += absl::Milliseconds(250);
+        hearEntries(10);
+        apply();
+    }
+    for (const auto& [owner, count] : minionsByOwner())
+        CHECK_COMPARE(count, <=, 30U);
+}
+
 TEST(LargePool, ASmallPoolIsOneCell)
 {
     reportMinions(16);
@@ -144,7 +189,7 @@
     settle();
     const auto before = cellsByOwner();
     for (int i = 0; i < 13; ++i) {
-        hearEntry("entry-" + std::to_string(i), 0, 2);
+        hearEntry("entry-" + std::to_string(i), smallEntry, 2);
         now += absl::Milliseconds(20);
         apply();
     }
@@ -166,7 +211,7 @@
     }
     LONGS_EQUAL(2, cellsByOwner().size());
     for (int i = 2; i < 8; ++i)
-        hearEntry("entry-" + std::to_string(i), 0, 2);
+        hearEntry("entry-" + std::to_string(i), smallEntry, 2);
     settle();
     for (const auto& [owner, count] : cellsByOwner())
         CHECK_COMPARE(count, <=, 2U);
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -19,6 +19,8 @@
     Fleet(const Fleet&) = delete;
     Fleet& operator=(const Fleet&) = delete;
 
+    /// The share of a core that each process says it has; before startAll().
+    void setCores(double cores) { cores_ = cores; }
     /// Adds minions to both data centres; before startAll().
     void addMinions(int count);
     void startAll();
@@ -53,6 +55,7 @@
     FleetCaller caller_;
     std::unique_ptr<FleetMinions> minions_;
     int minionCount_ = 0;
+    double cores_ = 1;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -115,11 +115,12 @@
 // only jobs that are under way just then may be given up.
 TEST(FleetSystem, ALargePoolIsDividedWhileItServes)
 {
+    fleet.setCores(0.09);
     fleet.addMinions(66);
     begin();
     submit(Fleet::entries(), 200, absl::Milliseconds(20));
-    CHECK_TEXT(fleet.awaitGrant("entry-4", "bole/3of3"), "the pool of bole is divided");
-    CHECK_TEXT(fleet.awaitGrant("entry-4", "merkato/3of3"), "the pool of merkato is divided");
+    CHECK_TEXT(fleet.awaitGrant("entry-4", "bole/2of2"), "the pool of bole is divided");
+    CHECK_TEXT(fleet.awaitGrant("entry-4", "merkato/2of2"), "the pool of merkato is divided");
     CHECK(fleet.awaitService(Fleet::entries()));
     CHECK(tally.awaitAll());
     LONGS_EQUAL(0, tally.count(0));
