Let the divisions of a pool only become finer

Found by reading: the keepers' log took a grant of an undivided pool that was proposed before its division and came into the log after it (a deposed leader's proposal, passed on late), which ended the division and the jobs under way. Divisions only grow, so a grant of a coarser one is refused. FleetState.APoolIsDividedInOneWayAtATime failed on it before.

--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -1,5 +1,7 @@
 #include "Control/FleetState.h"
 
+#include <algorithm>
+
 namespace trefoilwing {
 
 bool FleetState::apply(const RoutingRecord& record)
@@ -12,6 +14,13 @@
 
 bool FleetState::apply(const GrantRecord& record, LogIndex index)
 {
+    // Divisions only become finer, so a grant of a coarser one was proposed before the present one and overtaken.
+    const bool isOvertaken = std::any_of(grants_.begin(), grants_.end(), [&](const auto& entry) {
+        const CellId& other = entry.first;
+        return other.pool() == record.cell.pool() && other.part.count > record.cell.part.count;
+    });
+    if (isOvertaken)
+        return false;
     const auto known = grants_.find(record.cell);
     if ((known == grants_.end() ? OwnerEpoch(0) : known->second.epoch) != record.previous)
         return false;
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -46,6 +46,7 @@
     CHECK(state.apply(GrantRecord { cell, owner, OwnerEpoch(0) }, LogIndex(7)));
     CHECK(state.apply(GrantRecord { half, owner, OwnerEpoch(0) }, LogIndex(8)));
     CHECK_FALSE(state.apply(GrantRecord { cell, owner, OwnerEpoch(7) }, LogIndex(9)));
+    CHECK_FALSE(state.apply(GrantRecord { cell, owner, OwnerEpoch(0) }, LogIndex(10)));
     LONGS_EQUAL(1, state.grants().size());
     LONGS_EQUAL(8, state.grants().at(half).epoch.value());
 }
