Look for room once, not for each queued job

Cause: at a crest an owner looked at every minion for every job that waited, at each end of a task: work that grows with minions times queued jobs just when there is most to do.

Change: placing first finds the most that is free at any usable minion, and leaves out jobs that need more; it looks again after a job found no place. Which task starts where is unchanged.

--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -215,12 +215,19 @@
     std::sort(queued.begin(), queued.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
     if (queued.size() > policy_.maxLooked)
         queued.resize(policy_.maxLooked);
+    // At a crest most jobs have no room, and looking for it at each minion would cost minions times jobs.
+    Room mostFree = queued.empty() ? Room {} : MinionChooser::mostFree(minions_, now);
     for (const auto& [rank, job] : queued) {
         // What can't end in time isn't begun: sweepJobs() turns it down.
         if (!job->hasStarted && job->offeredAt() < now && isHopeless(*job, now))
             continue;
         TaskIndex index;
-        while (job->firstQueued(index) && placeTask(*job, index, now)) { }
+        while (job->firstQueued(index) && mostFree.holds(job->offer().need)) {
+            if (placeTask(*job, index, now))
+                continue;
+            mostFree = MinionChooser::mostFree(minions_, now);
+            break;
+        }
     }
 }
 
--- a/Source/Placement/MinionChooser.cpp
+++ b/Source/Placement/MinionChooser.cpp
@@ -18,6 +18,20 @@
     });
 }
 
+Room MinionChooser::mostFree(const MinionTable& minions, absl::Time now)
+{
+    Room most;
+    for (const auto& [id, minion] : minions) {
+        if (!minion->isUsable(now))
+            continue;
+        const Room& free = minion->free();
+        most.milliCores = std::max(most.milliCores, free.milliCores);
+        most.memoryMb = std::max(most.memoryMb, free.memoryMb);
+        most.accelerators = std::max(most.accelerators, free.accelerators);
+    }
+    return most;
+}
+
 LeasedMinion* MinionChooser::choose(const MinionTable& minions, const CellJob& job, const CellTask& task, absl::Time now) const
 {
     LeasedMinion* fastest = nullptr;
--- a/Source/Placement/MinionChooser.h
+++ b/Source/Placement/MinionChooser.h
@@ -25,6 +25,9 @@
     /// @return null if the task should wait, for room or for a faster minion.
     LeasedMinion* choose(const MinionTable&, const CellJob&, const CellTask&, absl::Time now) const;
 
+    /// @return the most that is free at any usable minion, of each resource by itself. What exceeds it has no room.
+    static Room mostFree(const MinionTable&, absl::Time now);
+
 private:
     /// Whether a minion that is busy now is expected to have room soon enough to end the task in time.
     bool isWaitWorthwhile(const MinionTable&, const CellJob&, const CellTask&, absl::Time now) const;
--- a/Tests/Placement/AdmissionTest.cpp
+++ b/Tests/Placement/AdmissionTest.cpp
@@ -37,6 +37,30 @@
     }
 }
 
+// Pattern: a large job waits at the head of the queue while there is room for small ones.
+TEST(CellAdmission, ASmallJobStartsBesideALargeOneThatHasNoRoom)
+{
+    fixture.offer("first", 1);
+    JobOffer large = fixture.makeOffer("large", 1);
+    large.need = { 12000, 64, 0 };
+    fixture.offer(large);
+    JobOffer small = fixture.makeOffer("small", 2);
+    small.need = { 4000, 64, 0 };
+    fixture.offer(small);
+    const std::vector<StartOrder> starts = fixture.takeStarts();
+    LONGS_EQUAL(3, starts.size());
+    CHECK(starts[0].run.job == JobKey("first"));
+    CHECK(starts[1].run.job == JobKey("small") && starts[2].run.job == JobKey("small"));
+    for (const StartOrder& start : starts)
+        fixture.answerStart(start);
+    fixture.endRun(starts[0], RunEnd::Done);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.endRun(starts[1], RunEnd::Done);
+    const std::vector<StartOrder> last = fixture.takeStarts();
+    LONGS_EQUAL(1, last.size());
+    CHECK(last[0].run.job == JobKey("large"));
+}
+
 TEST(CellAdmission, AQueuedJobIsTurnedDownAsSoonAsItCantEndInTime)
 {
     fixture.offer("first", 2);
--- a/Tests/Placement/MinionChooserTest.cpp
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -118,3 +118,15 @@
     minions.erase(MinionId("other"));
     STRCMP_EQUAL("failed-it", choose(job(absl::Milliseconds(50), absl::Milliseconds(140))).c_str());
 }
+
+// Pattern: many jobs wait at a crest; what has no room is told without looking at each minion for each job.
+TEST(MinionChooser, MostFreeSaysOfEachResourceWhatNoUsableMinionExceeds)
+{
+    add("idle", 1);
+    fill(add("busy", 1), absl::Milliseconds(500), absl::ZeroDuration());
+    CHECK(MinionChooser::mostFree(minions, now) == (Room { 16000, 65536, 0 }));
+    minions[MinionId("idle")]->isFull = true;
+    CHECK(MinionChooser::mostFree(minions, now) == (Room { 2000, 65536 - 128, 0 }));
+    minions.clear();
+    CHECK(MinionChooser::mostFree(minions, now) == Room {});
+}
