--- /dev/null
+++ b/Tests/Bench/FleetBenchmark.cpp
@@ -0,0 +1,155 @@
+// Measures the processor time of what an entry of a fleet does for a job, without sockets: the owner's decisions for a
+// task, the orders to minions and their answers as JSON, messages between entries, and the choice of a cell.
+
+#include "Adapters/Msgpack/Codec.h"
+#include "Intake/CellChooser.h"
+#include "Model/PeerMessage.h"
+#include "Placement/CellFixture.h"
+#include "platform/MinionCodec.h"
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+#include <string>
+
+namespace {
+
+using namespace trefoilwing;
+
+constexpr uint32_t tasksOfJob = 8;
+/// Tasks of the fixture's jobs that a minion of 16 cores runs at once.
+constexpr uint64_t tasksOfMinion = 2;
+
+/// An owner whose minions are all busy and whose queue holds a number of jobs.
+class BusyCell {
+public:
+    BusyCell(uint64_t minions, uint64_t queuedJobs)
+        : jobsWanted_(queuedJobs + minions * tasksOfMinion / tasksOfJob)
+    {
+        for (uint64_t i = 0; i < minions; ++i)
+            cell_.addMinion("minion-" + std::to_string(i));
+        refill();
+        takeStarts();
+    }
+
+    /// Ends one run by the look that tells of it; the next queued task starts in its place.
+    void endOneRun()
+    {
+        const StartOrder ended = running_.front();
+        running_.pop_front();
+        cell_.endRun(ended, RunEnd::Done);
+        cell_.takeHolds();
+        cell_.takeStops();
+        takeStarts();
+        jobs_ -= cell_.takeEnded().size();
+        refill();
+    }
+
+private:
+    void refill()
+    {
+        for (; jobs_ < jobsWanted_; ++jobs_) {
+            JobOffer offer = cell_.makeOffer("job-" + std::to_string(++lastJob_), tasksOfJob);
+            // No job is late however long the benchmark runs, as its clock stands still.
+            offer.untilLate = absl::Hours(1);
+            offer.untilGivenUp = absl::Hours(2);
+            cell_.offer(offer);
+        }
+    }
+
+    void takeStarts()
+    {
+        for (const StartOrder& start : cell_.takeStarts()) {
+            cell_.answerStart(start);
+            running_.push_back(start);
+        }
+    }
+
+    CellFixture cell_;
+    const uint64_t jobsWanted_;
+    uint64_t jobs_ = 0;
+    uint64_t lastJob_ = 0;
+    std::deque<StartOrder> running_;
+};
+
+void decisionsOfATask(benchmark::State& state)
+{
+    BusyCell cell(static_cast<uint64_t>(state.range(0)), static_cast<uint64_t>(state.range(1)));
+    for (auto _ : state)
+        cell.endOneRun();
+}
+
+const CellId cellId { ServiceId("followup"), DataCentreId("bole"), { 1, 2 } };
+const OrderHeader header { { MinionId("i-7f3a91c2"), MinionBirth(1) }, { "10.128.0.9", 8080 }, OwnerEpoch(7) };
+const RunId run { JobKey("5c0e7a21d94b36f8"), TaskIndex(3), RunNumber(117440513) };
+
+void startAsJson(benchmark::State& state)
+{
+    const StartOrder order { header, run, std::string(400, 's'), 486000 };
+    const HttpResult answer = WebResponse { 200, {}, R"({"clock_ms":482113,"born":1})" };
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(platform::encodeOrder(order));
+        benchmark::DoNotOptimize(platform::decodeResult(order, answer));
+    }
+}
+
+void lookAsJson(benchmark::State& state)
+{
+    const HoldOrder order { header, 486000, 57, absl::Milliseconds(250) };
+    const HttpResult answer = WebResponse { 200, {}, R"({"clock_ms":482113,"born":1,"running":[["5c0e7a21d94b36f8.0.0.3",117440513,"",41,0]],"finished":[[58,"5c0e7a21d94b36f8.0.0.2",117440512,"done",""]]})" };
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(platform::encodeOrder(order));
+        benchmark::DoNotOptimize(platform::decodeResult(order, answer));
+    }
+}
+
+template <typename Message>
+void thereAndBack(benchmark::State& state, const Message& message)
+{
+    for (auto _ : state)
+        benchmark::DoNotOptimize(decode<PeerMessage>(encode(PeerMessage(message))));
+}
+
+void offerBetweenEntries(benchmark::State& state)
+{
+    JobOffer offer = CellFixture().makeOffer("5c0e7a21d94b36f8", tasksOfJob);
+    offer.requestId = "0123456789abcdef";
+    offer.spec = std::string(400, 's');
+    thereAndBack(state, offer);
+}
+
+void lastWordBetweenEntries(benchmark::State& state)
+{
+    thereAndBack(state, JobEnded { run.job, 3, JobEnd::Completed, {}, absl::Milliseconds(5) });
+}
+
+void loadBetweenEntries(benchmark::State& state)
+{
+    thereAndBack(state, CellLoad { { cellId, { DaemonId("10.1.0.30"), Incarnation(1788253031012000) }, OwnerEpoch(7) }, 936000, 412000, { 3, 0, 4 }, 400 });
+}
+
+void choiceOfACell(benchmark::State& state)
+{
+    absl::Time now = absl::FromUnixSeconds(1000);
+    CellChooser chooser { cellId.dataCentre };
+    const auto count = static_cast<uint32_t>(state.range(0));
+    for (uint32_t i = 0; i < count; ++i) {
+        const CellGrant grant { { cellId.service, cellId.dataCentre, { i, count } }, { DaemonId("10.1.0." + std::to_string(i)), Incarnation(1) }, OwnerEpoch(7 + i) };
+        chooser.granted(grant);
+        chooser.loadHeard({ grant, 936000, 412000, { 3, 0, 4 }, 400 }, now);
+    }
+    for (auto _ : state)
+        benchmark::DoNotOptimize(chooser.choose(cellId.service, { 8000, 64, 0 }, tasksOfJob, 1, now));
+}
+
+BENCHMARK(decisionsOfATask)->ArgNames({ "minions", "queued_jobs" })->Args({ 16, 0 })->Args({ 58, 0 })->Args({ 117, 0 })->Args({ 16, 20 })->Args({ 58, 20 })->Args({ 117, 20 })->Args({ 200, 20 });
+BENCHMARK(startAsJson);
+BENCHMARK(lookAsJson);
+BENCHMARK(offerBetweenEntries);
+BENCHMARK(lastWordBetweenEntries);
+BENCHMARK(loadBetweenEntries);
+BENCHMARK(choiceOfACell)->ArgName("cells")->Arg(3)->Arg(6)->Arg(24);
+
+} // namespace
+
+BENCHMARK_MAIN();
