--- a/Source/Adapters/Json/JsonFields.cpp
+++ b/Source/Adapters/Json/JsonFields.cpp
@@ -25,10 +25,12 @@
 JsonFields JsonFields::parse(const std::string& body)
 {
     auto document = std::make_shared<Document>();
-    document->root = nlohmann::json::parse(body, nullptr, false);
+    Result<nlohmann::json> parsed = parseJson(body);
+    if (!errorOf(parsed))
+        document->root = std::get<nlohmann::json>(std::move(parsed));
     const bool isObject = document->root.is_object();
     if (!isObject)
-        document->error = Error { ErrorCode::Malformed, "The body must be one JSON object.", Verdict::NotRun };
+        document->error = Error { ErrorCode::Malformed, "The body must be one JSON object of at most 16 levels.", Verdict::NotRun };
     const nlohmann::json* root = isObject ? &document->root : nullptr;
     return { std::move(document), root, "" };
 }
--- a/Tests/Adapters/Http/DecoderFuzzTest.cpp
+++ b/Tests/Adapters/Http/DecoderFuzzTest.cpp
@@ -138,3 +138,13 @@
     decodeWithAll(std::string(depth, '['));
     decodeWithAll("{\"starts\":" + std::string(depth, '[') + std::string(depth, ']') + "}");
 }
+
+// Guards against the end of an entry's process: a payload of any shape is serialised, which recurses once per level.
+TEST(DecoderFuzz, ADeeplyNestedPayloadIsRejected)
+{
+    constexpr size_t depth = 100'000;
+    const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+    const std::string body = R"({"request":"r","service":"s","job_kind":"k","tasks":[{"payload":)" + nested + "}]}";
+    CHECK(errorOf(CallerCodec::decodeSubmission(body, absl::FromUnixSeconds(1000))));
+    decodeWithAll(R"({"payload":)" + nested + "}");
+}
--- a/Tests/Platform/MinionReportCodecTest.cpp
+++ b/Tests/Platform/MinionReportCodecTest.cpp
@@ -47,3 +47,16 @@
         CHECK(errorOf(platform::decodeMinionReport("i", bad)));
     CHECK(errorOf(platform::decodeMinionReport("", reportBody)));
 }
+
+// Guards against entries of other writers that end the processes that read them: each is rejected with an error.
+TEST(MinionReportCodec, OddEntriesOfOtherWritersAreRejected)
+{
+    const std::string deep = std::string(100000, '[') + std::string(100000, ']');
+    for (const std::string& odd : { with("[\"a\",\"r1-3\"]", deep), with("\"service\":\"huvo11a\"", "\"service\":" + deep), deep, std::string(1000000, '{'),
+             with("\"sequence\":4", "\"sequence\":18446744073709551615"), with("\"sequence\":4", "\"sequence\":1e400"),
+             with("\"sequence\":4", "\"sequence\":99999999999999999999999999"), with("\"cpu\":16000", "\"cpu\":9223372036854775807"), with("\"cpu\":16000", "\"cpu\":-1"),
+             with("1791244542000", "-5"), with("1791244542000", "1.5"), with(":8080", ":65536"), with(":8080", ":0"), with(":8080", ":-1"), with(":8080", ":4294967376"),
+             with("10.128.0.9", "10.128.0.999"), with("10.128.0.9", "0.0.0.0"), with("10.128.0.9", "minion\\r\\nX: y"), with("10.128.0.9", ""), with("\"zone\":\"ub-sukhbaatar\"", "\"zone\":null"),
+             with("huvo11a", std::string(100000, 'x')) })
+        CHECK(errorOf(platform::decodeMinionReport("i", odd)));
+}
