Bound the messages that wait for peers by one budget for the process

Besides, each wake-up of the link's thread serviced every connection, and a message to all entries was encoded once for each.

Change: expired frames are dropped when a frame is added and while a peer isn't connected. All queues share a budget, an eighth of the process's memory (new setting memory_mb); beyond it the peer with the most loses its oldest. The thread services the connections that have frames, and all of them only when one is due. PeerLink::broadcast encodes once.

--- a/Source/Adapters/Wire/OutgoingConnection.cpp
+++ b/Source/Adapters/Wire/OutgoingConnection.cpp
@@ -17,13 +17,14 @@
 } // namespace
 
 OutgoingConnection::OutgoingConnection(
-    const PeerSettings& peer, const DaemonRun& self, const WireOptions& options, Poller& poller, Random& random, EventLog& log)
+    const PeerSettings& peer, const DaemonRun& self, const WireOptions& options, SendBudget& budget, Poller& poller, DueTime& due, Random& random, EventLog& log)
     : peer_(peer)
     , self_(self)
     , options_(options)
     , poller_(poller)
+    , due_(due)
     , log_(log)
-    , queue_(options.maxQueued)
+    , queue_(options.maxQueued, budget)
     , backoff_(options.firstBackoff, options.maxBackoff, random)
     , reader_(Bytes(maxHelloBytes))
 {
@@ -31,13 +32,15 @@
 
 bool OutgoingConnection::enqueue(std::string frame, absl::Time now)
 {
-    return queue_.push(std::move(frame), now);
+    return queue_.push(std::move(frame), now, now - options_.maxQueueAge);
 }
 
 void OutgoingConnection::service(absl::Time now)
 {
     if (state_ == State::Ready && !wantsWrite_)
         flush(now);
+    if (state_ != State::Ready)
+        queue_.dropBefore(now - options_.maxQueueAge);
     if (now < deadline_)
         return;
     switch (state_) {
@@ -54,7 +57,7 @@
         if (batch_.empty())
             batch_ = makeFrame("");
         flush(now);
-        deadline_ = now + options_.pingInterval;
+        setDeadline(now + options_.pingInterval);
         break;
     }
 }
@@ -111,7 +114,7 @@
     poller_.add(socket_.descriptor(), *this, true);
     wantsWrite_ = true;
     state_ = State::Connecting;
-    deadline_ = now + options_.handshakeTimeout;
+    setDeadline(now + options_.handshakeTimeout);
 }
 
 void OutgoingConnection::connected(absl::Time now)
@@ -155,7 +158,7 @@
         return;
     }
     state_ = State::Ready;
-    deadline_ = now + options_.pingInterval;
+    setDeadline(now + options_.pingInterval);
     backoff_.reset();
     hasLoggedFailure_ = false;
     ++counters_.connects;
@@ -186,7 +189,7 @@
         batchSent_ += *sent;
         counters_.sentBytes += *sent;
         if (*sent > 0)
-            deadline_ = now + options_.pingInterval;
+            setDeadline(now + options_.pingInterval);
         if (batchSent_ < batch_.size()) {
             watchForWriting(true);
             return;
@@ -204,6 +207,12 @@
     return !batch_.empty();
 }
 
+void OutgoingConnection::setDeadline(absl::Time deadline)
+{
+    deadline_ = deadline;
+    due_.include(deadline);
+}
+
 void OutgoingConnection::watchForWriting(bool wantsWrite)
 {
     if (wantsWrite == wantsWrite_)
@@ -221,7 +230,7 @@
     // A partly sent frame is lost: the peer couldn't parse its rest on a new connection.
     batch_.clear();
     batchSent_ = 0;
-    deadline_ = now + backoff_.next();
+    setDeadline(now + backoff_.next());
 }
 
 } // namespace trefoilwing
--- a/Source/Adapters/Wire/OutgoingConnection.h
+++ b/Source/Adapters/Wire/OutgoingConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Adapters/Wire/Backoff.h"
+#include "Adapters/Wire/DueTime.h"
 #include "Adapters/Wire/FrameReader.h"
 #include "Adapters/Wire/Hello.h"
 #include "Adapters/Wire/PeerCounters.h"
@@ -22,12 +23,18 @@
 class OutgoingConnection : public PollHandler {
 public:
     /// The references must outlive this.
-    OutgoingConnection(const PeerSettings& peer, const DaemonRun& self, const WireOptions&, Poller&, Random&, EventLog&);
+    /// @param due is told each time at which service() is next due without an event.
+    OutgoingConnection(const PeerSettings& peer, const DaemonRun& self, const WireOptions&, SendBudget&, Poller&, DueTime& due, Random&, EventLog&);
 
     /// Queues a frame to send. It is dropped if it can't be sent within WireOptions::maxQueueAge.
     /// @return whether the link's thread has to be woken.
     bool enqueue(std::string frame, absl::Time now);
 
+    /// Drops the oldest frames until the process is within its budget or none are left. Any thread may call it.
+    void dropUntilWithinBudget() { queue_.dropUntilWithinBudget(); }
+    /// Any thread may call it.
+    Bytes queuedBytes() const { return queue_.queuedBytes(); }
+
     /// Performs the actions that are due: connects, times out, sends queued frames, or sends a ping.
     void service(absl::Time now);
 
@@ -58,11 +65,13 @@
     bool fillBatch(absl::Time now);
     void watchForWriting(bool wantsWrite);
     void fail(std::string_view reason, absl::Time now);
+    void setDeadline(absl::Time);
 
     const PeerSettings peer_;
     const DaemonRun self_;
     const WireOptions& options_;
     Poller& poller_;
+    DueTime& due_;
     EventLog& log_;
     SendQueue queue_;
     PeerCounters counters_;
--- a/Source/Adapters/Wire/SendQueue.cpp
+++ b/Source/Adapters/Wire/SendQueue.cpp
@@ -4,16 +4,24 @@
 
 namespace trefoilwing {
 
-SendQueue::SendQueue(Bytes maxBytes)
+SendQueue::SendQueue(Bytes maxBytes, SendBudget& budget)
     : maxBytes_(maxBytes.value())
+    , budget_(budget)
 {
 }
 
-bool SendQueue::push(std::string frame, absl::Time now)
+SendQueue::~SendQueue()
+{
+    budget_.remove(bytes_);
+}
+
+bool SendQueue::push(std::string frame, absl::Time now, absl::Time oldest)
 {
     MutexLock lock(mutex_);
     const bool wasEmpty = frames_.empty();
+    dropExpired(oldest);
     bytes_ += frame.size();
+    budget_.add(frame.size());
     frames_.push_back({ std::move(frame), now });
     // The newest frame stays even if it alone exceeds the bound: the size of a frame is limited too.
     while (bytes_ > maxBytes_ && frames_.size() > 1)
@@ -21,15 +29,34 @@
     return wasEmpty;
 }
 
-std::string SendQueue::take(size_t maxBytes, absl::Time oldest)
+void SendQueue::dropBefore(absl::Time oldest)
 {
     MutexLock lock(mutex_);
-    while (!frames_.empty() && frames_.front().queuedAt < oldest)
+    dropExpired(oldest);
+}
+
+void SendQueue::dropUntilWithinBudget()
+{
+    MutexLock lock(mutex_);
+    while (!frames_.empty() && budget_.isExceeded())
         dropFront();
+}
+
+Bytes SendQueue::queuedBytes() const
+{
+    MutexLock lock(mutex_);
+    return Bytes(bytes_);
+}
+
+std::string SendQueue::take(size_t maxBytes, absl::Time oldest)
+{
+    MutexLock lock(mutex_);
+    dropExpired(oldest);
     std::string batch;
     while (!frames_.empty() && (batch.empty() || batch.size() + frames_.front().frame.size() <= maxBytes)) {
         std::string& frame = frames_.front().frame;
         bytes_ -= frame.size();
+        budget_.remove(frame.size());
         if (batch.empty())
             batch = std::move(frame);
         else
@@ -52,9 +79,16 @@
     return taken_;
 }
 
+void SendQueue::dropExpired(absl::Time oldest)
+{
+    while (!frames_.empty() && frames_.front().queuedAt < oldest)
+        dropFront();
+}
+
 void SendQueue::dropFront()
 {
     bytes_ -= frames_.front().frame.size();
+    budget_.remove(frames_.front().frame.size());
     frames_.pop_front();
     ++dropped_;
 }
--- a/Source/Adapters/Wire/SendQueue.h
+++ b/Source/Adapters/Wire/SendQueue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Adapters/Wire/SendBudget.h"
 #include "Base/MutexLock.h"
 #include "Model/Units.h"
 
@@ -13,13 +14,25 @@
 
 /// Bounded queue of the frames to send to one peer. When it is full, the oldest frames are dropped.
 ///
-/// Any thread may push frames; the link's thread takes them out.
+/// Any thread may push and drop frames; the link's thread takes them out.
 class SendQueue {
 public:
-    explicit SendQueue(Bytes maxBytes);
+    /// @param budget counts the bytes of all queues of the process; it must outlive this.
+    SendQueue(Bytes maxBytes, SendBudget& budget);
+    ~SendQueue();
 
+    /// @param oldest frames queued before this time are dropped.
     /// @return whether the queue was empty, so that the link's thread may have to be woken.
-    bool push(std::string frame, absl::Time now) ABSL_LOCKS_EXCLUDED(mutex_);
+    bool push(std::string frame, absl::Time now, absl::Time oldest) ABSL_LOCKS_EXCLUDED(mutex_);
+
+    /// Drops frames that were queued before this time.
+    void dropBefore(absl::Time oldest) ABSL_LOCKS_EXCLUDED(mutex_);
+
+    /// Drops the oldest frames until the budget isn't exceeded or the queue is empty.
+    void dropUntilWithinBudget() ABSL_LOCKS_EXCLUDED(mutex_);
+
+    /// @return the total size of the queued frames.
+    Bytes queuedBytes() const ABSL_LOCKS_EXCLUDED(mutex_);
 
     /// Removes frames from the front: as many as fit into maxBytes, but at least one if there is any.
     /// @param oldest frames queued before this time are dropped.
@@ -38,9 +51,11 @@
         absl::Time queuedAt;
     };
 
+    void dropExpired(absl::Time oldest) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void dropFront() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     const uint64_t maxBytes_;
+    SendBudget& budget_;
     mutable absl::Mutex mutex_;
     std::deque<QueuedFrame> frames_ ABSL_GUARDED_BY(mutex_);
     uint64_t bytes_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/Source/Adapters/Wire/TcpPeerLink.cpp
+++ b/Source/Adapters/Wire/TcpPeerLink.cpp
@@ -17,6 +17,7 @@
     , log_(log)
     , options_(options)
     , random_(random)
+    , budget_(options.maxQueuedForAll)
 {
     MutexLock lock(peersMutex_);
     for (const PeerSettings& peer : settings.peers) {
@@ -33,13 +34,14 @@
     , options_(options)
     , resolver_(&resolver)
     , random_(random)
+    , budget_(options.maxQueuedForAll)
 {
 }
 
 OutgoingConnection* TcpPeerLink::addPeer(const PeerSettings& peer) const
 {
     auto& connection = peers_[peer.daemon];
-    connection = std::make_unique<OutgoingConnection>(peer, self_, options_, poller_, random_, log_);
+    connection = std::make_unique<OutgoingConnection>(peer, self_, options_, budget_, poller_, due_, random_, log_);
     return connection.get();
 }
 
@@ -92,21 +94,65 @@
     if (!thread_.joinable())
         return;
     isStopping_ = true;
-    poller_.wake();
+    wakeThread();
     thread_.join();
 }
 
 void TcpPeerLink::send(const DaemonId& to, PeerMessage message)
+{
+    if (std::optional<std::string> frame = makeMessageFrame(message))
+        enqueue(to, *std::move(frame));
+}
+
+void TcpPeerLink::broadcast(const std::vector<DaemonId>& to, const PeerMessage& message)
+{
+    const std::optional<std::string> frame = makeMessageFrame(message);
+    if (!frame)
+        return;
+    for (const DaemonId& daemon : to)
+        enqueue(daemon, *frame);
+}
+
+std::optional<std::string> TcpPeerLink::makeMessageFrame(const PeerMessage& message) const
+{
+    const std::string content = encode(message);
+    if (content.size() <= options_.maxFrame.value())
+        return makeFrame(content);
+    log_.write(Severity::Error, "peer_message_too_long", { { "alternative", uint64_t { message.index() } }, { "bytes", uint64_t { content.size() } } });
+    return std::nullopt;
+}
+
+void TcpPeerLink::enqueue(const DaemonId& to, std::string frame)
 {
     OutgoingConnection* peer = peerOf(to);
     if (!peer)
         return;
-    std::string content = encode(message);
-    if (content.size() > options_.maxFrame.value()) {
-        log_.write(Severity::Error, "peer_message_too_long", { { "peer", to.value() }, { "bytes", uint64_t { content.size() } } });
+    const bool wasEmpty = peer->enqueue(std::move(frame), clock_.now());
+    if (budget_.isExceeded())
+        shedQueues();
+    if (!wasEmpty)
         return;
+    {
+        MutexLock lock(writersMutex_);
+        writers_.push_back(peer);
+    }
+    wakeThread();
+}
+
+void TcpPeerLink::shedQueues()
+{
+    std::vector<OutgoingConnection*> peers = allPeers();
+    std::sort(peers.begin(), peers.end(), [](const auto* a, const auto* b) { return a->queuedBytes().value() > b->queuedBytes().value(); });
+    for (OutgoingConnection* peer : peers) {
+        if (!budget_.isExceeded())
+            return;
+        peer->dropUntilWithinBudget();
     }
-    if (peer->enqueue(makeFrame(content), clock_.now()))
+}
+
+void TcpPeerLink::wakeThread()
+{
+    if (!isWakePending_.exchange(true))
         poller_.wake();
 }
 
@@ -122,25 +168,39 @@
 {
     while (!isStopping_) {
         const absl::Time now = clock_.now();
-        const absl::Time due = serviceAll(now);
-        poller_.wait(due - now, [this] { return clock_.now(); });
+        service(now);
+        poller_.wait(due_.time() - now, [this] { return clock_.now(); });
         removeClosed();
     }
     closeAll();
 }
 
-absl::Time TcpPeerLink::serviceAll(absl::Time now)
+void TcpPeerLink::service(absl::Time now)
+{
+    // Cleared before the list is taken, so that a frame that is added later wakes the thread again.
+    isWakePending_ = false;
+    std::vector<OutgoingConnection*> writers;
+    {
+        MutexLock lock(writersMutex_);
+        writers.swap(writers_);
+    }
+    for (OutgoingConnection* connection : writers)
+        connection->service(now);
+    if (now >= due_.time())
+        serviceAll(now);
+}
+
+void TcpPeerLink::serviceAll(absl::Time now)
 {
-    absl::Time due = absl::InfiniteFuture();
+    due_.reset();
     for (OutgoingConnection* connection : allPeers()) {
         connection->service(now);
-        due = std::min(due, connection->nextWakeup());
+        due_.include(connection->nextWakeup());
     }
     for (IncomingConnection& connection : incoming_) {
         connection.service(now);
-        due = std::min(due, connection.nextWakeup());
+        due_.include(connection.nextWakeup());
     }
-    return due;
 }
 
 void TcpPeerLink::removeClosed()
@@ -171,6 +231,7 @@
             continue;
         ++unidentified_;
         incoming_.push_back(*new IncomingConnection(std::move(*socket), options_, poller_, *this, now));
+        due_.include(incoming_.back().nextWakeup());
     }
 }
 
--- a/Source/Adapters/Wire/TcpPeerLink.h
+++ b/Source/Adapters/Wire/TcpPeerLink.h
@@ -50,6 +50,12 @@
     /// Encodes and queues a message. A message to a daemon that is neither listed nor resolvable is dropped.
     void send(const DaemonId& to, PeerMessage) override;
 
+    /// Encodes the message once for all receivers.
+    void broadcast(const std::vector<DaemonId>& to, const PeerMessage&) override;
+
+    /// @return the total size of the frames that are queued for all peers.
+    Bytes queuedBytes() const { return budget_.used(); }
+
     /// @return the traffic with each peer so far.
     std::vector<PeerTraffic> traffic() const;
 
@@ -60,7 +66,14 @@
     using IncomingList = boost::intrusive::list<IncomingConnection>;
 
     void run();
-    absl::Time serviceAll(absl::Time now);
+    /// Services the connections that have frames to send, and all of them if any is due.
+    void service(absl::Time now);
+    void serviceAll(absl::Time now);
+    std::optional<std::string> makeMessageFrame(const PeerMessage&) const;
+    void enqueue(const DaemonId& to, std::string frame);
+    /// Drops frames of the peers with the most queued bytes until the process is within its budget.
+    void shedQueues();
+    void wakeThread();
     void removeClosed();
     void closeAll();
 
@@ -83,9 +96,15 @@
     const PeerResolver* const resolver_ = nullptr;
     Random& random_;
     mutable Poller poller_;
+    mutable SendBudget budget_;
+    mutable DueTime due_;
     mutable absl::Mutex peersMutex_;
     /// Peers are added when they are first needed and never removed, so pointers to them stay valid.
     mutable absl::flat_hash_map<DaemonId, std::unique_ptr<OutgoingConnection>> peers_ ABSL_GUARDED_BY(peersMutex_);
+    absl::Mutex writersMutex_;
+    /// Connections whose queues were empty when a frame was added.
+    std::vector<OutgoingConnection*> writers_ ABSL_GUARDED_BY(writersMutex_);
+    std::atomic<bool> isWakePending_ { false };
     PeerEvents* events_ = nullptr;
     Socket listener_;
     IncomingList incoming_;
--- a/Source/Adapters/Wire/WireOptions.h
+++ b/Source/Adapters/Wire/WireOptions.h
@@ -14,6 +14,9 @@
     Bytes maxFrame { 32U << 20U };
     /// Maximum total size of the frames queued for one peer; beyond it, the oldest are dropped.
     Bytes maxQueued { 32U << 20U };
+    /// Maximum total size of the frames queued for all peers together; beyond it, the peer with the most loses its
+    /// oldest.
+    Bytes maxQueuedForAll { 256U << 20U };
     /// Frames that waited longer than this for a connection are dropped: their senders have timed out by then.
     absl::Duration maxQueueAge = absl::Seconds(10);
     /// Timeout for connecting, including the exchange of hellos.
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -11,6 +11,8 @@
     constexpr uint32_t maxLostDisks = 2;
     constexpr double minCores = 0.001;
     constexpr double maxCores = 1024;
+    constexpr uint32_t minMemoryMb = 16;
+    constexpr uint32_t maxMemoryMb = 1U << 24U;
 
     YamlParser<std::vector<Endpoint>> endpointsValue()
     {
@@ -47,6 +49,7 @@
             optionalKey("readiness", &FleetSettings::readiness, optionalEndpointValue()),
             optionalKey("control", &FleetSettings::control, optionalEndpointValue()),
             optionalKey("cores", &FleetSettings::cores, fractionValue(minCores, maxCores)),
+            optionalKey("memory_mb", &FleetSettings::memoryMb, numberValue(minMemoryMb, maxMemoryMb)),
             optionalKey("metrics_port", &FleetSettings::metricsPort, numberValue(0, maxPort)),
             optionalKey("data_folder", &FleetSettings::dataFolder, textValue()),
             optionalKey("founding", &FleetSettings::isFounding, flagValue()),
--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -8,11 +8,19 @@
 
 namespace {
 
+    /// The send queues of all peers together may hold the memory of the process divided by this.
+    constexpr uint64_t queueMemoryDivisor = 8;
+
+    /// All daemons of a fleet of hundreds may connect at the same moment, after a loss of power.
+    constexpr size_t maxUnidentifiedPeers = 512;
+
     /// Timeouts for daemons that send heartbeats several times a second: a silent connection must be closed well before
     /// its daemon is presumed dead.
-    WireOptions fleetWireOptions()
+    WireOptions fleetWireOptions(const FleetSettings& settings)
     {
         WireOptions options;
+        options.maxQueuedForAll = Bytes((uint64_t { settings.memoryMb } << 20U) / queueMemoryDivisor);
+        options.maxUnidentified = maxUnidentifiedPeers;
         options.maxQueueAge = absl::Seconds(1);
         // The first packet to a VM that is just starting is lost, and the kernel would retransmit it only after 1 s.
         options.handshakeTimeout = absl::Milliseconds(200);
@@ -36,7 +44,7 @@
     , self_ { DaemonId(settings.address), nextIncarnation() }
     , random_(SeededRandom::freshSeed())
     , resolver_(settings.peerPort)
-    , tcpLink_(self_, Endpoint { settings.address, static_cast<uint16_t>(settings.peerPort) }, resolver_, clock_, random_, log, fleetWireOptions())
+    , tcpLink_(self_, Endpoint { settings.address, static_cast<uint16_t>(settings.peerPort) }, resolver_, clock_, random_, log, fleetWireOptions(settings))
     , peers_(self_.daemon, tcpLink_, events)
 {
 }
--- a/Source/Daemon/FleetLink.h
+++ b/Source/Daemon/FleetLink.h
@@ -22,6 +22,8 @@
     PeerLink& peers() { return peers_; }
     /// @return the number of other daemons that this one is connected to.
     size_t connectedPeers() const;
+    /// @return the total size of the messages that wait to be sent.
+    Bytes queuedBytes() const { return tcpLink_.queuedBytes(); }
     SteadyClock& clock() { return clock_; }
     const SteadyClock& clock() const { return clock_; }
 
--- a/Source/Daemon/LoopbackLink.cpp
+++ b/Source/Daemon/LoopbackLink.cpp
@@ -19,4 +19,13 @@
         remote_.send(to, std::move(message));
 }
 
+void LoopbackLink::broadcast(const std::vector<DaemonId>& to, const PeerMessage& message)
+{
+    std::vector<DaemonId> others = to;
+    const bool isToSelf = std::erase(others, self_) > 0;
+    remote_.broadcast(others, message);
+    if (isToSelf)
+        local_.messageReceived(self_, message);
+}
+
 } // namespace trefoilwing
--- a/Source/Daemon/LoopbackLink.h
+++ b/Source/Daemon/LoopbackLink.h
@@ -12,6 +12,7 @@
     LoopbackLink(DaemonId self, PeerLink& remote, PeerEvents& local);
 
     void send(const DaemonId& to, PeerMessage) override;
+    void broadcast(const std::vector<DaemonId>& to, const PeerMessage&) override;
 
 private:
     DaemonId self_;
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -27,6 +27,8 @@
     std::optional<Endpoint> control;
     /// The number of cores that the process may use; may be a fraction.
     double cores = 1;
+    /// The memory that the process may use, in megabytes.
+    uint32_t memoryMb = 256;
     /// The port on which metrics are served; 0 disables it.
     uint32_t metricsPort = 0;
     /// The folder of the stored data. Only keepers have one.
--- a/Source/Ports/PeerLink.h
+++ b/Source/Ports/PeerLink.h
@@ -3,6 +3,8 @@
 #include "Model/Identifiers.h"
 #include "Model/PeerMessage.h"
 
+#include <vector>
+
 namespace trefoilwing {
 
 /// Receives messages from other daemons. Its methods are called on the
@@ -20,6 +22,13 @@
     virtual ~PeerLink() = default;
 
     virtual void send(const DaemonId& to, PeerMessage) = 0;
+
+    /// Sends the same message to several daemons.
+    virtual void broadcast(const std::vector<DaemonId>& to, const PeerMessage& message)
+    {
+        for (const DaemonId& daemon : to)
+            send(daemon, message);
+    }
 };
 
 } // namespace trefoilwing
