Send each change of the fleet once, and the routing table over each link once

Cause: an update counted as in flight only while its number was the newest. With 1,100 minions and 147 entries the number rises all the time, so every keeper sent each entry all that wasn't confirmed yet, with the whole routing table and the whole list of daemons, at each report and heartbeat, also to entries that couldn't be reached.

Change: a change is sent once, and again after 1.5 s without a confirmation. Updates without grants are collected for 50 ms. Changes of daemons are sent as differences. Entries are sent the minions of their data centre and of the cells that they own; whether all minions of a remote cell are known also waits for keepers that know its grant. One keeper of an entry's data centre sends it the routing table, the others 1 s later if it still lacks it, and tables under way fit into 16 MB. Daemons without a heartbeat for 0.85 s are sent nothing. Minions of services that the configuration doesn't name get no owner. FleetView keeps its lists instead of making them at each call.

FleetView.AnUpdateForAnEarlierIncarnation... waits 100 ms before the update that it expects, since updates within 50 ms are sent together; its checks are unchanged.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -61,7 +61,7 @@
 
 void visitFields(auto&& visit, Fields<FleetUpdate> auto& value)
 {
-    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons);
+    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons, value.changedDaemons, value.lostDaemons, value.newestGrant);
 }
 
 void visitFields(auto&& visit, Fields<CellLoad> auto& value)
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -13,11 +13,23 @@
     /// A daemon that is up to date still gets an update this often, as the keeper's heartbeat.
     constexpr absl::Duration keepaliveInterval = absl::Seconds(2);
 
+    /// Minimum interval between updates to one daemon that hold no urgent change. When many minions and daemons start
+    /// at once, their changes are sent together.
+    constexpr absl::Duration minUpdateInterval = absl::Milliseconds(50);
+
+    /// Time in which a keeper of an entry's own data centre has the entry confirm a routing table, before the other
+    /// keepers send it too: the transfer, and the next heartbeat, which is at most 500 ms away.
+    constexpr absl::Duration routingBackupDelay = absl::Seconds(1);
+
+    /// Maximum total size of the routing tables that are sent and not yet confirmed.
+    constexpr uint64_t maxRoutingBytesInFlight = 16U << 20U;
+
     /// Time without a heartbeat after which a daemon's record is removed.
     constexpr absl::Duration daemonRetention = absl::Seconds(5);
 
-    /// Maximum number of departures kept for daemons that are behind.
+    /// Maximum number of departed minions and of lost daemons kept for daemons that are behind.
     constexpr size_t maxDepartures = 500;
+    constexpr size_t maxLostDaemons = 500;
 
     bool hasSameContent(const MinionReport& a, const MinionReport& b)
     {
@@ -50,7 +62,7 @@
     const MinionInstance instance = found->second.report.instance;
     departures_.push_back({ instance, ++number_ });
     if (departures_.size() > maxDepartures)
-        departures_.erase(departures_.begin());
+        departures_.pop_front();
     --pools_[found->second.report.pool];
     minions_.erase(found);
     return instance;
@@ -69,77 +81,190 @@
         if (daemon.info.run.daemon.value().empty())
             daemon.since = now;
         daemon.info = info;
-        daemonsNumber_ = ++number_;
+        daemon.number = ++number_;
     }
     if (now - daemon.lastHeartbeatAt > daemonTimeout)
         daemon.steadySince = now;
     daemon.lastHeartbeatAt = now;
     daemon.routing = heartbeat.routing;
     daemon.milliCores = heartbeat.milliCores > 0 ? heartbeat.milliCores : defaultMilliCores;
-    daemon.lastAckedUpdate = heartbeat.ackedKeeper == self_.incarnation ? heartbeat.ackedUpdate : 0;
-    if (std::erase_if(daemons_, [&](const auto& entry) { return now - entry.second.lastHeartbeatAt > daemonRetention; }) > 0)
-        daemonsNumber_ = ++number_;
+    const uint64_t acked = heartbeat.ackedKeeper == self_.incarnation ? heartbeat.ackedUpdate : 0;
+    // A daemon that has lost what it confirmed is sent everything again.
+    if (acked < daemon.lastAckedUpdate)
+        daemon.lastSentUpdate = acked;
+    if (acked > daemon.lastAckedUpdate)
+        daemon.awaitingAckSince = now;
+    daemon.lastAckedUpdate = acked;
+    removeSilentDaemons(now);
     return isChanged;
 }
 
+void FleetRegistry::removeSilentDaemons(absl::Time now)
+{
+    std::erase_if(daemons_, [&](const auto& entry) {
+        const bool isSilent = now - entry.second.lastHeartbeatAt > daemonRetention;
+        if (isSilent)
+            lostDaemons_.push_back({ entry.first, ++number_ });
+        return isSilent;
+    });
+    while (lostDaemons_.size() > maxLostDaemons) {
+        discardedLoss_ = lostDaemons_.front().number;
+        lostDaemons_.pop_front();
+    }
+}
+
 void FleetRegistry::setLeading(bool isLeading)
 {
     isLeading_ = isLeading;
-    ++number_;
+    urgentNumber_ = ++number_;
 }
 
-void FleetRegistry::setRouting(const RoutingDocument& routing)
+void FleetRegistry::setRouting(const RoutingDocument& routing, absl::Time now)
 {
     routing_ = routing;
-    ++number_;
+    routingSetAt_ = now;
 }
 
-void FleetRegistry::setGrants(std::vector<CellGrant> grants)
+void FleetRegistry::setGrants(const std::map<CellId, CellGrant>& grants)
 {
-    grants_ = std::move(grants);
-    grantsNumber_ = ++number_;
+    std::erase_if(grants_, [&](const auto& entry) { return !grants.contains(entry.first); });
+    for (const auto& [cell, grant] : grants) {
+        newestGrant_ = std::max(newestGrant_, grant.epoch);
+        NumberedGrant& known = grants_[cell];
+        if (known.number > 0 && known.grant == grant)
+            continue;
+        urgentNumber_ = ++number_;
+        known = { grant, number_ };
+    }
 }
 
 std::vector<std::pair<DaemonId, FleetUpdate>> FleetRegistry::takeUpdates(absl::Time now)
 {
     std::vector<std::pair<DaemonId, FleetUpdate>> updates;
+    uint64_t capacity = routingCapacity(now);
     for (auto& [id, daemon] : daemons_) {
-        const bool isBehind = daemon.lastAckedUpdate < number_ || daemon.routing < routing_.version;
-        const bool isInFlight = daemon.lastSentUpdate == number_ && now - daemon.sentAt < updateRetryInterval;
-        if ((!isBehind || isInFlight) && now - daemon.sentAt < keepaliveInterval)
+        if (!isReachable(daemon, now))
+            continue;
+        rewindUnconfirmed(daemon, now);
+        const bool isRoutingSent = capacity > 0 && isRoutingDue(daemon, now);
+        const bool isUrgent = isRoutingSent || daemon.lastSentUpdate < urgentNumber_;
+        const bool isDue = daemon.lastSentUpdate < number_ && now - daemon.sentAt >= minUpdateInterval;
+        if (!isUrgent && !isDue && now - daemon.sentAt < keepaliveInterval)
             continue;
         updates.emplace_back(id, updateFor(daemon));
+        if (isRoutingSent) {
+            updates.back().second.routing = routing_;
+            daemon.sentRouting = routing_.version;
+            daemon.routingSentAt = now;
+            --capacity;
+        }
+        if (daemon.lastSentUpdate <= daemon.lastAckedUpdate)
+            daemon.awaitingAckSince = now;
         daemon.lastSentUpdate = number_;
         daemon.sentAt = now;
     }
     return updates;
 }
 
+bool FleetRegistry::isReachable(const TrackedDaemon& daemon, absl::Time now) const
+{
+    return now - daemon.lastHeartbeatAt <= daemonTimeout;
+}
+
+bool FleetRegistry::isRoutingDue(const TrackedDaemon& daemon, absl::Time now) const
+{
+    // Keepers get the table from the replicated log.
+    if (!daemon.info.isEntry || daemon.routing >= routing_.version)
+        return false;
+    if (isRoutingInFlight(daemon, now))
+        return false;
+    return isFirstRoutingSender(daemon, now) || now >= std::max(routingSetAt_, daemon.since) + routingBackupDelay;
+}
+
+bool FleetRegistry::isRoutingInFlight(const TrackedDaemon& daemon, absl::Time now) const
+{
+    return daemon.routing < routing_.version && daemon.sentRouting == routing_.version && now - daemon.routingSentAt < updateRetryInterval;
+}
+
+uint64_t FleetRegistry::routingCapacity(absl::Time now) const
+{
+    const uint64_t most = std::max<uint64_t>(1, maxRoutingBytesInFlight / std::max<size_t>(1, routing_.text.size()));
+    const auto inFlight = static_cast<uint64_t>(std::count_if(daemons_.begin(), daemons_.end(), [&](const auto& entry) { return isRoutingInFlight(entry.second, now); }));
+    return most - std::min(most, inFlight);
+}
+
+bool FleetRegistry::isFirstRoutingSender(const TrackedDaemon& daemon, absl::Time now) const
+{
+    // The map is ordered by id, so all keepers of a data centre agree on the first reachable one.
+    const auto local = std::find_if(daemons_.begin(), daemons_.end(), [&](const auto& entry) {
+        const TrackedDaemon& other = entry.second;
+        return !other.info.isEntry && other.info.dataCentre == daemon.info.dataCentre && isReachable(other, now);
+    });
+    return local == daemons_.end() ? isLeading_ : local->first == self_.daemon;
+}
+
+void FleetRegistry::rewindUnconfirmed(TrackedDaemon& daemon, absl::Time now)
+{
+    if (daemon.lastSentUpdate > daemon.lastAckedUpdate && now - daemon.awaitingAckSince >= updateRetryInterval)
+        daemon.lastSentUpdate = daemon.lastAckedUpdate;
+}
+
 FleetUpdate FleetRegistry::updateFor(const TrackedDaemon& daemon) const
 {
     FleetUpdate update;
     update.keeper = self_.incarnation;
     update.isLeading = isLeading_;
     update.number = number_;
-    update.since = daemon.lastAckedUpdate;
-    if (daemon.routing < routing_.version)
-        update.routing = routing_;
-    if (daemon.lastAckedUpdate < grantsNumber_)
-        update.grants = grants_;
-    for (const auto& [id, entry] : minions_) {
-        if (entry.number > daemon.lastAckedUpdate)
-            update.minions.push_back(entry.report);
+    update.since = daemon.lastSentUpdate;
+    update.newestGrant = newestGrant_;
+    for (const auto& [cell, numbered] : grants_) {
+        if (numbered.number > update.since)
+            update.grants.push_back(numbered.grant);
     }
     for (const Departure& departure : departures_) {
-        if (departure.number > daemon.lastAckedUpdate)
+        if (departure.number > update.since)
             update.gone.push_back(departure.instance);
     }
-    if (daemon.lastAckedUpdate < daemonsNumber_) {
+    addMinions(daemon, update);
+    addDaemons(update);
+    return update;
+}
+
+void FleetRegistry::addMinions(const TrackedDaemon& daemon, FleetUpdate& update) const
+{
+    std::vector<const NumberedGrant*> remoteCells;
+    for (const auto& [cell, numbered] : grants_) {
+        if (numbered.grant.owner.daemon == daemon.info.run.daemon && cell.dataCentre != daemon.info.dataCentre)
+            remoteCells.push_back(&numbered);
+    }
+    for (const auto& [id, entry] : minions_) {
+        const MinionReport& report = entry.report;
+        const bool isNew = entry.number > update.since;
+        const bool isAlwaysSent = !daemon.info.isEntry || report.pool.dataCentre == daemon.info.dataCentre;
+        const bool isOfRemoteCell = !isAlwaysSent && std::any_of(remoteCells.begin(), remoteCells.end(), [&report, &update, isNew](const NumberedGrant* owned) {
+            return (isNew || owned->number > update.since) && isInCell(report, owned->grant.cell);
+        });
+        if (isAlwaysSent ? isNew : isOfRemoteCell)
+            update.minions.push_back(report);
+    }
+}
+
+void FleetRegistry::addDaemons(FleetUpdate& update) const
+{
+    if (update.since == 0 || update.since < discardedLoss_) {
         update.daemons.emplace();
         for (const auto& [id, other] : daemons_)
             update.daemons->push_back(other.info);
+        return;
+    }
+    for (const auto& [id, other] : daemons_) {
+        if (other.number > update.since)
+            update.changedDaemons.push_back(other.info);
+    }
+    for (const LostDaemon& lost : lostDaemons_) {
+        if (lost.number > update.since && !daemons_.contains(lost.daemon))
+            update.lostDaemons.push_back(lost.daemon);
     }
-    return update;
 }
 
 } // namespace trefoilwing
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -5,6 +5,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -25,11 +26,18 @@
     /// Start of the current series of heartbeats without a gap longer than daemonTimeout.
     absl::Time steadySince;
     absl::Time lastHeartbeatAt = absl::InfinitePast();
+    /// Number of the latest change to the daemon's attributes.
+    uint64_t number = 0;
     /// Numbers of the latest update that the daemon has confirmed and of the latest one sent to it.
     uint64_t lastAckedUpdate = 0;
     uint64_t lastSentUpdate = 0;
     absl::Time sentAt = absl::InfinitePast();
+    /// When the daemon last confirmed anything, or when the first unconfirmed update was sent.
+    absl::Time awaitingAckSince = absl::InfinitePast();
+    /// The version of the routing table that the daemon uses, and the one last sent to it.
     RoutingVersion routing;
+    RoutingVersion sentRouting;
+    absl::Time routingSentAt = absl::InfinitePast();
     /// Its processor capacity, in thousandths of a core.
     uint32_t milliCores = defaultMilliCores;
 };
@@ -37,7 +45,9 @@
 /// A keeper's soft state, which isn't in the replicated log: the minions that report to it, and the daemons that
 /// send it heartbeats.
 ///
-/// Changes are numbered, so that each daemon is sent only those that it hasn't confirmed.
+/// Changes are numbered. Each daemon is sent a change once, and again only if it doesn't confirm it in time, so the
+/// traffic grows with the changes and not with the time that confirmations take. Entries are sent the minions of their
+/// own data centre and of the cells that they own.
 class FleetRegistry {
 public:
     explicit FleetRegistry(DaemonRun self)
@@ -53,10 +63,12 @@
     bool heartbeatReceived(const DaemonHeartbeat&, absl::Time now);
     /// Sets whether this keeper is the leader; all daemons are sent the change.
     void setLeading(bool isLeading);
-    void setRouting(const RoutingDocument&);
-    void setGrants(std::vector<CellGrant>);
+    /// Sets the routing table. A keeper of an entry's data centre sends it at once; the other keepers send it if the
+    /// entry still lacks it some time later, so that it crosses each link once.
+    void setRouting(const RoutingDocument&, absl::Time now);
+    void setGrants(const std::map<CellId, CellGrant>&);
 
-    /// @return the updates to send now, for each daemon that hasn't confirmed the latest changes or is due a keepalive.
+    /// @return the updates to send now, for each reachable daemon that lacks changes or is due a keepalive.
     std::vector<std::pair<DaemonId, FleetUpdate>> takeUpdates(absl::Time now);
 
     const std::map<DaemonId, TrackedDaemon>& daemons() const { return daemons_; }
@@ -72,24 +84,51 @@
         MinionReport report;
         uint64_t number = 0;
     };
+    struct Departure {
+        MinionInstance instance;
+        uint64_t number = 0;
+    };
+    struct LostDaemon {
+        DaemonId daemon;
+        uint64_t number = 0;
+    };
+    struct NumberedGrant {
+        CellGrant grant;
+        uint64_t number = 0;
+    };
 
+    void removeSilentDaemons(absl::Time now);
+    bool isReachable(const TrackedDaemon&, absl::Time now) const;
+    /// @return whether the daemon lacks the routing table and it is this keeper's turn to send it.
+    bool isRoutingDue(const TrackedDaemon&, absl::Time now) const;
+    /// @return whether the routing table was sent to the daemon, which may still confirm it.
+    bool isRoutingInFlight(const TrackedDaemon&, absl::Time now) const;
+    /// @return to how many more daemons the routing table may be sent until others confirm it.
+    uint64_t routingCapacity(absl::Time now) const;
+    /// @return whether this keeper sends the routing table to the daemon first.
+    bool isFirstRoutingSender(const TrackedDaemon&, absl::Time now) const;
+    /// Forgets what was sent without being confirmed in time, so that it is sent again.
+    static void rewindUnconfirmed(TrackedDaemon&, absl::Time now);
     FleetUpdate updateFor(const TrackedDaemon&) const;
+    void addMinions(const TrackedDaemon&, FleetUpdate&) const;
+    void addDaemons(FleetUpdate&) const;
 
     DaemonRun self_;
     uint64_t number_ = 0;
+    /// Number of the latest change that is sent without delay.
+    uint64_t urgentNumber_ = 0;
     bool isLeading_ = false;
     absl::flat_hash_map<MinionId, Entry> minions_;
-    struct Departure {
-        MinionInstance instance;
-        uint64_t number = 0;
-    };
-    std::vector<Departure> departures_;
+    std::deque<Departure> departures_;
     std::map<DaemonId, TrackedDaemon> daemons_;
+    std::deque<LostDaemon> lostDaemons_;
+    /// Number of the latest loss that is no longer in lostDaemons_; whoever lacks it is sent the whole list.
+    uint64_t discardedLoss_ = 0;
     std::map<PoolId, size_t> pools_;
     RoutingDocument routing_;
-    std::vector<CellGrant> grants_;
-    uint64_t grantsNumber_ = 0;
-    uint64_t daemonsNumber_ = 0;
+    absl::Time routingSetAt_ = absl::InfinitePast();
+    std::map<CellId, NumberedGrant> grants_;
+    OwnerEpoch newestGrant_;
 };
 
 } // namespace trefoilwing
--- a/Source/Control/OwnerAssigner.cpp
+++ b/Source/Control/OwnerAssigner.cpp
@@ -197,12 +197,19 @@
     return proposal;
 }
 
+bool OwnerAssigner::mayHaveOwners(const PoolId& pool, const std::map<CellId, CellGrant>& grants) const
+{
+    return services_.empty() || services_.contains(pool.service) || currentPartCount(pool, grants) > 0;
+}
+
 std::vector<GrantProposal> OwnerAssigner::decide(const FleetRegistry& registry, const std::map<CellId, CellGrant>& grants, absl::Time now)
 {
     std::vector<GrantProposal> proposals;
     // Proposals of this call count as granted, so that the cells of a pool are spread over the entries.
     std::map<CellId, CellGrant> planned = grants;
     for (const auto& [pool, minions] : registry.pools()) {
+        if (!mayHaveOwners(pool, grants))
+            continue;
         const uint32_t count = partCount(registry, pool, minions, grants, now);
         for (uint32_t index = 0; index < count; ++index) {
             const CellId cell { pool.service, pool.dataCentre, { index, count } };
--- a/Source/Control/OwnerAssigner.h
+++ b/Source/Control/OwnerAssigner.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -45,6 +46,10 @@
     /// Records that this keeper has become the leader.
     void startedLeading(absl::Time now) { leadingSince_ = now; }
 
+    /// Sets the services of the routing table in force. Minions that name any other service get no owner, unless their
+    /// pool has one already.
+    void setServices(std::set<ServiceId> services) { services_ = std::move(services); }
+
     /// @return the grants to propose now.
     std::vector<GrantProposal> decide(const FleetRegistry&, const std::map<CellId, CellGrant>&, absl::Time now);
 
@@ -62,6 +67,10 @@
     std::optional<GrantReason> reasonToMove(const FleetRegistry&, const CellGrant&, const TrackedDaemon& candidate, const std::map<CellId, CellGrant>& grants, absl::Time now) const;
     const TrackedDaemon* chooseOwner(const FleetRegistry&, const CellId&, const std::map<CellId, CellGrant>&, absl::Time now) const;
 
+    bool mayHaveOwners(const PoolId&, const std::map<CellId, CellGrant>& grants) const;
+
+    /// Empty until a routing table is known.
+    std::set<ServiceId> services_;
     absl::Time leadingSince_ = absl::InfinitePast();
     std::map<CellId, absl::Time> proposedAt_;
     absl::Time rebalancedAt_ = absl::InfinitePast();
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -229,11 +229,9 @@
 {
     FleetChange change;
     std::vector<CellGrant> grants;
-    bool areMinionsKnown = false;
     {
         MutexLock lock(viewMutex_);
         change = view_.receive(from, update, link_.clock().now());
-        areMinionsKnown = view_.isComplete(link_.clock().now());
         for (const CellGrant& grant : update.grants) {
             if (chooser_.granted(grant))
                 grants.push_back(grant);
@@ -251,12 +249,20 @@
     }
     for (const CellGrant& grant : grants)
         applyGrant(grant);
-    if (areMinionsKnown) {
-        for (const CellPtr& cell : allCells())
+    for (const CellPtr& cell : allCells()) {
+        if (areMinionsKnown(cell->cell(), cell->epoch()))
             cell->setMinionsKnown(true);
     }
 }
 
+bool FleetEntry::areMinionsKnown(const CellId& cell, OwnerEpoch epoch) const
+{
+    // Keepers send the minions of another data centre only to the owners of its cells.
+    const OwnerEpoch awaited = cell.dataCentre == settings_.dataCentre ? OwnerEpoch(0) : epoch;
+    MutexLock lock(viewMutex_);
+    return view_.isComplete(link_.clock().now(), awaited);
+}
+
 void FleetEntry::applyRouting(const RoutingDocument& document)
 {
     Result<RoutingTable> table = reader_.read(document.text);
@@ -297,13 +303,11 @@
     }
     if (cell) {
         std::vector<MinionReport> reports;
-        bool areAllKnown = false;
         {
             MutexLock lock(viewMutex_);
             reports = view_.minionsOf(grant.cell);
-            areAllKnown = view_.isComplete(link_.clock().now());
         }
-        cell->setMinionsKnown(areAllKnown);
+        cell->setMinionsKnown(areMinionsKnown(grant.cell, grant.epoch));
         for (const MinionReport& report : reports)
             cell->minionReported(report);
         for (const EarlyOffer& early : offers)
@@ -511,22 +515,22 @@
     const std::vector<CellPtr> cells = allCells();
     if (cells.empty())
         return;
-    std::map<DaemonId, DataCentreId> entries;
+    std::vector<DaemonId> local { link_.self().daemon };
+    std::vector<DaemonId> remote;
     {
         MutexLock lock(viewMutex_);
-        entries = view_.entries();
+        for (const auto& [entry, dataCentre] : view_.entries()) {
+            if (entry != link_.self().daemon)
+                (dataCentre == settings_.dataCentre ? local : remote).push_back(entry);
+        }
     }
-    entries[link_.self().daemon] = settings_.dataCentre;
     for (const CellPtr& cell : cells) {
         const CellLoad load = cell->load();
         SentLoads& sent = sentLoads_[cell->cell()];
-        const bool isLocalDue = isLoadDue(sent.local, load, minLocalLoadInterval, now);
-        const bool isRemoteDue = isLoadDue(sent.remote, load, minRemoteLoadInterval, now);
-        for (const auto& [entry, dataCentre] : entries) {
-            const bool isLocal = dataCentre == settings_.dataCentre;
-            if (isLocal ? isLocalDue : isRemoteDue)
-                link_.peers().send(entry, load);
-        }
+        if (isLoadDue(sent.local, load, minLocalLoadInterval, now))
+            link_.peers().broadcast(local, load);
+        if (isLoadDue(sent.remote, load, minRemoteLoadInterval, now))
+            link_.peers().broadcast(remote, load);
     }
 }
 
@@ -558,6 +562,7 @@
     }
     metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
     metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
+    metrics_.set("peer_queue_bytes", {}, static_cast<double>(link_.queuedBytes().value()));
     metrics_.set("jobs_open", {}, static_cast<double>(jobs_.openCount()));
     const absl::Time now = link_.clock().now();
     MutexLock lock(viewMutex_);
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -91,6 +91,8 @@
     void wakeFromIdle();
     void tryFinishStartup(absl::Time now);
     void applyRouting(const RoutingDocument&);
+    /// @return whether all minions of an owned cell, granted under this epoch, are known to this entry.
+    bool areMinionsKnown(const CellId&, OwnerEpoch) const;
     void applyGrant(const CellGrant&);
     void sendHeartbeats();
     void sendLoads(absl::Time now);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -57,6 +57,7 @@
 
 FleetKeeper::FleetKeeper(const FleetSettings& settings, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics)
     : settings_(settings)
+    , reader_(reader)
     , log_(log)
     , metrics_(metrics)
     , link_(settings, *this, log)
@@ -185,22 +186,31 @@
         MutexLock lock(mutex_);
         isNewRouting = state.routing().version > registry_.routingVersion();
         if (isNewRouting)
-            registry_.setRouting(state.routing());
+            registry_.setRouting(state.routing(), link_.clock().now());
         if (state.grants() != grants_) {
             grants_ = state.grants();
-            std::vector<CellGrant> grants;
-            for (const auto& [cell, grant] : grants_) {
+            for (const auto& [cell, grant] : grants_)
                 registry_.addPool(cell.pool());
-                grants.push_back(grant);
-            }
-            registry_.setGrants(std::move(grants));
+            registry_.setGrants(grants_);
         }
         for (const auto& [id, report] : state.minions())
             registry_.minionReported(report);
     }
-    if (isNewRouting)
-        log_.write(Severity::Info, "configuration_in_force", { { "version", state.routing().version.value() } });
     sendUpdates();
+    if (isNewRouting) {
+        log_.write(Severity::Info, "configuration_in_force", { { "version", state.routing().version.value() } });
+        applyServices(state.routing());
+    }
+}
+
+void FleetKeeper::applyServices(const RoutingDocument& document)
+{
+    const Result<RoutingTable> table = reader_.read(document.text);
+    if (!valueOf(table))
+        return;
+    const std::vector<ServiceId>& services = valueOf(table)->services;
+    MutexLock lock(mutex_);
+    assigner_.setServices({ services.begin(), services.end() });
 }
 
 // Peers.
@@ -264,6 +274,8 @@
     }
     if (isLeading_)
         assignOwners(now);
+    // Updates that were held back to be sent together may be due.
+    sendUpdates();
     if (now >= metricsDue_) {
         metricsDue_ = now + metricsInterval;
         publishMetrics();
@@ -326,6 +338,7 @@
     metrics_.set("log_is_leader", {}, state.isLeading ? 1 : 0);
     metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
     metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
+    metrics_.set("peer_queue_bytes", {}, static_cast<double>(link_.queuedBytes().value()));
     MutexLock lock(mutex_);
     metrics_.set("configuration_version", {}, static_cast<double>(registry_.routingVersion().value()));
     metrics_.set("minions_reporting", {}, static_cast<double>(registry_.minionCount()));
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -53,6 +53,7 @@
     void wake() override { signal_.raise(); }
 
     void stateChanged(const FleetState&);
+    void applyServices(const RoutingDocument&);
     void assignOwners(absl::Time now);
     void sendUpdates();
     void sendHeartbeats();
@@ -60,6 +61,7 @@
     void publishMetrics();
 
     const FleetSettings settings_;
+    const RoutingReader& reader_;
     EventLog& log_;
     HistogramMetrics& metrics_;
     PosixFileSystem files_;
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -25,6 +25,13 @@
 FleetView::FleetView(std::vector<DaemonId> seeds)
     : seeds_(std::move(seeds))
 {
+    deriveLists();
+}
+
+void FleetView::setSeeds(std::vector<DaemonId> seeds)
+{
+    seeds_ = std::move(seeds);
+    deriveLists();
 }
 
 FleetChange FleetView::receive(const DaemonId& keeper, const FleetUpdate& update, absl::Time now)
@@ -34,16 +41,19 @@
     KeeperState& known = keeperStates_[keeper];
     if (known.run > update.keeper)
         return change;
-    if (known.run != update.keeper)
+    const bool isNewRun = known.run != update.keeper;
+    if (isNewRun)
         known = {};
     known.run = update.keeper;
     known.isLeading = update.isLeading;
     // An update meant for an earlier incarnation of this daemon leaves out changes that this one doesn't have yet.
     if (update.since <= known.number)
         known.number = std::max(known.number, update.number);
-    if (update.daemons)
-        known.daemons = *update.daemons;
+    known.newestGrant = std::max(known.newestGrant, update.newestGrant);
     known.lastUpdateAt = now;
+    const bool areDaemonsChanged = known.updateDaemons(update) || isNewRun;
+    if (areDaemonsChanged || currentKeepers_ != std::count_if(keeperStates_.begin(), keeperStates_.end(), [&](const auto& entry) { return isCurrent(entry.second); }))
+        deriveLists();
     for (const MinionInstance& instance : update.gone)
         removeMinion(instance, change);
     for (const MinionReport& report : update.minions)
@@ -55,6 +65,43 @@
     return change;
 }
 
+bool FleetView::KeeperState::updateDaemons(const FleetUpdate& update)
+{
+    if (update.daemons) {
+        daemons.clear();
+        for (const DaemonInfo& info : *update.daemons)
+            daemons[info.run.daemon] = info;
+    }
+    for (const DaemonInfo& info : update.changedDaemons)
+        daemons[info.run.daemon] = info;
+    for (const DaemonId& lost : update.lostDaemons)
+        daemons.erase(lost);
+    return update.daemons || !update.changedDaemons.empty() || !update.lostDaemons.empty();
+}
+
+bool FleetView::isCurrent(const KeeperState& state) const
+{
+    return state.lastUpdateAt + daemonListLifetime >= lastUpdateAt_;
+}
+
+void FleetView::deriveLists()
+{
+    std::set<DaemonId> keepers(seeds_.begin(), seeds_.end());
+    entries_.clear();
+    currentKeepers_ = 0;
+    for (const auto& [keeper, state] : keeperStates_) {
+        keepers.insert(keeper);
+        currentKeepers_ += isCurrent(state) ? 1 : 0;
+        for (const auto& [id, info] : state.daemons) {
+            if (!info.isEntry)
+                keepers.insert(id);
+            else if (isCurrent(state))
+                entries_.emplace(id, info.dataCentre);
+        }
+    }
+    keepers_.assign(keepers.begin(), keepers.end());
+}
+
 bool FleetView::applyReport(const MinionReport& report, FleetChange& change)
 {
     const auto departed = departed_.find(report.instance.minion);
@@ -102,7 +149,7 @@
 {
     const bool isForAll = ++heartbeatRounds_ % followerHeartbeatPeriod == 0;
     std::vector<std::pair<DaemonId, DaemonHeartbeat>> heartbeats;
-    for (const DaemonId& keeper : keepers()) {
+    for (const DaemonId& keeper : keepers_) {
         if (!isForAll && !isLeading(keeper))
             continue;
         heartbeats.emplace_back(keeper, own);
@@ -118,45 +165,17 @@
     return known == keeperStates_.end() || known->second.isLeading;
 }
 
-std::vector<DaemonId> FleetView::keepers() const
+bool FleetView::isComplete(absl::Time now, OwnerEpoch grant) const
 {
-    std::set<DaemonId> keepers(seeds_.begin(), seeds_.end());
-    for (const auto& [keeper, state] : keeperStates_) {
-        keepers.insert(keeper);
-        for (const DaemonInfo& info : state.daemons) {
-            if (!info.isEntry)
-                keepers.insert(info.run.daemon);
-        }
-    }
-    return { keepers.begin(), keepers.end() };
-}
-
-bool FleetView::isComplete(absl::Time now) const
-{
-    const std::vector<DaemonId> all = keepers();
-    return std::all_of(all.begin(), all.end(), [&](const DaemonId& keeper) {
+    return std::all_of(keepers_.begin(), keepers_.end(), [&](const DaemonId& keeper) {
         const auto known = keeperStates_.find(keeper);
         if (known == keeperStates_.end() || known->second.number == 0)
             return false;
         const absl::Duration silence = now - known->second.lastUpdateAt;
-        return silence < keeperTimeout || silence > keeperRetention;
+        return (silence < keeperTimeout && known->second.newestGrant >= grant) || silence > keeperRetention;
     });
 }
 
-std::map<DaemonId, DataCentreId> FleetView::entries() const
-{
-    std::map<DaemonId, DataCentreId> entries;
-    for (const auto& [keeper, state] : keeperStates_) {
-        if (state.lastUpdateAt + daemonListLifetime < lastUpdateAt_)
-            continue;
-        for (const DaemonInfo& info : state.daemons) {
-            if (info.isEntry)
-                entries.emplace(info.run.daemon, info.dataCentre);
-        }
-    }
-    return entries;
-}
-
 std::vector<MinionReport> FleetView::minionsOf(const CellId& cell) const
 {
     std::vector<MinionReport> reports;
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -31,7 +31,7 @@
     /// @param seeds the keepers named in the settings.
     explicit FleetView(std::vector<DaemonId> seeds);
 
-    void setSeeds(std::vector<DaemonId> seeds) { seeds_ = std::move(seeds); }
+    void setSeeds(std::vector<DaemonId> seeds);
 
     FleetChange receive(const DaemonId& keeper, const FleetUpdate&, absl::Time now);
 
@@ -48,14 +48,16 @@
     /// any update.
     bool isLeading(const DaemonId& keeper) const;
     /// @return the keepers that heartbeats are sent to.
-    std::vector<DaemonId> keepers() const;
+    const std::vector<DaemonId>& keepers() const { return keepers_; }
     /// @return the entries that some keeper receives heartbeats from, and their data centres.
-    std::map<DaemonId, DataCentreId> entries() const;
+    const std::map<DaemonId, DataCentreId>& entries() const { return entries_; }
     std::vector<MinionReport> minionsOf(const CellId&) const;
     RoutingVersion routingVersion() const { return routing_; }
     /// @return whether the updates of all known keepers have been received. A keeper that has just fallen silent may
     /// know minions that no other keeper knows.
-    bool isComplete(absl::Time now) const;
+    /// @param grant for a cell of another data centre: the epoch of its grant to this entry, which keepers must know
+    /// before they send the cell's minions.
+    bool isComplete(absl::Time now, OwnerEpoch grant = OwnerEpoch(0)) const;
     /// @return the time since the last message from any keeper.
     absl::Duration silence(absl::Time now) const { return now - lastUpdateAt_; }
     size_t minionCount() const { return minions_.size(); }
@@ -65,15 +67,26 @@
         Incarnation run;
         bool isLeading = false;
         uint64_t number = 0;
-        std::vector<DaemonInfo> daemons;
+        std::map<DaemonId, DaemonInfo> daemons;
+        OwnerEpoch newestGrant;
         absl::Time lastUpdateAt;
+
+        /// @return whether the update changes the daemons.
+        bool updateDaemons(const FleetUpdate&);
     };
 
+    /// Derives the lists of keepers and entries, which are read far more often than they change.
+    void deriveLists();
+    bool isCurrent(const KeeperState&) const;
     bool applyReport(const MinionReport&, FleetChange&);
     void removeMinion(const MinionInstance&, FleetChange&);
 
     std::vector<DaemonId> seeds_;
     std::map<DaemonId, KeeperState> keeperStates_;
+    std::vector<DaemonId> keepers_;
+    std::map<DaemonId, DataCentreId> entries_;
+    /// Number of keepers whose lists of daemons are in entries_.
+    ptrdiff_t currentKeepers_ = 0;
     absl::flat_hash_map<MinionId, MinionReport> minions_;
     /// The newest instance of each minion that has left, so that a late report doesn't add it again.
     absl::flat_hash_map<MinionId, MinionStartTime> departed_;
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -70,8 +70,14 @@
     std::vector<MinionReport> minions;
     /// Minion instances that have left or were replaced.
     std::vector<MinionInstance> gone;
-    /// All daemons whose heartbeats reach the keeper; only set if the list has changed.
+    /// All daemons whose heartbeats reach the keeper; only set if the receiver can't have the list yet.
     std::optional<std::vector<DaemonInfo>> daemons;
+    /// Daemons that are new or whose attributes have changed, if the list isn't sent whole.
+    std::vector<DaemonInfo> changedDaemons;
+    /// Daemons that are no longer tracked, if the list isn't sent whole.
+    std::vector<DaemonId> lostDaemons;
+    /// The highest epoch of the grants that the keeper knows.
+    OwnerEpoch newestGrant;
 
     friend bool operator==(const FleetUpdate&, const FleetUpdate&) = default;
 };
--- /dev/null
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -0,0 +1,287 @@
+#include "Control/FleetRegistry.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+constexpr absl::Duration beat = absl::Milliseconds(500);
+
+DaemonId entryId(int number)
+{
+    return DaemonId("10.0.1." + std::to_string(number));
+}
+
+} // namespace
+
+// Scenario: hundreds of minions and entries report to a keeper, which tells each entry what it needs.
+TEST_GROUP(FleetRegistry)
+{
+    const DaemonId self { "10.0.0.1" };
+    absl::Time now = absl::FromUnixSeconds(1000);
+    FleetRegistry registry { { self, Incarnation(3) } };
+    std::map<DaemonId, DaemonHeartbeat> heartbeats;
+    uint64_t minions = 0;
+
+    void setup() override
+    {
+        addKeeper(self, "home");
+    }
+
+    void addKeeper(const DaemonId& id, const std::string& dataCentre)
+    {
+        DaemonHeartbeat heartbeat;
+        heartbeat.run = { id, Incarnation(3) };
+        heartbeat.dataCentre = DataCentreId(dataCentre);
+        heartbeats[id] = heartbeat;
+        registry.heartbeatReceived(heartbeat, now);
+    }
+
+    void addEntry(int number, const std::string& dataCentre = "home")
+    {
+        DaemonHeartbeat heartbeat;
+        heartbeat.run = { entryId(number), Incarnation(3) };
+        heartbeat.dataCentre = DataCentreId(dataCentre);
+        heartbeat.isEntry = true;
+        heartbeats[entryId(number)] = heartbeat;
+        registry.heartbeatReceived(heartbeat, now);
+    }
+
+    void reportMinion(const std::string& dataCentre = "home")
+    {
+        const std::string id = "minion-" + std::to_string(++minions);
+        registry.minionReported({ { MinionId(id), MinionStartTime(1) }, 1, { ServiceId("service"), DataCentreId(dataCentre) }, { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving });
+    }
+
+    /// All daemons send heartbeats that don't confirm anything new.
+    void sendHeartbeats()
+    {
+        for (const auto& [id, heartbeat] : heartbeats)
+            registry.heartbeatReceived(heartbeat, now);
+    }
+
+    /// All daemons receive what is due and confirm it.
+    void settle()
+    {
+        for (int round = 0; round < 3; ++round) {
+            now += beat;
+            for (const auto& [to, update] : registry.takeUpdates(now))
+                confirm(to, update);
+            sendHeartbeats();
+        }
+    }
+
+    void confirm(const DaemonId& to, const FleetUpdate& update)
+    {
+        heartbeats[to].ackedKeeper = update.keeper;
+        heartbeats[to].ackedUpdate = update.number;
+        if (update.routing)
+            heartbeats[to].routing = update.routing->version;
+    }
+
+    std::map<DaemonId, FleetUpdate> take()
+    {
+        std::map<DaemonId, FleetUpdate> updates;
+        for (auto& [to, update] : registry.takeUpdates(now))
+            updates[to] = std::move(update);
+        return updates;
+    }
+
+    void setRouting(uint64_t version)
+    {
+        registry.setRouting({ RoutingVersion(version), std::string(200000, 'r') }, now);
+    }
+};
+
+// Guards against keepers that run out of memory: while confirmations were under way, each report of a minion sent all
+// that wasn't confirmed yet to every daemon again.
+TEST(FleetRegistry, AChangeIsSentOnceWhileItsConfirmationIsUnderWay)
+{
+    addEntry(1);
+    settle();
+    size_t sent = 0;
+    for (int report = 0; report < 300; ++report) {
+        reportMinion();
+        now += absl::Milliseconds(3);
+        sendHeartbeats();
+        sent += take()[entryId(1)].minions.size();
+    }
+    CHECK(sent >= 280);
+    CHECK(sent <= 300);
+}
+
+TEST(FleetRegistry, ReportsThatArriveTogetherShareAnUpdate)
+{
+    addEntry(1);
+    settle();
+    size_t updates = 0;
+    for (int report = 0; report < 100; ++report) {
+        reportMinion();
+        now += absl::Milliseconds(1);
+        sendHeartbeats();
+        updates += take().contains(entryId(1)) ? 1 : 0;
+    }
+    CHECK(updates <= 3);
+}
+
+TEST(FleetRegistry, WhatIsntConfirmedIsSentAgain)
+{
+    addEntry(1);
+    settle();
+    reportMinion();
+    LONGS_EQUAL(1, take()[entryId(1)].minions.size());
+    for (int round = 0; round < 2; ++round) {
+        now += beat;
+        sendHeartbeats();
+        LONGS_EQUAL(0, take()[entryId(1)].minions.size());
+    }
+    now += beat;
+    sendHeartbeats();
+    LONGS_EQUAL(1, take()[entryId(1)].minions.size());
+}
+
+// Guards against the same crash loop: an entry behind a network partition was sent all changes all the time.
+TEST(FleetRegistry, NothingIsSentToADaemonThatCannotBeReached)
+{
+    addEntry(1);
+    settle();
+    heartbeats.erase(entryId(1));
+    now += absl::Seconds(1);
+    sendHeartbeats();
+    reportMinion();
+    setRouting(7);
+    CHECK_FALSE(take().contains(entryId(1)));
+}
+
+TEST(FleetRegistry, AnEntryThatReturnsIsSentWhatItLacks)
+{
+    addEntry(1);
+    settle();
+    const DaemonHeartbeat absent = heartbeats.extract(entryId(1)).mapped();
+    now += absl::Seconds(2);
+    sendHeartbeats();
+    reportMinion();
+    setRouting(7);
+    take();
+    now += absl::Seconds(2);
+    heartbeats[entryId(1)] = absent;
+    sendHeartbeats();
+    const FleetUpdate update = take()[entryId(1)];
+    LONGS_EQUAL(1, update.minions.size());
+    CHECK(update.routing.has_value());
+}
+
+// A change of one daemon is not a reason to send all daemons again, and with hundreds of them it would be the largest
+// part of the traffic while they start.
+TEST(FleetRegistry, AnEntryThatIsUpToDateIsToldOnlyOfChangedDaemons)
+{
+    for (int entry = 1; entry <= 100; ++entry)
+        addEntry(entry);
+    settle();
+    addEntry(101);
+    const auto updates = take();
+    const FleetUpdate& known = updates.at(entryId(1));
+    CHECK_FALSE(known.daemons.has_value());
+    LONGS_EQUAL(1, known.changedDaemons.size());
+    LONGS_EQUAL(102, updates.at(entryId(101)).daemons->size());
+    heartbeats.erase(entryId(2));
+    for (int round = 0; round < 12; ++round) {
+        now += beat;
+        sendHeartbeats();
+    }
+    const FleetUpdate later = take()[entryId(1)];
+    CHECK(later.lostDaemons == std::vector<DaemonId> { entryId(2) });
+}
+
+TEST(FleetRegistry, AnEntryIsSentTheMinionsOfItsDataCentreOnly)
+{
+    addEntry(1);
+    reportMinion("home");
+    reportMinion("away");
+    now += beat;
+    sendHeartbeats();
+    const FleetUpdate update = take()[entryId(1)];
+    LONGS_EQUAL(1, update.minions.size());
+    CHECK(update.minions.front().pool.dataCentre == DataCentreId("home"));
+}
+
+TEST(FleetRegistry, AnOwnerOfACellOfAnotherDataCentreIsSentItsMinions)
+{
+    addEntry(1);
+    reportMinion("away");
+    settle();
+    const CellId cell { ServiceId("service"), DataCentreId("away"), {} };
+    registry.setGrants({ { cell, { cell, { entryId(1), Incarnation(3) }, OwnerEpoch(12) } } });
+    const FleetUpdate update = take()[entryId(1)];
+    LONGS_EQUAL(1, update.grants.size());
+    LONGS_EQUAL(1, update.minions.size());
+    CHECK(update.newestGrant == OwnerEpoch(12));
+}
+
+// A configuration of many routes crosses each link once: every keeper sent it to every entry, again with each change of
+// the fleet until the entry had confirmed it, and callers' requests waited behind it.
+TEST(FleetRegistry, TheKeeperOfAnEntrysDataCentreSendsItTheRoutingTable)
+{
+    addKeeper(DaemonId("10.0.0.2"), "away");
+    addEntry(1, "home");
+    addEntry(2, "away");
+    settle();
+    setRouting(7);
+    auto updates = take();
+    CHECK(updates[entryId(1)].routing.has_value());
+    CHECK_FALSE(updates[entryId(2)].routing.has_value());
+    for (int report = 0; report < 10; ++report) {
+        reportMinion();
+        now += absl::Milliseconds(60);
+        CHECK_FALSE(take()[entryId(1)].routing.has_value());
+    }
+}
+
+TEST(FleetRegistry, OtherKeepersSendTheRoutingTableIfTheEntryStillLacksIt)
+{
+    addKeeper(DaemonId("10.0.0.2"), "away");
+    addEntry(2, "away");
+    settle();
+    setRouting(7);
+    take();
+    for (int round = 0; round < 2; ++round) {
+        now += beat;
+        sendHeartbeats();
+    }
+    CHECK(take()[entryId(2)].routing.has_value());
+}
+
+TEST(FleetRegistry, ALeaderSendsTheRoutingTableWhereNoKeeperIsNear)
+{
+    addEntry(2, "away");
+    settle();
+    setRouting(7);
+    CHECK_FALSE(take()[entryId(2)].routing.has_value());
+    registry.setLeading(true);
+    CHECK(take()[entryId(2)].routing.has_value());
+}
+
+TEST(FleetRegistry, RoutingTablesThatAreUnderWayFitIntoABoundedSize)
+{
+    for (int entry = 1; entry <= 150; ++entry)
+        addEntry(entry);
+    settle();
+    setRouting(7);
+    auto updates = take();
+    const auto hasRouting = [](const auto& entry) { return entry.second.routing.has_value(); };
+    CHECK(std::count_if(updates.begin(), updates.end(), hasRouting) <= 84);
+    size_t confirmed = 0;
+    for (int round = 0; round < 4; ++round) {
+        for (const auto& [to, update] : updates) {
+            confirmed += update.routing ? 1 : 0;
+            confirm(to, update);
+        }
+        now += beat;
+        sendHeartbeats();
+        updates = take();
+    }
+    LONGS_EQUAL(150, confirmed);
+}
--- a/Tests/Control/OwnerAssignerTest.cpp
+++ b/Tests/Control/OwnerAssignerTest.cpp
@@ -177,3 +177,21 @@
     }
     STRCMP_EQUAL("home-1", decide().c_str());
 }
+
+// Another writer's entry that names an unknown service got an owner, which then tried to reach a minion that isn't one.
+TEST(OwnerAssigner, MinionsOfAServiceThatIsntConfiguredGetNoOwner)
+{
+    heartbeatFrom("home-1", 1, "home");
+    assigner.setServices({ ServiceId("other") });
+    STRCMP_EQUAL("none", decide().c_str());
+    assigner.setServices({ ServiceId("other"), ServiceId("service") });
+    STRCMP_EQUAL("home-1", decide().c_str());
+}
+
+TEST(OwnerAssigner, APoolWhoseServiceIsWithdrawnStillGetsANewOwner)
+{
+    heartbeatFrom("home-1", 2, "home");
+    grantTo("home-1", 1);
+    assigner.setServices({ ServiceId("other") });
+    STRCMP_EQUAL("home-1", decide().c_str());
+}
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -59,6 +59,7 @@
     exchange(view, 1);
     exchange(view, 1);
     registry.minionReported(minion("b"));
+    now += absl::Milliseconds(100);
     registry.heartbeatReceived(heartbeatOf(view, 1), now);
     const auto forEarlierRun = registry.takeUpdates(now);
     LONGS_EQUAL(1, forEarlierRun.size());
