Send entries the decoded routing table

Change: keepers decode the document once and send the table as fields; an entry still takes a document from a keeper of an earlier version. The bound of tables under way counts routes. Entries are updated before keepers.

FleetRegistry: a minion that told another keeper that it leaves is removed as the log drops it, and a late report of an instance that left doesn't add it. Until now nothing removed a minion from the keepers that it hadn't told, so a restarted entry was sent it as one to use (report of another operator: a server that had left was in use again after a restart).

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -19,6 +19,16 @@
     visit(value.version, value.text);
 }
 
+void visitFields(auto&& visit, Fields<Route> auto& value)
+{
+    visit(value.name, value.host, value.pathPrefix, value.service, value.timeout, value.latencyTarget, value.stretch, value.priority, value.maxAttempts);
+}
+
+void visitFields(auto&& visit, Fields<RoutingTable> auto& value)
+{
+    visit(value.version, value.routes, value.services);
+}
+
 void visitFields(auto&& visit, Fields<PoolId> auto& value)
 {
     visit(value.service, value.dataCentre);
@@ -61,7 +71,7 @@
 
 void visitFields(auto&& visit, Fields<FleetUpdate> auto& value)
 {
-    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons, value.changedDaemons, value.lostDaemons, value.newestGrant);
+    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons, value.changedDaemons, value.lostDaemons, value.newestGrant, value.table);
 }
 
 void visitFields(auto&& visit, Fields<CellLoad> auto& value)
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -21,8 +21,8 @@
     /// keepers send it too: the transfer, and the next heartbeat, which is at most 500 ms away.
     constexpr absl::Duration routingBackupDelay = absl::Seconds(1);
 
-    /// Maximum total size of the routing tables that are sent and not yet confirmed.
-    constexpr uint64_t maxRoutingBytesInFlight = 16U << 20U;
+    /// Maximum total number of routes in the routing tables that are sent and not yet confirmed; 60 bytes each.
+    constexpr uint64_t maxRoutesInFlight = 256U << 10U;
 
     /// Time without a heartbeat after which a daemon's record is removed.
     constexpr absl::Duration daemonRetention = absl::Seconds(5);
@@ -40,6 +40,8 @@
 
 bool FleetRegistry::minionReported(const MinionReport& report)
 {
+    if (!minions_.contains(report.instance.minion) && hasLeft(report.instance))
+        return false;
     addPool(report.pool);
     Entry& entry = minions_[report.instance.minion];
     if (entry.number > 0 && !isLater(report, entry.report))
@@ -60,12 +62,40 @@
     if (found == minions_.end())
         return std::nullopt;
     const MinionInstance instance = found->second.report.instance;
+    removeMinion(instance);
+    return instance;
+}
+
+void FleetRegistry::removeMinion(const MinionInstance& instance)
+{
+    const auto found = minions_.find(instance.minion);
+    if (found == minions_.end() || found->second.report.instance != instance)
+        return;
     departures_.push_back({ instance, ++number_ });
     if (departures_.size() > maxDepartures)
         departures_.pop_front();
     --pools_[found->second.report.pool];
     minions_.erase(found);
-    return instance;
+}
+
+bool FleetRegistry::hasLeft(const MinionInstance& instance) const
+{
+    return instance.startTime > MinionStartTime(0)
+        && std::any_of(departures_.begin(), departures_.end(), [&](const Departure& departure) { return departure.instance == instance; });
+}
+
+void FleetRegistry::setLoggedMinions(const std::map<MinionId, MinionReport>& minions)
+{
+    for (const auto& [id, startTime] : loggedMinions_) {
+        const auto kept = minions.find(id);
+        if (kept == minions.end() || kept->second.instance.startTime != startTime)
+            removeMinion({ id, startTime });
+    }
+    loggedMinions_.clear();
+    for (const auto& [id, report] : minions) {
+        loggedMinions_.emplace_hint(loggedMinions_.end(), id, report.instance.startTime);
+        minionReported(report);
+    }
 }
 
 bool FleetRegistry::heartbeatReceived(const DaemonHeartbeat& heartbeat, absl::Time now)
@@ -119,9 +149,11 @@
     urgentNumber_ = ++number_;
 }
 
-void FleetRegistry::setRouting(const RoutingDocument& routing, absl::Time now)
+void FleetRegistry::setRouting(RoutingTable routing, absl::Time now)
 {
-    routing_ = routing;
+    if (routing.version <= routing_.version)
+        return;
+    routing_ = std::move(routing);
     routingSetAt_ = now;
 }
 
@@ -153,7 +185,7 @@
             continue;
         updates.emplace_back(id, updateFor(daemon));
         if (isRoutingSent) {
-            updates.back().second.routing = routing_;
+            updates.back().second.table = routing_;
             daemon.sentRouting = routing_.version;
             daemon.routingSentAt = now;
             --capacity;
@@ -188,7 +220,7 @@
 
 uint64_t FleetRegistry::routingCapacity(absl::Time now) const
 {
-    const uint64_t most = std::max<uint64_t>(1, maxRoutingBytesInFlight / std::max<size_t>(1, routing_.text.size()));
+    const uint64_t most = std::max<uint64_t>(1, maxRoutesInFlight / std::max<size_t>(1, routing_.routes.size()));
     const auto inFlight = static_cast<uint64_t>(std::count_if(daemons_.begin(), daemons_.end(), [&](const auto& entry) { return isRoutingInFlight(entry.second, now); }));
     return most - std::min(most, inFlight);
 }
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -59,13 +59,15 @@
     bool minionReported(const MinionReport&);
     /// @return the instance of the minion that left, if the minion was known.
     std::optional<MinionInstance> minionLeft(const MinionId&);
+    /// Sets the minions of the replicated log. Those that are no longer in it have left, whichever keeper they told.
+    void setLoggedMinions(const std::map<MinionId, MinionReport>&);
     /// @return whether the daemon is new or its attributes have changed.
     bool heartbeatReceived(const DaemonHeartbeat&, absl::Time now);
     /// Sets whether this keeper is the leader; all daemons are sent the change.
     void setLeading(bool isLeading);
     /// Sets the routing table. A keeper of an entry's data centre sends it at once; the other keepers send it if the
     /// entry still lacks it some time later, so that it crosses each link once.
-    void setRouting(const RoutingDocument&, absl::Time now);
+    void setRouting(RoutingTable, absl::Time now);
     void setGrants(const std::map<CellId, CellGrant>&);
 
     /// @return the updates to send now, for each reachable daemon that lacks changes or is due a keepalive.
@@ -97,6 +99,9 @@
         uint64_t number = 0;
     };
 
+    void removeMinion(const MinionInstance&);
+    /// @return whether this instance of a minion has left. Minions that don't report their start time may return.
+    bool hasLeft(const MinionInstance&) const;
     void removeSilentDaemons(absl::Time now);
     bool isReachable(const TrackedDaemon&, absl::Time now) const;
     /// @return whether the daemon lacks the routing table and it is this keeper's turn to send it.
@@ -119,13 +124,15 @@
     uint64_t urgentNumber_ = 0;
     bool isLeading_ = false;
     absl::flat_hash_map<MinionId, Entry> minions_;
+    /// The instances of the minions in the replicated log.
+    std::map<MinionId, MinionStartTime> loggedMinions_;
     std::deque<Departure> departures_;
     std::map<DaemonId, TrackedDaemon> daemons_;
     std::deque<LostDaemon> lostDaemons_;
     /// Number of the latest loss that is no longer in lostDaemons_; whoever lacks it is sent the whole list.
     uint64_t discardedLoss_ = 0;
     std::map<PoolId, size_t> pools_;
-    RoutingDocument routing_;
+    RoutingTable routing_;
     absl::Time routingSetAt_ = absl::InfinitePast();
     std::map<CellId, NumberedGrant> grants_;
     OwnerEpoch newestGrant_;
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -237,6 +237,8 @@
                 grants.push_back(grant);
         }
     }
+    if (change.table)
+        applyTable(*std::move(change.table));
     if (change.routing)
         applyRouting(*change.routing);
     for (const MinionReport& report : change.removed) {
@@ -270,7 +272,12 @@
         log_.write(Severity::Error, "configuration_unreadable", { { "version", document.version.value() }, { "reason", error->message } });
         return;
     }
-    auto routes = std::make_shared<const RoutingTable>(std::move(std::get<RoutingTable>(table)));
+    applyTable(std::get<RoutingTable>(std::move(table)));
+}
+
+void FleetEntry::applyTable(RoutingTable table)
+{
+    auto routes = std::make_shared<const RoutingTable>(std::move(table));
     {
         MutexLock lock(viewMutex_);
         if (table_ && table_->version >= routes->version)
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -91,6 +91,7 @@
     void wakeFromIdle();
     void tryFinishStartup(absl::Time now);
     void applyRouting(const RoutingDocument&);
+    void applyTable(RoutingTable);
     /// @return whether all minions of an owned cell, granted under this epoch, are known to this entry.
     bool areMinionsKnown(const CellId&, OwnerEpoch) const;
     void applyGrant(const CellGrant&);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -185,32 +185,31 @@
     {
         MutexLock lock(mutex_);
         isNewRouting = state.routing().version > registry_.routingVersion();
-        if (isNewRouting)
-            registry_.setRouting(state.routing(), link_.clock().now());
         if (state.grants() != grants_) {
             grants_ = state.grants();
             for (const auto& [cell, grant] : grants_)
                 registry_.addPool(cell.pool());
             registry_.setGrants(grants_);
         }
-        for (const auto& [id, report] : state.minions())
-            registry_.minionReported(report);
+        registry_.setLoggedMinions(state.minions());
     }
+    if (isNewRouting)
+        applyRouting(state.routing());
     sendUpdates();
-    if (isNewRouting) {
-        log_.write(Severity::Info, "configuration_in_force", { { "version", state.routing().version.value() } });
-        applyServices(state.routing());
-    }
 }
 
-void FleetKeeper::applyServices(const RoutingDocument& document)
+void FleetKeeper::applyRouting(const RoutingDocument& document)
 {
-    const Result<RoutingTable> table = reader_.read(document.text);
-    if (!valueOf(table))
+    Result<RoutingTable> read = reader_.read(document.text);
+    if (const Error* error = errorOf(read)) {
+        log_.write(Severity::Error, "configuration_unreadable", { { "version", document.version.value() }, { "reason", error->message } });
         return;
-    const std::vector<ServiceId>& services = valueOf(table)->services;
+    }
+    RoutingTable& table = std::get<RoutingTable>(read);
+    log_.write(Severity::Info, "configuration_in_force", { { "version", table.version.value() }, { "routes", uint64_t { table.routes.size() } } });
     MutexLock lock(mutex_);
-    assigner_.setServices({ services.begin(), services.end() });
+    assigner_.setServices({ table.services.begin(), table.services.end() });
+    registry_.setRouting(std::move(table), link_.clock().now());
 }
 
 // Peers.
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -53,7 +53,7 @@
     void wake() override { signal_.raise(); }
 
     void stateChanged(const FleetState&);
-    void applyServices(const RoutingDocument&);
+    void applyRouting(const RoutingDocument&);
     void assignOwners(absl::Time now);
     void sendUpdates();
     void sendHeartbeats();
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -58,6 +58,10 @@
         removeMinion(instance, change);
     for (const MinionReport& report : update.minions)
         applyReport(report, change);
+    if (update.table && update.table->version > routing_) {
+        routing_ = update.table->version;
+        change.table = update.table;
+    }
     if (update.routing && update.routing->version > routing_) {
         routing_ = update.routing->version;
         change.routing = update.routing;
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -18,6 +18,8 @@
 
 /// What a keeper's update changed in a FleetView.
 struct FleetChange {
+    /// A newer routing table, decoded or, from a keeper of an earlier version, as a document.
+    std::optional<RoutingTable> table;
     std::optional<RoutingDocument> routing;
     std::vector<MinionReport> minions;
     std::vector<MinionReport> removed;
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -65,6 +65,7 @@
     uint64_t number = 0;
     /// Changes up to this number are left out, as the receiver has acknowledged them.
     uint64_t since = 0;
+    /// Sent by earlier versions only; see `table`.
     std::optional<RoutingDocument> routing;
     std::vector<CellGrant> grants;
     std::vector<MinionReport> minions;
@@ -78,6 +79,8 @@
     std::vector<DaemonId> lostDaemons;
     /// The highest epoch of the grants that the keeper knows.
     OwnerEpoch newestGrant;
+    /// The routing table, decoded by the keeper: entries have far smaller processors, and the operator's text is larger.
+    std::optional<RoutingTable> table;
 
     friend bool operator==(const FleetUpdate&, const FleetUpdate&) = default;
 };
--- a/Source/Model/Routing.h
+++ b/Source/Model/Routing.h
@@ -46,6 +46,8 @@
 
     /// @return the route of the host with the longest matching path prefix, or null.
     const Route* find(std::string_view host, std::string_view path) const;
+
+    friend bool operator==(const RoutingTable&, const RoutingTable&) = default;
 };
 
 /// A routing table in the operator's own text, which is stored so that it can be returned unchanged.
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -130,3 +130,16 @@
     CHECK_FALSE(view.receive(keeperId, update, now).routing.has_value());
     LONGS_EQUAL(7, view.routingVersion().value());
 }
+
+TEST(FleetView, ADecodedRoutingTableReplacesOnlyAnOlderOne)
+{
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.table = RoutingTable { RoutingVersion(7), {}, {} };
+    CHECK(view.receive(keeperId, update, now).table.has_value());
+    update.keeper = Incarnation(4);
+    CHECK_FALSE(view.receive(keeperId, update, now).table.has_value());
+    update.table->version = RoutingVersion(6);
+    CHECK_FALSE(view.receive(keeperId, update, now).table.has_value());
+    LONGS_EQUAL(7, view.routingVersion().value());
+}
