Repeat a start whose answer is late under its own number

Cause: workers leave a share of their orders unanswered.

Change: a start that isn't answered after 45 ms is sent once more with the same run number, task and lease, so the lease isn't extended and a minion that has the run only confirms it. As either order may be carried out, any failure of one is resolved by a confirmed stop once none is in flight, also 'old' and 'room'. A process that stood still repeats nothing until it has run for 45 ms. Unanswered stops are repeated every 100 ms. Metric cell_starts_repeated.

CellFixture::takeStarts returns the orders of new runs and takeRepeatedStarts the others, so that the checks of the other tests stay as they are.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -55,8 +55,9 @@
         uint64_t CellTotals::*total;
     };
 
-    constexpr std::array<TotalRow, 8> totalRows { {
+    constexpr std::array<TotalRow, 9> totalRows { {
         { "cell_starts", &CellTotals::starts },
+        { "cell_starts_repeated", &CellTotals::repeatedStarts },
         { "cell_runs_done", &CellTotals::done },
         { "cell_runs_failed", &CellTotals::failed },
         { "cell_runs_stopped", &CellTotals::stopped },
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -161,6 +161,7 @@
     Run* run = minion->findRun(result.run);
     if (!run)
         return;
+    run->startsInFlight -= std::min<uint32_t>(run->startsInFlight, 1);
     if (result.failure == OrderFailure::None) {
         if (run->state == RunState::Starting)
             run->state = RunState::Running;
@@ -169,12 +170,15 @@
     }
     if (result.failure != OrderFailure::NoRoom)
         logEvent("start_failed", result.run.job, result.instance.minion, absl::StrCat(describe(result.run), " reason=", failureName(result.failure).data()));
+    const bool concernsAllStarts = result.failure == OrderFailure::OtherInstance || result.failure == OrderFailure::Fenced;
+    if (run->startOrders > 1 && !concernsAllStarts) {
+        // Whatever became of this order, another start of the same run may have been carried out.
+        startUnconfirmed(*minion, *run, now);
+        return;
+    }
     switch (result.failure) {
     case OrderFailure::NoAnswer:
-        if (run->state == RunState::Starting)
-            run->state = RunState::Unconfirmed;
-        if (run->confirmedAt == absl::InfinitePast())
-            stopRun(*minion, *run, now);
+        startUnconfirmed(*minion, *run, now);
         break;
     case OrderFailure::OtherInstance:
         removeMinion(*minion, "other_life");
@@ -197,6 +201,15 @@
         place(now);
 }
 
+void CellDispatcher::startUnconfirmed(LeasedMinion& minion, Run& run, absl::Time now)
+{
+    if (run.startsInFlight > 0 || run.confirmedAt != absl::InfinitePast())
+        return;
+    if (run.state == RunState::Starting)
+        run.state = RunState::Unconfirmed;
+    stopRun(minion, run, now);
+}
+
 void CellDispatcher::answered(const StopResult& result, absl::Time now)
 {
     LeasedMinion* minion = findMinion(result.instance);
@@ -238,6 +251,9 @@
 
 void CellDispatcher::tick(absl::Time now)
 {
+    if (now - lastTickAt_ > policy_.maxTickInterval)
+        resumedAt_ = now;
+    lastTickAt_ = now;
     sweepUnlistedStarts(now);
     for (const auto& [id, minion] : minions_)
         sweepRuns(*minion, now);
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -43,6 +43,7 @@
 /// Counters of one cell owner, for metrics.
 struct CellTotals {
     uint64_t starts = 0;
+    uint64_t repeatedStarts = 0;
     uint64_t done = 0;
     uint64_t failed = 0;
     uint64_t stopped = 0;
@@ -134,6 +135,11 @@
     void taskFailed(LeasedMinion&, CellJob&, CellTask&, absl::Time now);
     void stopRun(LeasedMinion&, Run&, absl::Time now);
     void sweepRuns(LeasedMinion&, absl::Time now);
+    void sendStart(LeasedMinion&, Run&);
+    /// @return whether the start of a run should be sent again, since its answer is late.
+    bool isStartRepeatDue(const LeasedMinion&, const Run&, absl::Time now) const;
+    /// Handles a start that may have been carried out: once no other start of the run is in flight, it is stopped.
+    void startUnconfirmed(LeasedMinion&, Run&, absl::Time now);
     /// Removes the runs of a minion whose instance has ended or whose lease has expired, and requeues their tasks.
     void removeAllRuns(LeasedMinion&, std::string_view reason);
     void sweepUnlistedStarts(absl::Time now);
@@ -161,6 +167,9 @@
     const JobOrder& order_;
     Random& random_;
     const absl::Time ownedSince_;
+    absl::Time lastTickAt_ = absl::InfinitePast();
+    /// When this process last ran again after it had stood still.
+    absl::Time resumedAt_ = absl::InfinitePast();
     bool isSuperseded_ = false;
     bool areMinionsKnown_ = false;
     uint64_t runCounter_ = 0;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -242,8 +242,8 @@
     run.job = &job;
     run.need = job.offer().need;
     run.startedAt = run.progressAt = now;
-    outbox_.orders.push_back(StartOrder { headerTo(*minion), run.id, job.offer().spec, minion->renewLease(now) });
-    minion->addRun(std::move(run));
+    run.leaseEndMs = minion->renewLease(now);
+    sendStart(*minion, minion->addRun(std::move(run)));
     task.state = TaskState::Active;
     job.firstStart = std::min(job.firstStart, now);
     job.hasStarted = true;
--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -15,6 +15,19 @@
 
 } // namespace
 
+void CellDispatcher::sendStart(LeasedMinion& minion, Run& run)
+{
+    ++run.startOrders;
+    ++run.startsInFlight;
+    outbox_.orders.push_back(StartOrder { headerTo(minion), run.id, run.job->offer().spec, run.leaseEndMs });
+}
+
+bool CellDispatcher::isStartRepeatDue(const LeasedMinion& minion, const Run& run, absl::Time now) const
+{
+    return run.state == RunState::Starting && run.startOrders == 1 && run.job && !run.job->isResultSent && !isSuperseded_ && minion.health.isReachable()
+        && now > std::max(run.startedAt, resumedAt_) + policy_.startRepeatDelay;
+}
+
 void CellDispatcher::stopRun(LeasedMinion& minion, Run& run, absl::Time now)
 {
     run.state = RunState::Stopping;
@@ -235,6 +248,9 @@
     for (auto& [id, run] : minion.runs()) {
         if (now >= run.endsBy) {
             finished.push_back(id);
+        } else if (isStartRepeatDue(minion, run, now)) {
+            ++totals_.repeatedStarts;
+            sendStart(minion, run);
         } else if (run.isInherited && run.state == RunState::Running && now > ownedSince_ + policy_.adoptionPeriod) {
             logEvent("foreign_run_stopped", id.job, minion.instance().minion, describe(id));
             stopRun(minion, run, now);
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -25,8 +25,14 @@
     absl::Duration clockMargin = absl::Milliseconds(10);
     /// Time after which a stopped run has certainly ended; minions guarantee 50 ms.
     absl::Duration stopDelay = absl::Milliseconds(60);
+    /// Delay before an unanswered start is sent again under its number, once. A round trip takes under 10 ms; a minion
+    /// that has the run already only confirms it.
+    absl::Duration startRepeatDelay = absl::Milliseconds(45);
+    /// Interval of ticks, while there are jobs, from which this process is taken to have stood still. Answers may then
+    /// have arrived that it hasn't read.
+    absl::Duration maxTickInterval = absl::Milliseconds(60);
     /// Delay before an unanswered stop is sent again.
-    absl::Duration stopRetryInterval = absl::Milliseconds(250);
+    absl::Duration stopRetryInterval = absl::Milliseconds(100);
     /// How long runs started by an earlier owner are kept, so that entries can offer their jobs to the new owner.
     absl::Duration adoptionPeriod = absl::Milliseconds(600);
     /// Maximum time for which a new owner delays starts while it waits for the answers to its first renewals. Orders
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -28,6 +28,11 @@
     ResourceVector need;
     RunState state = RunState::Starting;
     absl::Time startedAt;
+    /// End of the lease of its start order, on the minion's clock.
+    int64_t leaseEndMs = 0;
+    /// Number of start orders sent, and of those whose results haven't arrived.
+    uint32_t startOrders = 0;
+    uint32_t startsInFlight = 0;
     /// When the minion last confirmed that it has the run; infinite past until the start is answered.
     absl::Time confirmedAt = absl::InfinitePast();
     /// When the minion last listed the run in the answer to a renewal.
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -20,7 +20,7 @@
     CellOutbox outbox = cell_.takeOutbox();
     for (const auto& order : outbox.orders) {
         if (const auto* start = std::get_if<StartOrder>(&order))
-            starts_.push_back(*start);
+            (started_.insert(start->run).second ? starts_ : repeatedStarts_).push_back(*start);
         else if (const auto* stop = std::get_if<StopOrder>(&order))
             stops_.push_back(*stop);
         else
@@ -83,11 +83,24 @@
     }
 }
 
+void CellFixture::pause(absl::Duration duration)
+{
+    now_ += duration;
+    cell_.entryHeartbeatReceived({ entry, Incarnation(0) }, now_);
+    cell_.tick(now_);
+    collect();
+}
+
 std::vector<StartOrder> CellFixture::takeStarts()
 {
     return std::exchange(starts_, {});
 }
 
+std::vector<StartOrder> CellFixture::takeRepeatedStarts()
+{
+    return std::exchange(repeatedStarts_, {});
+}
+
 std::vector<StopOrder> CellFixture::takeStops()
 {
     return std::exchange(stops_, {});
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -4,6 +4,7 @@
 #include "Support/SeededRandom.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,13 @@
     /// Advances the clock in steps of 20 ms, with a tick and a heartbeat of the entry at each.
     void advance(absl::Duration);
 
-    /// @return the start orders sent since the last call.
+    /// Advances the clock in one step, as if the process hadn't run meanwhile.
+    void pause(absl::Duration);
+
+    /// @return the start orders of new runs sent since the last call.
     std::vector<StartOrder> takeStarts();
+    /// @return the start orders of runs that had been sent one before.
+    std::vector<StartOrder> takeRepeatedStarts();
     std::vector<StopOrder> takeStops();
     std::vector<RenewOrder> takeRenewals();
     std::vector<JobResult> takeResults();
@@ -58,6 +64,8 @@
     CellDispatcher cell_;
     std::map<std::string, uint64_t> lastEndNumbers_;
     std::vector<StartOrder> starts_;
+    std::vector<StartOrder> repeatedStarts_;
+    std::set<RunId> started_;
     std::vector<StopOrder> stops_;
     std::vector<RenewOrder> renewals_;
     std::vector<JobResult> results_;
--- a/Tests/Placement/FaultyMinionTest.cpp
+++ b/Tests/Placement/FaultyMinionTest.cpp
@@ -153,3 +153,57 @@
     LONGS_EQUAL(1, renewals.size());
     LONGS_EQUAL(1, renewals.front().lastEndNumber);
 }
+
+// Workers leave a share of their orders unanswered: a short task whose start is lost is late before the order times out.
+TEST(FaultyMinion, AStartWithoutAnAnswerIsRepeatedUnderItsNumber)
+{
+    fixture.addMinion("m1");
+    const StartOrder first = startOne();
+    fixture.advance(absl::Milliseconds(40));
+    LONGS_EQUAL(0, fixture.takeRepeatedStarts().size());
+    fixture.advance(absl::Milliseconds(40));
+    const std::vector<StartOrder> repeated = fixture.takeRepeatedStarts();
+    LONGS_EQUAL(1, repeated.size());
+    CHECK(repeated.front().run == first.run);
+    LONGS_EQUAL(first.leaseEndMs, repeated.front().leaseEndMs);
+    fixture.answerStart(repeated.front());
+    fixture.answerStart(first, OrderFailure::NoAnswer);
+    fixture.advance(absl::Milliseconds(100));
+    LONGS_EQUAL(0, fixture.takeStops().size());
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    LONGS_EQUAL(0, fixture.takeRepeatedStarts().size());
+}
+
+// The run of the first order may have ended before the second one arrived, which the minion then refuses as old.
+TEST(FaultyMinion, ARepeatedStartThatIsRefusedIsNotStartedElsewhereBeforeItIsStopped)
+{
+    fixture.addMinion("m1");
+    fixture.addMinion("m2");
+    for (const OrderFailure failure : { OrderFailure::OldRun, OrderFailure::NoRoom, OrderFailure::LeaseEnded, OrderFailure::Refused, OrderFailure::NotSent }) {
+        const StartOrder first = startOne("job" + std::to_string(static_cast<int>(failure)));
+        fixture.advance(absl::Milliseconds(80));
+        const std::vector<StartOrder> repeated = fixture.takeRepeatedStarts();
+        LONGS_EQUAL(1, repeated.size());
+        fixture.answerStart(repeated.front(), failure);
+        LONGS_EQUAL(0, fixture.takeStarts().size());
+        LONGS_EQUAL(0, fixture.takeStops().size());
+        fixture.answerStart(first, OrderFailure::NoAnswer);
+        LONGS_EQUAL(0, fixture.takeStarts().size());
+        CHECK_FALSE(fixture.takeStops().empty());
+        fixture.endRun(first, RunEnd::Done);
+        CHECK(fixture.takeResults().front().end == JobEnd::Completed);
+        LONGS_EQUAL(0, fixture.takeStarts().size());
+    }
+}
+
+// Guards against work that is repeated since this process, not the minion, was late.
+TEST(FaultyMinion, AProcessThatStoodStillRepeatsNothingAtOnce)
+{
+    fixture.addMinion("m1");
+    startOne();
+    fixture.advance(absl::Milliseconds(20));
+    fixture.pause(absl::Milliseconds(100));
+    LONGS_EQUAL(0, fixture.takeRepeatedStarts().size());
+    fixture.advance(absl::Milliseconds(60));
+    LONGS_EQUAL(1, fixture.takeRepeatedStarts().size());
+}
