Read the sizes of the queues once before they are sorted

Cause: TcpPeerLink::shedQueues sorted by sizes that other threads change meanwhile, so the order wasn't strict, which is undefined and can end the process. Change: the sizes are read once. No test drives it; compiled and formatted only, not played.

--- a/Source/Adapters/Wire/TcpPeerLink.cpp
+++ b/Source/Adapters/Wire/TcpPeerLink.cpp
@@ -141,9 +141,12 @@
 
 void TcpPeerLink::shedQueues()
 {
-    std::vector<OutgoingConnection*> peers = allPeers();
-    std::sort(peers.begin(), peers.end(), [](const auto* a, const auto* b) { return a->queuedBytes().value() > b->queuedBytes().value(); });
-    for (OutgoingConnection* peer : peers) {
+    // The sizes are read once, since other threads change them while they are compared.
+    std::vector<std::pair<uint64_t, OutgoingConnection*>> peers;
+    for (OutgoingConnection* peer : allPeers())
+        peers.emplace_back(peer->queuedBytes().value(), peer);
+    std::sort(peers.begin(), peers.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (const auto& [bytes, peer] : peers) {
         if (!budget_.isExceeded())
             return;
         peer->dropUntilWithinBudget();
