--- a/review/standin/Fleet.cpp
+++ b/review/standin/Fleet.cpp
@@ -173,7 +173,7 @@
     }
     for (size_t i = 0; i < 2 * minionsPerZone; ++i) {
         const std::string zone = i % 2 == 0 ? "bole" : "merkato";
-        minions_.push_back(std::make_unique<Minion>(MinionSettings { "i-" + std::to_string(i), { network_ + std::to_string(firstMinionHost + static_cast<int>(i)), minionPort }, zone, "work", keepers }, record_, watch_));
+        minions_.push_back(std::make_unique<Minion>(MinionSettings { "i-" + std::to_string(i), { network_ + std::to_string(firstMinionHost + static_cast<int>(i)), minionPort }, zone, "work", keepers }, watch_));
         if (!minions_.back()->isListening())
             return false;
     }
--- a/review/standin/Http.cpp
+++ b/review/standin/Http.cpp
@@ -123,7 +123,7 @@
     {
         std::string text = request.method + " " + request.path + " HTTP/1.1\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(request.body.size()) + "\r\n";
         for (const auto& [name, value] : request.headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         return text + "\r\n" + request.body;
     }
 
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -99,7 +99,7 @@
         std::this_thread::sleep_for(Milliseconds(2000));
         minion->end();
         stage.record.write("minion " + settings.id + " has ended");
-        minion = std::make_unique<Minion>(settings, stage.record, stage.watch);
+        minion = std::make_unique<Minion>(settings, stage.watch);
         stage.record.write("minion " + settings.id + " starts again under its id");
         std::this_thread::sleep_until(arrivesAt - Milliseconds(300));
         std::vector<std::thread> callers;
--- a/review/standin/Minion.cpp
+++ b/review/standin/Minion.cpp
@@ -21,9 +21,8 @@
 
 } // namespace
 
-Minion::Minion(MinionSettings settings, Record& record, TaskWatch& watch)
+Minion::Minion(MinionSettings settings, TaskWatch& watch)
     : settings_(std::move(settings))
-    , record_(record)
     , watch_(watch)
     , born_(std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count())
     , leaseEnd_(startedAt_)
--- a/review/standin/Minion.h
+++ b/review/standin/Minion.h
@@ -27,7 +27,7 @@
 /// refuses what does not fit. The spec of a task says how long it runs and how much it needs: "MILLISECONDS MILLICORES".
 class Minion {
 public:
-    Minion(MinionSettings, Record&, TaskWatch&);
+    Minion(MinionSettings, TaskWatch&);
     ~Minion();
     Minion(const Minion&) = delete;
     Minion& operator=(const Minion&) = delete;
@@ -65,7 +65,6 @@
     void sendHeartbeats();
 
     const MinionSettings settings_;
-    Record& record_;
     TaskWatch& watch_;
     const Clock::time_point startedAt_ = Clock::now();
     const int64_t born_;
