--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 [ -x "$player" ] && [ -x target/Source/Daemon/trefoilwing ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-timeout --kill-after=5 110 "$player" late-leave review/3/record.txt "$folder"
+timeout --kill-after=5 110 "$player" killed-entry review/3/record.txt "$folder"
 status=$?
 [ "$status" -le 1 ] || status=2
 exit "$status"
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -184,17 +184,65 @@
         return Broken;
     }
 
+    /// The entry that owns a zone's minions is killed twice within a second, and starts again each time. The callers whose
+    /// channels broke send their jobs to an entry of the other zone.
+    Outcome killedEntry(const Stage& stage)
+    {
+        constexpr unsigned jobs = 12;
+        constexpr unsigned shortJobs = 4;
+        constexpr int taskMs = 3000;
+        constexpr int shortTaskMs = 40;
+        constexpr Milliseconds callerWait { 6000 };
+        constexpr Milliseconds resendDelay { 1300 };
+        constexpr Milliseconds untilKill { 600 };
+        constexpr Milliseconds restartDelay { 500 };
+        constexpr Milliseconds betweenKills { 950 };
+        const std::string killed = stage.fleet.ownerOf("bole");
+        stage.record.write("the cell of bole is owned by " + killed + ", that of merkato by " + stage.fleet.ownerOf("merkato"));
+        const Clock::time_point killAt = Clock::now() + untilKill;
+        std::vector<std::thread> callers;
+        for (unsigned i = 1; i <= jobs; ++i) {
+            callers.emplace_back([&, i] {
+                const std::string id = jobId(i);
+                const int status = stage.fleet.submit(killed, id, 1, taskMs, callerWait);
+                if (status != 0 && status != 502 && status != 504)
+                    return;
+                std::this_thread::sleep_for(resendDelay);
+                stage.fleet.submit("entry-3", id, 1, taskMs, callerWait);
+            });
+        }
+        for (unsigned i = 1; i <= shortJobs; ++i) {
+            callers.emplace_back([&, i] {
+                for (unsigned j = 0; Clock::now() < killAt; ++j)
+                    stage.fleet.submit(killed, jobId(1000 * i + j), 1, shortTaskMs, callerWait);
+            });
+        }
+        std::this_thread::sleep_until(killAt);
+        if (stage.hasTrouble) {
+            for (int kills = 0; kills < 2; ++kills) {
+                std::this_thread::sleep_until(killAt + kills * betweenKills);
+                stage.fleet.kill(killed, false);
+                std::this_thread::sleep_for(restartDelay);
+                stage.fleet.restart(killed);
+            }
+        }
+        for (std::thread& caller : callers)
+            caller.join();
+        return judgeTwice(stage);
+    }
+
     struct CaseRow {
         const char* name;
         Outcome (*play)(const Stage&);
         size_t minionsPerZone;
     };
 
-    constexpr std::array<CaseRow, 4> caseRows { {
+    constexpr std::array<CaseRow, 5> caseRows { {
         { "frozen-entry", frozenEntry, 6 },
         { "late-leave", lateLeave, 3 },
         { "cancelled-job", cancelledJob, 2 },
         { "second-loss", secondLoss, 2 },
+        { "killed-entry", killedEntry, 5 },
     } };
 
     /// usage: review-case NAME RECORD FOLDER
