--- a/review/standin/Fleet.h
+++ b/review/standin/Fleet.h
@@ -37,7 +37,23 @@
     std::vector<std::unique_ptr<Minion>>& minions() { return minions_; }
     /// @return the name of the entry that owns a zone's minions, by the newest grant in the logs; empty if there is none.
     std::string ownerOf(const std::string& zone) const;
+    /// @return the name of the keeper that leads, by the logs; empty if none is known.
+    std::string leader() const;
     void signal(const std::string& node, int number);
+    /// Kills a process.
+    /// @param losesDisk whether its data folder is deleted, too.
+    void kill(const std::string& node, bool losesDisk);
+    /// Starts a process that was killed, with the present settings; the fleet isn't founded any more.
+    void restart(const std::string& node);
+    /// Starts a keeper on a new machine with an empty disk.
+    void addKeeper(const std::string& name, const std::string& zone);
+
+    /// Sends a config with this version to a keeper.
+    /// @return the status of the answer; 0 if there was none within a second.
+    int publish(const std::string& keeper, int version);
+    /// Reads the config at a keeper.
+    /// @return its version, or 0 if the keeper doesn't answer with one.
+    int readVersion(const std::string& keeper);
 
     /// Submits a job of equal tasks that isn't stored, and waits for its answer.
     /// @return the status of the answer; 0 if there was none within the time that the caller waits.
@@ -46,7 +62,8 @@
     static std::string host();
 
 private:
-    void startProcess(Node&);
+    void startProcess(Node&, bool isFounding);
+    Node& find(const std::string& name);
     void endProcesses();
     std::string logOf(const Node&) const;
 
