Write again after a disk has refused a write

Three disks full for 4 s each, one after the other and 10 s apart: from the third on no configuration is acknowledged or read any more, though all disks are sound.

Cause: DiskJournal left its loop for good after the first failed write, and ReplicatedGroup set a flag that nothing reset, so each fault cost a keeper for as long as its process ran.

The group's member takes part again with the first sync. Until then it handles nothing, as before, and refuses operations at once. journal_failed, journal_recovered and log_journal_failed show it. Safe, as only bytes are cut off that were never acknowledged, and replies wait for the sync as they did.

--- a/Source/Adapters/Disk/DiskJournal.cpp
+++ b/Source/Adapters/Disk/DiskJournal.cpp
@@ -1,9 +1,18 @@
 #include "Adapters/Disk/DiskJournal.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace trefoilwing {
 
+namespace {
+
+    /// Interval at which a failed write is repeated.
+    constexpr absl::Duration retryInterval = absl::Milliseconds(250);
+
+} // namespace
+
 Result<std::unique_ptr<DiskJournal>> DiskJournal::open(FileSystem& files, std::string folder, Incarnation offered, JournalFolder::Options options)
 {
     auto journalFolder = std::make_unique<JournalFolder>(files, std::move(folder), options);
@@ -37,6 +46,7 @@
         isStopping_ = true;
         changed_.SignalAll();
     }
+    stopping_.raise();
     if (thread_.joinable())
         thread_.join();
 }
@@ -44,39 +54,48 @@
 void DiskJournal::append(JournalBatch batch)
 {
     MutexLock lock(mutex_);
-    if (hasFailed_)
-        return;
     batches_.push_back(std::move(batch));
     changed_.Signal();
 }
 
-std::vector<JournalBatch> DiskJournal::waitForBatches()
+bool DiskJournal::waitForBatches(std::vector<JournalBatch>& unsynced)
 {
     MutexLock lock(mutex_);
-    while (batches_.empty() && !isStopping_)
+    while (unsynced.empty() && batches_.empty() && !isStopping_)
         changed_.Wait(&mutex_);
-    return std::exchange(batches_, {});
+    std::move(batches_.begin(), batches_.end(), std::back_inserter(unsynced));
+    batches_.clear();
+    return !unsynced.empty();
+}
+
+bool DiskJournal::waitForRetry()
+{
+    stopping_.wait(retryInterval);
+    MutexLock lock(mutex_);
+    return !isStopping_;
 }
 
 void DiskJournal::run(JournalEvents& events)
 {
-    while (true) {
-        const std::vector<JournalBatch> batches = waitForBatches();
-        if (batches.empty())
-            return;
-        const auto written = folder_->write(batches);
+    std::vector<JournalBatch> unsynced;
+    while (waitForBatches(unsynced)) {
+        const auto written = folder_->write(unsynced);
+        const Error* error = errorOf(written);
         {
             MutexLock lock(mutex_);
-            totals_.batches += batches.size();
+            totals_.batches += error ? 0 : unsynced.size();
             totals_.syncs = folder_->syncs();
             totals_.bytes = folder_->bytesWritten();
-            hasFailed_ = errorOf(written) != nullptr;
         }
-        if (const Error* error = errorOf(written)) {
+        if (error) {
             events.journalFailed(*error);
-            return;
+            if (!waitForRetry())
+                return;
+            continue;
         }
-        events.synced(batches.back().token);
+        const SyncToken newest = unsynced.back().token;
+        unsynced.clear();
+        events.synced(newest);
     }
 }
 
--- a/Source/Adapters/Disk/DiskJournal.h
+++ b/Source/Adapters/Disk/DiskJournal.h
@@ -2,6 +2,7 @@
 
 #include "Adapters/Disk/JournalFolder.h"
 #include "Base/MutexLock.h"
+#include "Base/WorkSignal.h"
 #include "Ports/Journal.h"
 
 #include <absl/base/thread_annotations.h>
@@ -18,8 +19,8 @@
 /// Stores the log of one group in a folder of its own.
 ///
 /// One thread writes and syncs; batches that arrive during a sync are combined into the next write.
-/// After a failed write or sync the journal stops permanently, since it is unknown which bytes of the
-/// file the operating system has stored; a restart reads what is there.
+/// After a failed write or sync, it is unknown which bytes of the file the operating system has stored. All batches
+/// that haven't been synced are then written again until the disk accepts them.
 class DiskJournal final : public Journal {
 public:
     /// Totals since the journal was opened.
@@ -49,7 +50,7 @@
     /// @param events must outlive the journal, unless stop() is called first.
     void start(JournalEvents& events);
 
-    /// Writes and syncs the batches received so far, then ends the thread.
+    /// Writes and syncs the batches received so far, then ends the thread. If that fails, it isn't repeated.
     void stop();
 
     void append(JournalBatch) override;
@@ -60,7 +61,12 @@
     DiskJournal(std::unique_ptr<JournalFolder>, JournalFolder::Opened);
 
     void run(JournalEvents&);
-    std::vector<JournalBatch> waitForBatches();
+    /// Moves newly appended batches to the end of the list, and waits for one if the list is empty.
+    /// @return false if the journal stops and the list is empty.
+    bool waitForBatches(std::vector<JournalBatch>& unsynced);
+    /// Waits before a write is repeated.
+    /// @return false if the journal stops.
+    bool waitForRetry();
 
     std::unique_ptr<JournalFolder> folder_;
     Incarnation storage_;
@@ -69,8 +75,8 @@
     absl::CondVar changed_;
     std::vector<JournalBatch> batches_ ABSL_GUARDED_BY(mutex_);
     bool isStopping_ ABSL_GUARDED_BY(mutex_) = false;
-    bool hasFailed_ ABSL_GUARDED_BY(mutex_) = false;
     Totals totals_ ABSL_GUARDED_BY(mutex_);
+    WorkSignal stopping_;
     std::thread thread_;
 };
 
--- a/Source/Adapters/Disk/JournalFolder.cpp
+++ b/Source/Adapters/Disk/JournalFolder.cpp
@@ -227,6 +227,20 @@
 // Writing.
 
 Result<Done> JournalFolder::write(const std::vector<JournalBatch>& batches)
+{
+    if (hasFailedWrite_) {
+        if (auto repaired = repairSegment(); errorOf(repaired))
+            return repaired;
+    }
+    const HardState synced = hardState_;
+    auto written = writeBatches(batches);
+    hasFailedWrite_ = errorOf(written) != nullptr;
+    if (hasFailedWrite_)
+        hardState_ = synced;
+    return written;
+}
+
+Result<Done> JournalFolder::writeBatches(const std::vector<JournalBatch>& batches)
 {
     std::vector<JournalRecord> records;
     std::shared_ptr<const Snapshot> snapshot;
@@ -270,10 +284,12 @@
     const std::string block = makeBlock(content);
     if (auto appended = current_->append(block); errorOf(appended))
         return appended;
-    currentBytes_ += block.size();
     bytesWritten_ += block.size();
     ++syncs_;
-    return current_->sync();
+    if (auto synced = current_->sync(); errorOf(synced))
+        return synced;
+    currentBytes_ += block.size();
+    return Done {};
 }
 
 Result<Done> JournalFolder::beginSegment()
@@ -285,12 +301,31 @@
     current_ = std::get<std::unique_ptr<AppendFile>>(std::move(opened));
     currentBytes_ = 0;
     segments_.push_back({ number, {} });
+    return writeSegmentStart();
+}
+
+Result<Done> JournalFolder::writeSegmentStart()
+{
     // Earlier segments are removed later, so each segment begins with the latest hard state.
     if (auto written = writeBlock(encode(std::vector<JournalRecord> { hardState_ })); errorOf(written))
         return written;
     return files_.syncFolder(folder_);
 }
 
+Result<Done> JournalFolder::repairSegment()
+{
+    const std::string path = pathOf(numberedName(segmentPrefix, segments_.back().number, segmentSuffix));
+    current_.reset();
+    if (auto truncated = files_.truncate(path, currentBytes_); errorOf(truncated))
+        return truncated;
+    auto opened = files_.open(path);
+    if (errorOf(opened))
+        return *errorOf(opened);
+    current_ = std::get<std::unique_ptr<AppendFile>>(std::move(opened));
+    // The failed write may have been the first of the segment, or the sync of the folder that holds it.
+    return currentBytes_ == 0 ? writeSegmentStart() : files_.syncFolder(folder_);
+}
+
 Result<Done> JournalFolder::writeAtomically(const std::string& name, const ContentWriter& fill)
 {
     const std::string temporary = pathOf(name) + temporarySuffix;
--- a/Source/Adapters/Disk/JournalFolder.h
+++ b/Source/Adapters/Disk/JournalFolder.h
@@ -40,7 +40,8 @@
     /// @return the stored content, or an error that names file, offset and cure.
     Result<Opened> open(Incarnation offered);
 
-    /// Writes the batches as one block and syncs it. After an error, write() must not be called again.
+    /// Writes the batches as one block and syncs it. After an error, some of them may be stored; the next call must
+    /// begin with the same batches, and replaces what the failed one left.
     Result<Done> write(const std::vector<JournalBatch>&);
 
     uint64_t bytesWritten() const { return bytesWritten_; }
@@ -57,7 +58,12 @@
     Result<Done> readSegments(const std::vector<std::string>& names, JournalContent&);
     Result<Done> readSegment(Segment&, bool isLast, JournalContent&);
     Result<Done> checkOrder(const JournalContent&) const;
+    Result<Done> writeBatches(const std::vector<JournalBatch>&);
     Result<Done> beginSegment();
+    /// Cuts off what a failed write left in the current segment.
+    Result<Done> repairSegment();
+    /// Stores the hard state, with which each segment begins, and the segment's name in the folder.
+    Result<Done> writeSegmentStart();
     Result<Done> writeBlock(const std::string& content);
     using ContentWriter = std::function<Result<Done>(AppendFile&)>;
 
@@ -72,7 +78,10 @@
     Options options_;
     std::deque<Segment> segments_;
     std::unique_ptr<AppendFile> current_;
+    /// Number of bytes of the current segment that are known to be synced.
     uint64_t currentBytes_ = 0;
+    /// Whether the last write failed, so that the current segment may end with a part of it.
+    bool hasFailedWrite_ = false;
     HardState hardState_;
     LogIndex snapshotIndex_;
     uint64_t bytesWritten_ = 0;
--- a/Source/Adapters/Disk/PosixFileSystem.cpp
+++ b/Source/Adapters/Disk/PosixFileSystem.cpp
@@ -18,7 +18,7 @@
 
     Error failure(std::string_view action, const std::string& path, int code)
     {
-        const std::string cure = code == ENOSPC ? "; free space on the disk, then restart the daemon" : "";
+        const std::string cure = code == ENOSPC ? "; free space on the disk" : "";
         return { ErrorCode::Unavailable, absl::StrCat(std::string(action), " ", path, ": ", std::generic_category().message(code), cure), Verdict::MayHaveRun };
     }
 
--- a/Source/Control/ReplicatedGroup.cpp
+++ b/Source/Control/ReplicatedGroup.cpp
@@ -23,7 +23,7 @@
     const absl::Time time = now();
     {
         MutexLock lock(mutex_);
-        if (hasFailed_)
+        if (failure_)
             return;
         log_.receive(message, time);
         processOutbox();
@@ -36,7 +36,7 @@
     const absl::Time time = now();
     {
         MutexLock lock(mutex_);
-        if (hasFailed_)
+        if (failure_)
             return;
         log_.tick(time);
         // This detects a change of leader, so that operations that waited for a leader are proposed below at once.
@@ -53,7 +53,7 @@
 absl::Time ReplicatedGroup::nextWakeup() const
 {
     MutexLock lock(mutex_);
-    return hasFailed_ ? absl::InfiniteFuture() : std::min(log_.nextWakeup(), retryDue_);
+    return failure_ ? absl::InfiniteFuture() : std::min(log_.nextWakeup(), retryDue_);
 }
 
 bool ReplicatedGroup::removeDaemon(const DaemonId& daemon)
@@ -62,7 +62,7 @@
     bool isRemoved = false;
     {
         MutexLock lock(mutex_);
-        isRemoved = !hasFailed_ && log_.removeDaemon(daemon, time);
+        isRemoved = !failure_ && log_.removeDaemon(daemon, time);
         processOutbox();
     }
     flush();
@@ -73,7 +73,7 @@
 {
     const absl::Time time = now();
     MutexLock lock(mutex_);
-    return { log_.role(), isLeading(time), log_.leader(), log_.epoch(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), hasFailed_ };
+    return { log_.role(), isLeading(time), log_.leader(), log_.epoch(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), failure_ ? failure_->message : std::string() };
 }
 
 void ReplicatedGroup::synced(SyncToken token)
@@ -81,8 +81,7 @@
     const absl::Time time = now();
     {
         MutexLock lock(mutex_);
-        if (hasFailed_)
-            return;
+        failure_.reset();
         log_.synced(token, time);
         processOutbox();
     }
@@ -94,7 +93,7 @@
     {
         MutexLock lock(mutex_);
         // A member that can't store anything must not answer; the other members continue without it.
-        hasFailed_ = true;
+        failure_ = error;
         failPending(error);
     }
     flush();
@@ -102,11 +101,15 @@
 
 bool ReplicatedGroup::propose(Command command, absl::Time now)
 {
-    return !hasFailed_ && log_.propose(std::move(command), now);
+    return !failure_ && log_.propose(std::move(command), now);
 }
 
 void ReplicatedGroup::processOutbox()
 {
+    if (failure_) {
+        failPending(*failure_);
+        return;
+    }
     LogOutbox outbox = log_.takeOutbox();
     applyOutbox(outbox);
     if (!log_.wantsSnapshot())
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -11,6 +11,8 @@
 #include <absl/synchronization/mutex.h>
 
 #include <functional>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace trefoilwing {
@@ -34,13 +36,17 @@
     LogIndex commitIndex;
     LogIndex lastIndex;
     std::vector<Member> members;
-    bool hasFailed = false;
+    /// Why this member's journal can't write; empty while it can.
+    std::string failure;
 };
 
 /// A member of a group that replicates a state machine; one shard with its own lock.
 ///
 /// Each call updates the state under the lock and queues its effects (messages, journal batches, callbacks).
 /// The effects are carried out after the lock is released, in the order in which they were queued.
+///
+/// While its journal can't write, a member takes no part in the group: it neither sends nor handles messages, and fails
+/// the operations that it is asked for. It takes part again once everything appended so far is synced.
 class ReplicatedGroup : public JournalEvents {
 public:
     ReplicatedGroup(LogSettings, JournalContent, GroupPorts);
@@ -93,7 +99,7 @@
         });
     }
     void addContact(const DaemonId& daemon) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { log_.addDaemon(daemon); }
-    bool isLeading(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return !hasFailed_ && log_.isLeader(now); }
+    bool isLeading(absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return !failure_ && log_.isLeader(now); }
     const Member& self() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) { return log_.self(); }
     /// Applies committed entries and queues the effects; the last step of each call under the lock.
     void processOutbox() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -109,7 +115,8 @@
     GroupPorts ports_;
     ReplicatedLog log_ ABSL_GUARDED_BY(mutex_);
     EffectQueue effects_;
-    bool hasFailed_ ABSL_GUARDED_BY(mutex_) = false;
+    /// The journal's last failure; empty while it writes.
+    std::optional<Error> failure_ ABSL_GUARDED_BY(mutex_);
     absl::Time retryDue_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
 };
 
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -285,6 +285,10 @@
 void FleetKeeper::updateLeadership()
 {
     const GroupState state = group_->status();
+    if (state.failure != journalFailure_) {
+        journalFailure_ = state.failure;
+        log_.write(journalFailure_.empty() ? Severity::Info : Severity::Error, journalFailure_.empty() ? "journal_recovered" : "journal_failed", { { "reason", journalFailure_ }, { "term", state.term.value() }, { "commit", state.commitIndex.value() } });
+    }
     if (state.isLeading != isLeading_) {
         isLeading_ = state.isLeading;
         MutexLock lock(mutex_);
@@ -334,6 +338,7 @@
     metrics_.set("log_commit_index", {}, static_cast<double>(state.commitIndex.value()));
     metrics_.set("log_term", {}, static_cast<double>(state.term.value()));
     metrics_.set("log_members", {}, static_cast<double>(state.members.size()));
+    metrics_.set("log_journal_failed", {}, state.failure.empty() ? 0 : 1);
     metrics_.set("log_is_leader", {}, state.isLeading ? 1 : 0);
     metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
     metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -86,6 +86,8 @@
     absl::Time metricsDue_ = absl::InfinitePast();
     bool isLeading_ = false;
     std::optional<MemberId> leader_;
+    /// The journal's failure that was last logged.
+    std::string journalFailure_;
     WorkSignal signal_;
     std::unique_ptr<PumpThread> thread_;
 };
--- a/Source/Daemon/OperationsRole.cpp
+++ b/Source/Daemon/OperationsRole.cpp
@@ -16,7 +16,7 @@
     {
         GroupStatus status;
         status.group = id;
-        status.role = state.hasFailed ? "failed" : roleNames.at(static_cast<size_t>(state.role));
+        status.role = !state.failure.empty() ? "failed" : roleNames.at(static_cast<size_t>(state.role));
         status.term = state.term;
         status.leader = state.leader ? state.leader->daemon : DaemonId();
         status.committed = state.commitIndex;
--- a/Source/Ports/Journal.h
+++ b/Source/Ports/Journal.h
@@ -36,10 +36,11 @@
 public:
     virtual ~JournalEvents() = default;
 
-    /// All batches up to and including the token are durable: they survive a crash.
+    /// All batches up to and including the token are durable: they survive a crash. After a failure this also shows
+    /// that the journal writes again.
     virtual void synced(SyncToken) = 0;
 
-    /// The journal can't write any more. Batches that weren't synced may be lost.
+    /// A write has failed. The journal repeats it, and reports each attempt that fails.
     virtual void journalFailed(const Error&) = 0;
 };
 
@@ -48,7 +49,7 @@
 public:
     virtual ~Journal() = default;
 
-    /// Appends a batch without blocking. Batches are stored in the order of the calls.
+    /// Appends a batch without blocking. Batches are stored in the order of the calls, also after a failure.
     virtual void append(JournalBatch) = 0;
 };
 
--- a/Tests/Adapters/Disk/FaultyFileSystem.cpp
+++ b/Tests/Adapters/Disk/FaultyFileSystem.cpp
@@ -38,7 +38,7 @@
 
 Result<Done> FaultyFileSystem::sync(const std::string& path)
 {
-    if (failsSyncs_)
+    if (std::atomic_ref(failsSyncs_).load())
         return Error { ErrorCode::Unavailable, "can't sync", Verdict::MayHaveRun };
     auto spent = spend(1);
     if (errorOf(spent))
@@ -121,7 +121,7 @@
 
 Result<Done> FaultyFileSystem::syncFolder(const std::string&)
 {
-    if (failsSyncs_)
+    if (std::atomic_ref(failsSyncs_).load())
         return Error { ErrorCode::Unavailable, "can't sync", Verdict::MayHaveRun };
     auto spent = spend(1);
     if (errorOf(spent))
--- a/Tests/Adapters/Disk/FaultyFileSystem.h
+++ b/Tests/Adapters/Disk/FaultyFileSystem.h
@@ -2,6 +2,7 @@
 
 #include "Adapters/Disk/FileSystem.h"
 
+#include <atomic>
 #include <limits>
 #include <map>
 
@@ -19,7 +20,10 @@
 
     /// Makes all calls fail after a number of written bytes; a call without bytes counts as one.
     void stopAfter(uint64_t budget) { budget_ = budget; }
-    void failSyncs(bool isFailing) { failsSyncs_ = isFailing; }
+    /// Makes all calls succeed again, without a crash.
+    void acceptAll() { budget_ = std::numeric_limits<uint64_t>::max(); }
+    /// May be called while another thread uses the files.
+    void failSyncs(bool isFailing) { std::atomic_ref(failsSyncs_).store(isFailing); }
     uint64_t used() const { return used_; }
 
     /// Simulates a crash and restart of the machine; calls succeed again afterwards.
--- a/Tests/Adapters/Disk/JournalFolderTest.cpp
+++ b/Tests/Adapters/Disk/JournalFolderTest.cpp
@@ -106,6 +106,27 @@
     return acknowledged;
 }
 
+/// Writes all batches. If one fails, the disk accepts everything from then on, and the batch is written again.
+/// @return the number of the batch that was repeated; 0 if the folder couldn't be opened at first.
+size_t writeScriptWithOneRepeat(FaultyFileSystem& files, JournalFolder::Options options)
+{
+    auto folder = std::make_unique<JournalFolder>(files, folderName, options);
+    size_t repeated = 0;
+    if (errorOf(folder->open(Incarnation(7)))) {
+        files.acceptAll();
+        folder = std::make_unique<JournalFolder>(files, folderName, options);
+        CHECK(!errorOf(folder->open(Incarnation(7))));
+    }
+    for (const JournalBatch& batch : script()) {
+        if (!errorOf(folder->write({ batch })))
+            continue;
+        repeated = batch.token.value();
+        files.acceptAll();
+        CHECK(!errorOf(folder->write({ batch })));
+    }
+    return repeated;
+}
+
 } // namespace
 
 TEST_GROUP(JournalFolder)
@@ -149,6 +170,24 @@
     }
 }
 
+// Guards against records that are lost or stored twice when a write that failed at any byte is repeated.
+TEST(JournalFolder, KeepsEveryAcknowledgedWriteIfAFailedOneIsRepeated)
+{
+    FaultyFileSystem whole;
+    CHECK_EQUAL(script().size(), writeScript(whole));
+    for (const uint64_t maxSegmentBytes : { uint64_t { 1 }, uint64_t { 1 } << 20U }) {
+        for (uint64_t budget = 1; budget <= whole.used() + 1; ++budget) {
+            for (auto unsynced : { FaultyFileSystem::Unsynced::Kept, FaultyFileSystem::Unsynced::Lost, FaultyFileSystem::Unsynced::HalfKept }) {
+                files = FaultyFileSystem();
+                files.stopAfter(budget);
+                const size_t repeated = writeScriptWithOneRepeat(files, { .maxSegmentBytes = maxSegmentBytes });
+                files.crash(unsynced);
+                CHECK_TEXT(keepsAcknowledged(script().size()), absl::StrCat("stopped after ", budget, " bytes, repeated from batch ", repeated).c_str());
+            }
+        }
+    }
+}
+
 TEST(JournalFolder, KeepsItsIncarnationUntilItIsLost)
 {
     writeScript(files);
@@ -205,11 +244,13 @@
     void journalFailed(const Error& error) override
     {
         failure = error.message;
-        done.Notify();
+        if (!failed.HasBeenNotified())
+            failed.Notify();
     }
 
     SyncToken awaited { 3 };
     std::string failure;
+    absl::Notification failed;
     absl::Notification done;
 };
 
@@ -217,7 +258,8 @@
 
 TEST_GROUP(DiskJournal) {};
 
-TEST(DiskJournal, StopsPermanentlyAfterAFailedSync)
+// Guards against a journal that is given up for good because its disk was full, or couldn't sync, for some seconds.
+TEST(DiskJournal, StoresAllBatchesOnceAFailingDiskWorksAgain)
 {
     FaultyFileSystem files;
     auto opened = DiskJournal::open(files, folderName, Incarnation(7));
@@ -226,12 +268,32 @@
     Events events;
     journal.start(events);
     journal.append(batchOf(1, { entryOf(1, 1) }));
-    CHECK(events.done.WaitForNotificationWithTimeout(absl::Seconds(60)));
+    CHECK(events.failed.WaitForNotificationWithTimeout(absl::Seconds(60)));
     STRCMP_EQUAL("can't sync", events.failure.c_str());
-    files.failSyncs(false);
+    CHECK(!events.done.HasBeenNotified());
+    CHECK_EQUAL(0, journal.totals().batches);
     journal.append(batchOf(2, { entryOf(2, 1) }));
+    journal.append(batchOf(3, { entryOf(3, 1) }));
+    files.failSyncs(false);
+    CHECK(events.done.WaitForNotificationWithTimeout(absl::Seconds(60)));
+    journal.stop();
+    CHECK_EQUAL(3, journal.totals().batches);
+    files.crash(FaultyFileSystem::Unsynced::Lost);
+    CHECK_EQUAL(3, valueOf(reopen(files))->content.entries.size());
+}
+
+TEST(DiskJournal, StopsAlthoughItsDiskFails)
+{
+    FaultyFileSystem files;
+    auto opened = DiskJournal::open(files, folderName, Incarnation(7));
+    auto& journal = **valueOf(opened);
+    files.failSyncs(true);
+    Events events;
+    journal.start(events);
+    journal.append(batchOf(3, { entryOf(1, 1) }));
+    CHECK(events.failed.WaitForNotificationWithTimeout(absl::Seconds(60)));
     journal.stop();
-    CHECK_EQUAL(1, journal.totals().batches);
+    CHECK(!events.done.HasBeenNotified());
 }
 
 TEST(DiskJournal, KeepsBatchesOnARealDisk)
--- a/Tests/Bench/LedgerBench.cpp
+++ b/Tests/Bench/LedgerBench.cpp
@@ -112,7 +112,7 @@
     void send(const DaemonId& to, PeerMessage message) override
     {
         for (auto& member : members_) {
-            if (member->ledger_.status().hasFailed || idOf(static_cast<size_t>(&member - members_.data())) != to)
+            if (!member->ledger_.status().failure.empty() || idOf(static_cast<size_t>(&member - members_.data())) != to)
                 continue;
             absl::MutexLock lock(&member->mutex_);
             member->mailbox_.push_back(std::move(message));
--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -44,7 +44,7 @@
 
     void syncDue()
     {
-        while (group && !isFrozen && !pending.empty() && pending.front().syncedAt <= cluster.now_) {
+        while (group && !isFrozen && !isDiskFailing && !pending.empty() && pending.front().syncedAt <= cluster.now_) {
             write(pending.front().batch);
             const SyncToken token = pending.front().batch.token;
             pending.pop_front();
@@ -63,6 +63,7 @@
     std::deque<PendingBatch> pending;
     absl::Duration syncTime = absl::Milliseconds(5);
     bool isFrozen = false;
+    bool isDiskFailing = false;
     std::vector<InFlight> held;
     std::unique_ptr<ReplicatedGroup> group;
 };
@@ -155,7 +156,7 @@
         if (!host->isRunning())
             continue;
         at = std::min(at, host->group->nextWakeup());
-        if (!host->pending.empty())
+        if (!host->pending.empty() && !host->isDiskFailing)
             at = std::min(at, host->pending.front().syncedAt);
         if (!host->held.empty())
             at = now_;
@@ -233,6 +234,7 @@
     host.group.reset();
     host.held.clear();
     host.isFrozen = false;
+    host.isDiskFailing = false;
     for (size_t i = 0; i < std::min(surviving, host.pending.size()); ++i)
         host.write(host.pending[i].batch);
     host.pending.clear();
@@ -252,6 +254,7 @@
     host.group.reset();
     host.held.clear();
     host.isFrozen = false;
+    host.isDiskFailing = false;
     host.pending.clear();
     host.disk = {};
     host.storage = Incarnation(++storages_);
@@ -259,10 +262,19 @@
 
 void GroupCluster::failDisk(size_t number)
 {
-    hosts_[number]->pending.clear();
+    hosts_[number]->isDiskFailing = true;
     hosts_[number]->group->journalFailed({ ErrorCode::Internal, "sync failed", Verdict::MayHaveRun });
 }
 
+void GroupCluster::repairDisk(size_t number)
+{
+    Host& host = *hosts_[number];
+    host.isDiskFailing = false;
+    // A journal that writes again reports it with the batches that have waited; if there are none, nothing has failed.
+    if (host.pending.empty())
+        host.append({ SyncToken(0), {}, {}, nullptr, false });
+}
+
 void GroupCluster::cut(const std::set<size_t>& side)
 {
     side_ = side;
--- a/Tests/Control/GroupCluster.h
+++ b/Tests/Control/GroupCluster.h
@@ -66,7 +66,9 @@
     void heal();
     void setFaults(NetworkFaults faults) { faults_ = faults; }
     void setSyncTime(size_t host, absl::Duration time);
+    /// Makes a host's disk refuse writes. Batches that are not synced yet, and later ones, wait for repairDisk().
     void failDisk(size_t host);
+    void repairDisk(size_t host);
     void repairAll();
 
 private:
