Count a voter's silence on when the leader changes

The leader is killed for good and replaced 1 s later; 4.3 s after its successor's start, when the next disk may be lost (catch_up_s is 4), another keeper loses its disk. No configuration is read or changed any more, though a voter and a learner that has caught up hold the acknowledged one.

Cause: a voter made way after 6 s of silence, whatever the site's catch_up_s, and each new leader counted those 6 s anew, since it knew only what it had heard itself.

Change: the leader's requests name the silent voters and the length of their silence, followers keep that, and the next leader counts on; it first gives each voter an election timeout to answer. The time of silence is half of the platform's catch_up_s, a new setting; the rest is for the successor's start, its copy of the log and two changes of members. Only a learner that has caught up takes the place.

Tests: ReplicatedLog.ASilentVoterIsReplacedHoweverOftenTheLeaderChanges failed before (a trial in which each leader forgets what it was told); ASecondLossAfterASilentVoterWasReplacedLosesNothing; AVoterThatAnswersIsKeptByALeaderThatStoodStill.

--- a/Source/Adapters/Msgpack/LogFields.h
+++ b/Source/Adapters/Msgpack/LogFields.h
@@ -145,9 +145,14 @@
     visit(value.header, value.isPreVote, value.askedTerm, value.isGranted);
 }
 
+void visitFields(auto&& visit, Fields<MemberSilence> auto& value)
+{
+    visit(value.member, value.duration);
+}
+
 void visitFields(auto&& visit, Fields<AppendRequest> auto& value)
 {
-    visit(value.header, value.previousIndex, value.previousTerm, value.entries, value.commit, value.round);
+    visit(value.header, value.previousIndex, value.previousTerm, value.entries, value.commit, value.round, value.silentVoters);
 }
 
 void visitFields(auto&& visit, Fields<AppendReply> auto& value)
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -11,6 +11,8 @@
     constexpr uint32_t maxLostDisks = 2;
     constexpr double minResubmitMs = 1;
     constexpr double maxResubmitMs = 3600.0 * 1000;
+    constexpr double minCatchUpSeconds = 0.001;
+    constexpr double maxCatchUpSeconds = 3600;
     constexpr double minCores = 0.001;
     constexpr double maxCores = 1024;
     constexpr uint32_t minMemoryMb = 16;
@@ -56,6 +58,7 @@
             optionalKey("data_folder", &FleetSettings::dataFolder, textValue()),
             optionalKey("founding", &FleetSettings::isFounding, flagValue()),
             optionalKey("resubmit_ms", &FleetSettings::resubmitMs, fractionValue(minResubmitMs, maxResubmitMs)),
+            optionalKey("catch_up_s", &FleetSettings::catchUpSeconds, fractionValue(minCatchUpSeconds, maxCatchUpSeconds)),
             optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
         };
         return keys;
--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -182,7 +182,7 @@
 
 void ReplicatedLog::sendEntries(const Member& member, MemberProgress& progress, absl::Time now)
 {
-    AppendRequest request { headerTo(member.id), previous(progress.nextIndex()), {}, {}, commitIndex_, ++round_ };
+    AppendRequest request { headerTo(member.id), previous(progress.nextIndex()), {}, {}, commitIndex_, ++round_, silentVoters(now) };
     request.previousTerm = *store_.termAt(request.previousIndex);
     request.entries = store_.entriesFrom(progress.nextIndex(), maxEntriesInRequest);
     progress.sent(round_, LogIndex(request.previousIndex.value() + request.entries.size()), now);
@@ -217,6 +217,7 @@
         return;
     MemberProgress& progress = found->second;
     const bool isExpected = progress.answered(reply.round);
+    heardAt_[reply.header.from] = progress.lastContactAt();
     if (reply.nextChunk) {
         const bool isWanted = progress.snapshot && *reply.nextChunk < progress.snapshot->chunks.size();
         if (isWanted && *reply.nextChunk != progress.snapshotChunk)
@@ -290,7 +291,7 @@
         return false;
     }
     follow(header.term, header.from, now);
-    lastLeaderContactAt_ = now;
+    lastLeaderContactAt_ = heardAt_[header.from] = now;
     return true;
 }
 
@@ -298,6 +299,7 @@
 {
     if (!acceptLeader(request.header, now))
         return;
+    recordContacts(request, now);
     AppendReply reply { headerTo(request.header.from), true, {}, request.round, std::nullopt };
     const bool isCovered = request.previousIndex < store_.baseIndex();
     if (!isCovered && store_.termAt(request.previousIndex) != request.previousTerm) {
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -44,7 +44,8 @@
     /// Number of disks that must hold an entry before it is committed, in addition to the majority rule: one more
     /// than the number of disks that may be lost at once.
     uint32_t minSyncedDisks = 1;
-    /// Time without contact after which a voter is removed if a learner that has caught up can replace it.
+    /// Time of silence, for all leaders together, after which a voter is removed if a learner that has caught up can
+    /// replace it.
     absl::Duration voterTimeout = absl::InfiniteDuration();
     /// Whether the number of voters is kept odd, so that a group of four doesn't need three for its majority.
     bool keepsOddVoters = false;
@@ -202,6 +203,10 @@
     bool dropSilentVoter(std::vector<Member>&, absl::Time now) const;
     bool isCaughtUp(const Member&, absl::Time now) const;
     size_t targetVoterCount() const;
+    bool isSilentVoter(const Member&, absl::Time now) const;
+    std::vector<MemberSilence> silentVoters(absl::Time now) const;
+    /// Records, at a follower, which members the leader has heard.
+    void recordContacts(const AppendRequest&, absl::Time now);
     bool mayChangeMembers() const;
     void changeMembers(std::vector<Member>, absl::Time now);
 
@@ -244,6 +249,8 @@
     std::set<MemberId> votes_;
 
     std::map<MemberId, MemberProgress> progress_;
+    /// When each other member was last heard by a leader. It outlasts changes of the leader.
+    std::map<MemberId, absl::Time> heardAt_;
     uint64_t round_ = 0;
     /// The index of the leader's first entry of its term.
     LogIndex termStartIndex_;
--- a/Source/Control/ReplicatedLogElection.cpp
+++ b/Source/Control/ReplicatedLogElection.cpp
@@ -150,8 +150,10 @@
     joining_.clear();
     // Entries of earlier terms are committed together with the first entry of this term, which is appended below.
     termStartIndex_ = next(store_.lastIndex());
-    for (const Member& member : store_.members())
+    for (const Member& member : store_.members()) {
         progressOf(member.id, now);
+        heardAt_.try_emplace(member.id, now);
+    }
     heartbeatDue_ = now + settings_.heartbeat;
     appendAsLeader(NoOperation {}, now);
 }
--- a/Source/Control/ReplicatedLogMembers.cpp
+++ b/Source/Control/ReplicatedLogMembers.cpp
@@ -211,15 +211,41 @@
     return settings_.keepsOddVoters && wanted % 2 == 0 ? wanted - 1 : wanted;
 }
 
+void ReplicatedLog::recordContacts(const AppendRequest& request, absl::Time now)
+{
+    for (const Member& member : store_.members())
+        heardAt_[member.id] = now;
+    for (const MemberSilence& silence : request.silentVoters)
+        heardAt_[silence.member] = now - silence.duration;
+}
+
+std::vector<MemberSilence> ReplicatedLog::silentVoters(absl::Time now) const
+{
+    std::vector<MemberSilence> silences;
+    for (const Member& member : store_.members()) {
+        const auto heard = heardAt_.find(member.id);
+        if (member.isVoter && member.id != settings_.self.id && heard != heardAt_.end() && now - heard->second > settings_.electionTimeout)
+            silences.push_back({ member.id, now - heard->second });
+    }
+    return silences;
+}
+
+bool ReplicatedLog::isSilentVoter(const Member& member, absl::Time now) const
+{
+    if (!member.isVoter || member.id == settings_.self.id)
+        return false;
+    const auto progress = progress_.find(member.id);
+    const auto heard = heardAt_.find(member.id);
+    // A new leader gives each member time to answer, as what it knows of it may be old.
+    return progress == progress_.end() || heard == heardAt_.end()
+        || (now - progress->second.lastContactAt() > settings_.electionTimeout && now - heard->second > settings_.voterTimeout);
+}
+
 bool ReplicatedLog::dropSilentVoter(std::vector<Member>& members, absl::Time now) const
 {
     if (!std::any_of(members.begin(), members.end(), [&](const Member& member) { return isCaughtUp(member, now); }))
         return false;
-    const auto silent = std::find_if(members.begin(), members.end(), [&](const Member& member) {
-        auto progress = progress_.find(member.id);
-        return member.isVoter && member.id != settings_.self.id
-            && (progress == progress_.end() || now - progress->second.lastContactAt() > settings_.voterTimeout);
-    });
+    const auto silent = std::find_if(members.begin(), members.end(), [&](const Member& member) { return isSilentVoter(member, now); });
     if (silent == members.end())
         return false;
     members.erase(silent);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -24,8 +24,9 @@
     constexpr absl::Duration maxFirstElectionDelay = absl::Milliseconds(250);
     /// Maximum number of log entries beside the snapshot. It is low because each may hold a large configuration.
     constexpr uint64_t maxLogEntries = 64;
-    /// A voter that is silent for this long is replaced. A restart or a freeze takes less.
-    constexpr absl::Duration voterTimeout = absl::Seconds(6);
+    /// A voter that is silent for this fraction of the catch-up time is replaced. The rest is for the successor's start,
+    /// its copy of the log, and the two changes of members.
+    constexpr double voterTimeoutFraction = 0.5;
     /// Time that a stopping keeper leaves for open calls to end.
     constexpr absl::Duration drainTime = absl::Milliseconds(700);
 
@@ -92,7 +93,7 @@
     settings.maxEntries = maxLogEntries;
     settings.mayFound = settings_.isFounding;
     settings.minSyncedDisks = settings_.lostDisks + 1;
-    settings.voterTimeout = voterTimeout;
+    settings.voterTimeout = absl::Seconds(settings_.catchUpSeconds * voterTimeoutFraction);
     settings.keepsOddVoters = true;
     group_ = std::make_unique<ReplicatedFleet>(link_.self(), std::move(settings), journal_->takeContent(),
         GroupPorts { link_.peers(), link_.clock(), logRandom_, journal_.get() }, [this](const FleetState& state) { stateChanged(state); });
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -37,6 +37,9 @@
     bool isFounding = false;
     /// Minimum time, in milliseconds, after which a caller that got no answer submits its job again.
     double resubmitMs = 1300;
+    /// Time, in seconds, after which a keeper that takes the place of another one must have done so: another disk may be
+    /// lost then.
+    double catchUpSeconds = 4;
     /// Maximum number of keepers' disks that may be lost at the same time without loss of data.
     uint32_t lostDisks = 1;
 
--- a/Source/Model/LogMessages.h
+++ b/Source/Model/LogMessages.h
@@ -41,6 +41,14 @@
     friend bool operator==(const VoteReply&, const VoteReply&) = default;
 };
 
+/// How long a member has been silent for the leader, or for earlier leaders too.
+struct MemberSilence {
+    MemberId member;
+    absl::Duration duration;
+
+    friend bool operator==(const MemberSilence&, const MemberSilence&) = default;
+};
+
 /// Sends log entries to a member. Without entries it is a heartbeat.
 struct AppendRequest {
     LogHeader header;
@@ -50,6 +58,8 @@
     LogIndex commit;
     /// Number of the request in the leader's term, so that the leader knows when the answered request was sent.
     uint64_t round = 0;
+    /// The voters that don't answer the leader, so that the next leader doesn't count their silence anew.
+    std::vector<MemberSilence> silentVoters;
 
     friend bool operator==(const AppendRequest&, const AppendRequest&) = default;
 };
--- a/Tests/Adapters/Msgpack/CodecTest.cpp
+++ b/Tests/Adapters/Msgpack/CodecTest.cpp
@@ -99,7 +99,7 @@
     const LogHeader header { GroupId("ledger/bole"), Epoch(2), { DaemonId("d-1"), Incarnation(1) }, { DaemonId("d-2"), Incarnation(4) }, Term(9) };
     const ClaimRecord claim { key, Digest(5), { DaemonId("d-1"), Incarnation(1) }, absl::FromUnixMicros(7), absl::Hours(1) };
     CHECK(survives(PeerMessage(AppendRequest { header, LogIndex(4), Term(8),
-        { { LogIndex(5), Term(9), claim }, { LogIndex(6), Term(9), NoOperation {} } }, LogIndex(4), 3 })));
+        { { LogIndex(5), Term(9), claim }, { LogIndex(6), Term(9), NoOperation {} } }, LogIndex(4), 3, { { header.to, absl::Milliseconds(700) } } })));
     CHECK(survives(PeerMessage(AppendReply { header, true, LogIndex(6), 3, std::nullopt })));
     CHECK(survives(PeerMessage(SnapshotRequest { header, LogIndex(4), Term(8), { { header.from, true, true } }, 0, 1,
         LedgerChunk { absl::InfinitePast(), absl::FromUnixMicros(7), { { claim, std::nullopt } } }, 3 })));
--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -113,6 +113,9 @@
     settings.maxVoters = options_.maxVoters;
     settings.maxEntries = options_.maxEntries;
     settings.claimGuard = options_.claimGuard;
+    settings.voterTimeout = options_.voterTimeout;
+    settings.keepsOddVoters = options_.keepsOddVoters;
+    settings.minSyncedDisks = options_.minSyncedDisks;
     host.group = factory_(host.index, settings, host.disk, { host, host, host, host.hasDisk ? &host : nullptr });
 }
 
--- a/Tests/Control/GroupCluster.h
+++ b/Tests/Control/GroupCluster.h
@@ -31,6 +31,9 @@
         size_t hostsWithDisk = 3;
         uint32_t maxVoters = 5;
         uint64_t maxEntries = 20000;
+        absl::Duration voterTimeout = absl::InfiniteDuration();
+        bool keepsOddVoters = false;
+        uint32_t minSyncedDisks = 1;
         absl::Duration claimGuard = absl::ZeroDuration();
         uint64_t seed = 1;
     };
--- a/Tests/Control/ReplicatedLogTest.cpp
+++ b/Tests/Control/ReplicatedLogTest.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace trefoilwing;
@@ -51,6 +53,14 @@
     {
         return cluster->leader() == 0 ? 1 : 0;
     }
+
+    bool isVoter(size_t host)
+    {
+        const std::vector<Member> members = member(cluster->leader()).status().members;
+        return std::any_of(members.begin(), members.end(), [host](const Member& each) {
+            return each.isVoter && each.id.daemon == DaemonId(absl::StrCat("d", host));
+        });
+    }
 };
 
 TEST(ReplicatedLog, FoundsOneGroupAndCommitsWhatAFollowerProposes)
@@ -276,6 +286,58 @@
     STRCMP_EQUAL("", oracle.violation().c_str());
 }
 
+// Guards against a voter that is gone but counts until a later loss ends the group: each new leader counted its silence
+// anew, while a learner that could replace it was there.
+TEST(ReplicatedLog, ASilentVoterIsReplacedHoweverOftenTheLeaderChanges)
+{
+    start({ .hosts = 4, .hostsWithDisk = 4, .maxVoters = 3, .voterTimeout = absl::Seconds(6), .keepsOddVoters = true, .minSyncedDisks = 2 });
+    const size_t learner = isVoter(3) ? 2 : 3;
+    CHECK(!isVoter(learner));
+    const size_t lost = follower();
+    cluster->crash(lost);
+    for (int change = 0; change < 3; ++change) {
+        cluster->run(absl::Seconds(2));
+        const size_t old = cluster->leader();
+        cluster->freeze(old);
+        cluster->run(absl::Seconds(1));
+        cluster->resume(old);
+        CHECK(cluster->runUntil([&] { return cluster->hasLeader(); }));
+    }
+    CHECK(cluster->runUntil([&] { return cluster->hasLeader() && isVoter(learner) && !isVoter(lost); }, absl::Seconds(3)));
+    STRCMP_EQUAL("", oracle.violation().c_str());
+}
+
+TEST(ReplicatedLog, ASecondLossAfterASilentVoterWasReplacedLosesNothing)
+{
+    start({ .hosts = 4, .hostsWithDisk = 4, .maxVoters = 3, .voterTimeout = absl::Seconds(2), .keepsOddVoters = true, .minSyncedDisks = 2 });
+    const size_t learner = isVoter(3) ? 2 : 3;
+    const size_t lost = cluster->leader();
+    CHECK(accept(lost, claimOf(1, 0)));
+    cluster->crash(lost);
+    cluster->run(absl::Seconds(5));
+    const size_t second = lost == 0 ? 1 : 0;
+    cluster->loseDisk(second);
+    cluster->restart(second);
+    CHECK(cluster->runUntil([&] { return cluster->hasLeader(); }));
+    CHECK(accept(learner, claimOf(2, 0)));
+    CHECK(knows(learner, claimOf(1, 0)));
+    STRCMP_EQUAL("", oracle.violation().c_str());
+}
+
+TEST(ReplicatedLog, AVoterThatAnswersIsKeptByALeaderThatStoodStill)
+{
+    start({ .hosts = 4, .hostsWithDisk = 4, .maxVoters = 3, .voterTimeout = absl::Seconds(2), .keepsOddVoters = true, .minSyncedDisks = 2 });
+    const size_t learner = isVoter(3) ? 2 : 3;
+    for (int round = 0; round < 6; ++round) {
+        const size_t old = cluster->leader();
+        cluster->freeze(old);
+        cluster->run(absl::Milliseconds(1900));
+        cluster->resume(old);
+        CHECK(cluster->runUntil([&] { return cluster->isWhole(); }));
+        CHECK(!isVoter(learner));
+    }
+}
+
 TEST(ReplicatedLog, ARemovedDaemonNoLongerCounts)
 {
     start({});
