Drop requests whose callers left while an entry stood still

An entry is frozen for 4 s. Callers give up after 2 s and send their jobs to the other zone 1.3 s later; the entry wakes and has the same jobs started, until it reads that the channels are closed.

Cause: a close is the last thing in a socket, behind the request that it takes back, and the session passed the request on first. Likewise the entry's first heartbeats after the freeze spoke for callers whose closes it hadn't read.

Change: a session looks for a close before it passes a request on. If the pump ran over 100 ms late, the entry looks at the channels of all waiting callers, and its heartbeats claim no jobs until that is done.

Left: a request that waited in the socket during a freeze gets its caller's whole time, if the caller still waits.

--- a/Source/Adapters/Beast/HttpListener.cpp
+++ b/Source/Adapters/Beast/HttpListener.cpp
@@ -5,7 +5,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <boost/intrusive/list.hpp>
+
+#include <cerrno>
 #include <optional>
+#include <sys/socket.h>
 
 namespace trefoilwing {
 
@@ -33,8 +37,24 @@
         return request;
     }
 
+    /// @return whether the peer has closed or reset a connection, although the close hasn't been read yet.
+    bool hasPeerClosed(int descriptor)
+    {
+        char byte = 0;
+        const ssize_t count = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+    }
+
 } // namespace
 
+/// A session in the list of its listener. It leaves the list when it is destroyed.
+class ListedSession : public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+public:
+    virtual ~ListedSession() = default;
+
+    virtual void checkPeer() = 0;
+};
+
 /// State shared by the sessions of a listener. It lives until the last session ends, which may be after the listener.
 struct HttpListener::Shared {
     Shared(HttpLoop& httpLoop, Handler requestHandler, HttpListenerOptions listenerOptions)
@@ -49,21 +69,24 @@
     HttpListenerOptions options;
     std::atomic<bool> isDraining { false };
     size_t sessions = 0;
+    /// Used on the loop's thread only.
+    boost::intrusive::list<ListedSession, boost::intrusive::constant_time_size<false>> openSessions;
 };
 
 /// One connection: passes one request at a time to the handler and writes its response.
 ///
 /// A read is always pending, so that a close by the peer is detected while a request waits for its response.
-class HttpSession : public std::enable_shared_from_this<HttpSession> {
+class HttpSession : public std::enable_shared_from_this<HttpSession>, private ListedSession {
 public:
     HttpSession(tcp::socket socket, std::shared_ptr<HttpListener::Shared> shared)
         : socket_(std::move(socket))
         , shared_(std::move(shared))
     {
         ++shared_->sessions;
+        shared_->openSessions.push_back(*this);
     }
 
-    ~HttpSession() { --shared_->sessions; }
+    ~HttpSession() override { --shared_->sessions; }
 
     void read()
     {
@@ -116,10 +139,21 @@
             serveNext();
     }
 
+    void checkPeer() override
+    {
+        if (isBusy_ && !isClosed_ && hasPeerClosed(socket_.native_handle()))
+            abandon();
+    }
+
     void serveNext()
     {
         if (!next_)
             return;
+        // The request may have waited in the socket for long, if this process stood still.
+        if (hasPeerClosed(socket_.native_handle())) {
+            close();
+            return;
+        }
         http::request<http::string_body> message = std::move(*next_);
         next_.reset();
         keepsAlive_ = message.keep_alive();
@@ -230,6 +264,16 @@
     shared_->isDraining = true;
 }
 
+void HttpListener::checkPeers(std::function<void()> done)
+{
+    shared_->loop.run([shared = shared_, done = std::move(done)] {
+        // An abandoned session may be destroyed, and so leave the list.
+        for (auto next = shared->openSessions.begin(); next != shared->openSessions.end();)
+            (next++)->checkPeer();
+        done();
+    });
+}
+
 uint16_t HttpListener::port() const
 {
     error_code ignored;
--- a/Source/Adapters/Beast/HttpListener.h
+++ b/Source/Adapters/Beast/HttpListener.h
@@ -67,6 +67,11 @@
     /// From now on each response carries `Connection: close`, and the connection is closed after it.
     void drain();
 
+    /// Looks at the connections of all requests that wait for a response, and handles those that the peer has closed. It is
+    /// for a process that has stood still: its loop may not have read the closes yet.
+    /// @param done called on the loop's thread, after all abandoned requests were reported.
+    void checkPeers(std::function<void()> done);
+
     /// @return the port that the listener is bound to.
     uint16_t port() const;
 
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -32,6 +32,8 @@
     constexpr absl::Duration earlyOfferTimeout = absl::Milliseconds(500);
     /// The keepers count as unreachable once all have been silent for this long.
     constexpr absl::Duration keeperTimeout = absl::Seconds(5);
+    /// Lateness of the pump from which callers may have left without this process having noticed.
+    constexpr absl::Duration maxUncheckedLateness = absl::Milliseconds(100);
     constexpr absl::Duration metricsInterval = absl::Seconds(1);
     /// Minimum lateness that is logged. Less is normal jitter of timers and of threads that share a core.
     constexpr absl::Duration minLoggedLateness = absl::Milliseconds(50);
@@ -466,11 +468,11 @@
     rejectEarlyOffers([&](const EarlyOffer& early) { return now > early.at + earlyOfferTimeout; });
     sendLoads(now);
     if (areClaimsDue_.exchange(false))
-        sendOwnerHeartbeats();
+        sendOwnerHeartbeats(now);
     if (now >= heartbeatDue_) {
         heartbeatDue_ = now + (isStarting_ ? startupHeartbeatInterval : heartbeatInterval);
         sendHeartbeats();
-        sendOwnerHeartbeats();
+        sendOwnerHeartbeats(now);
         checkKeepers(now);
     }
     if (now >= metricsDue_) {
@@ -490,10 +492,21 @@
     if (lateness <= StallFreeTime::toleratedDelay)
         return;
     jobs_.recordDelay(lateness);
+    if (lateness > maxUncheckedLateness)
+        checkCallers();
     MutexLock lock(viewMutex_);
     chooser_.recordDelay(lateness);
 }
 
+void FleetEntry::checkCallers()
+{
+    callers_.checkPeers([this, number = ++callerChecks_] {
+        callersCheckedNumber_ = number;
+        areClaimsDue_ = true;
+        wake();
+    });
+}
+
 void FleetEntry::tryFinishStartup(absl::Time now)
 {
     if (gate_.shouldWait(isReady(), now))
@@ -524,7 +537,7 @@
         link_.peers().send(to, message);
 }
 
-void FleetEntry::sendOwnerHeartbeats()
+void FleetEntry::sendOwnerHeartbeats(absl::Time pumpedAt)
 {
     std::map<DaemonId, std::optional<OwnerStamp>> owners = jobs_.ownersOfOpenJobs();
     // Owners may still run jobs of this entry's earlier process; a heartbeat of the new one makes them cancel those.
@@ -533,9 +546,11 @@
         for (const auto& [cell, grant] : chooser_.grants())
             owners.try_emplace(grant.owner.daemon);
     }
+    // A heartbeat without a stamp tells owners that this process runs, but claims no job.
+    const bool isClaiming = callersCheckedNumber_ == callerChecks_ && link_.clock().now() - pumpedAt <= maxUncheckedLateness;
     DaemonHeartbeat heartbeat = makeHeartbeat();
     for (const auto& [owner, stamp] : owners) {
-        heartbeat.stamp = stamp;
+        heartbeat.stamp = isClaiming ? stamp : std::nullopt;
         link_.peers().send(owner, heartbeat);
     }
 }
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -97,7 +97,9 @@
     void applyGrant(const CellGrant&);
     void sendHeartbeats();
     /// Sends heartbeats to the owners of this entry's jobs, which claim these.
-    void sendOwnerHeartbeats();
+    void sendOwnerHeartbeats(absl::Time pumpedAt);
+    /// Suspends the claims of this entry's jobs until it is known which of their callers have left.
+    void checkCallers();
     DaemonHeartbeat makeHeartbeat() const;
     void sendLoads(absl::Time now);
     /// Decides whether a load must be sent now, and if so records it as sent.
@@ -152,7 +154,11 @@
     std::atomic<bool> isIdle_ { false };
     /// Whether a new owner waits for the claims of this entry's jobs.
     std::atomic<bool> areClaimsDue_ { false };
+    /// The number of the last check of the callers that has ended.
+    std::atomic<uint64_t> callersCheckedNumber_ { 0 };
     /// The remaining members are used by the pump's thread only.
+    /// The number of checks of the callers that have been started.
+    uint64_t callerChecks_ = 0;
     absl::Time heartbeatDue_ = absl::InfinitePast();
     absl::Time metricsDue_ = absl::InfinitePast();
     /// The time of the pump's next run, and its worst lateness since the metrics were last published.
