Claim only the jobs that an entry still holds

Messages between daemons are dropped after a second in the queue or with their connection. If a cancel is lost, the entry's later heartbeats kept the job claimed at its owner, since they stood for all jobs of the entry, while its caller had an answer (504) and may send the job elsewhere.

Change: heartbeats to owners name the offers that the entry still holds, and only these are claimed. A job whose claim gets too old to start anything is stopped, before its lease ends, as the other runs of its minions share that lease. Entries of earlier versions claim all of their jobs, as before.

Test: ClaimLimit.AJobWhoseCancelWasLostIsStopped failed in a trial in which each heartbeat claims all jobs.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -64,9 +64,14 @@
     visit(value.owner, value.sentAt);
 }
 
+void visitFields(auto&& visit, Fields<JobClaims> auto& value)
+{
+    visit(value.stamp, value.offerNumbers);
+}
+
 void visitFields(auto&& visit, Fields<DaemonHeartbeat> auto& value)
 {
-    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.ackedKeeper, value.ackedUpdate, value.milliCores, value.stamp);
+    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.ackedKeeper, value.ackedUpdate, value.milliCores, value.claims);
 }
 
 void visitFields(auto&& visit, Fields<DaemonInfo> auto& value)
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -387,7 +387,7 @@
 void FleetEntry::receive(const DaemonId&, const DaemonHeartbeat& heartbeat)
 {
     for (const CellPtr& cell : allCells())
-        cell->entryHeartbeatReceived(heartbeat.run, heartbeat.stamp);
+        cell->entryHeartbeatReceived(heartbeat.run, heartbeat.claims);
 }
 
 std::vector<FleetEntry::EarlyOffer> FleetEntry::extractEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken)
@@ -539,18 +539,18 @@
 
 void FleetEntry::sendOwnerHeartbeats(absl::Time pumpedAt)
 {
-    std::map<DaemonId, std::optional<OwnerStamp>> owners = jobs_.ownersOfOpenJobs();
+    std::map<DaemonId, std::optional<JobClaims>> owners = jobs_.claims();
     // Owners may still run jobs of this entry's earlier process; a heartbeat of the new one makes them cancel those.
     if (link_.clock().now() < startedAt_ + startupPeriod) {
         MutexLock lock(viewMutex_);
         for (const auto& [cell, grant] : chooser_.grants())
             owners.try_emplace(grant.owner.daemon);
     }
-    // A heartbeat without a stamp tells owners that this process runs, but claims no job.
+    // A heartbeat without claims only tells owners that this process runs.
     const bool isClaiming = callersCheckedNumber_ == callerChecks_ && link_.clock().now() - pumpedAt <= maxUncheckedLateness;
     DaemonHeartbeat heartbeat = makeHeartbeat();
-    for (const auto& [owner, stamp] : owners) {
-        heartbeat.stamp = isClaiming ? stamp : std::nullopt;
+    for (auto& [owner, claims] : owners) {
+        heartbeat.claims = isClaiming ? std::move(claims) : std::nullopt;
         link_.peers().send(owner, heartbeat);
     }
 }
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -329,16 +329,25 @@
     return jobs_.size();
 }
 
-std::map<DaemonId, std::optional<OwnerStamp>> JobCoordinator::ownersOfOpenJobs() const
+std::map<DaemonId, std::optional<JobClaims>> JobCoordinator::claims() const
 {
     MutexLock lock(mutex_);
-    std::map<DaemonId, std::optional<OwnerStamp>> owners;
+    std::map<DaemonId, std::optional<JobClaims>> owners;
     for (const auto& [key, job] : jobs_) {
         for (const Part& part : job.parts) {
-            if (part.state == PartState::Open)
-                owners.emplace(part.owner, stampOf(part.owner));
+            if (part.state != PartState::Open)
+                continue;
+            std::optional<JobClaims>& claims = owners[part.owner];
+            if (const std::optional<OwnerStamp> stamp = stampOf(part.owner); stamp && !claims)
+                claims = JobClaims { *stamp, {} };
+            if (claims)
+                claims->offerNumbers.push_back(part.offer.offerNumber);
         }
     }
+    for (auto& [owner, claims] : owners) {
+        if (claims)
+            std::sort(claims->offerNumbers.begin(), claims->offerNumbers.end());
+    }
     return owners;
 }
 
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -63,9 +63,9 @@
     void answerAllAsGivenUp();
 
     size_t openCount() const;
-    /// @return the owners of open parts of jobs, and the stamps that claim these; unset for an owner that hasn't
-    /// reported its load.
-    std::map<DaemonId, std::optional<OwnerStamp>> ownersOfOpenJobs() const;
+    /// @return the owners of open parts of jobs, with the claims of these; unset for an owner that hasn't reported its
+    /// load.
+    std::map<DaemonId, std::optional<JobClaims>> claims() const;
 
 private:
     enum class PartState {
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -32,7 +32,7 @@
 /// The time at which a cell's owner sent a report of its load. Entries return it with their messages, so that the owner
 /// knows how old these are at most, however long they were on the way.
 struct OwnerStamp {
-    /// The owner's process. 0 stands for entries of earlier versions, which return no stamp.
+    /// The owner's process. 0 stands for entries of earlier versions, which return no stamp and claim all their jobs.
     Incarnation owner;
     /// On the owner's clock.
     absl::Time sentAt;
@@ -40,6 +40,15 @@
     friend bool operator==(const OwnerStamp&, const OwnerStamp&) = default;
 };
 
+/// The offers that an entry still holds for callers who wait, among those that it has made to one owner.
+struct JobClaims {
+    /// From the newest load report that the entry had read from the owner.
+    OwnerStamp stamp;
+    std::vector<uint64_t> offerNumbers;
+
+    friend bool operator==(const JobClaims&, const JobClaims&) = default;
+};
+
 /// A daemon's periodic message that it is alive, sent to the keepers and to the owners of cells.
 struct DaemonHeartbeat {
     DaemonRun run;
@@ -53,9 +62,8 @@
     uint64_t ackedUpdate = 0;
     /// The sender's processor capacity in thousandths of a core; 0 if unknown.
     uint32_t milliCores = 0;
-    /// From the newest load report that the sender had read from the receiver. It claims the jobs that the sender has
-    /// offered to the receiver; unset if the sender can't claim any.
-    std::optional<OwnerStamp> stamp = OwnerStamp {};
+    /// The sender's jobs at the receiver; unset if the sender can't claim any.
+    std::optional<JobClaims> claims = JobClaims {};
 
     friend bool operator==(const DaemonHeartbeat&, const DaemonHeartbeat&) = default;
 };
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -258,7 +258,7 @@
     sweepUnlistedStarts(now);
     for (const auto& [id, minion] : minions_)
         sweepRuns(*minion, now);
-    stopJobsOfSilentEntries(now);
+    stopUnclaimedJobs(now);
     sweepJobs(now);
     place(now);
     if (isSuperseded_)
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -74,9 +74,8 @@
 
     void offered(const JobOffer&, const DaemonId& entry, absl::Time now);
     void cancelled(const JobCancel&, const DaemonId& entry, absl::Time now);
-    /// Records a heartbeat of an entry, which claims the jobs that the entry has offered before.
-    /// @param stamp of the heartbeat.
-    void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp, absl::Time now);
+    /// Records a heartbeat of an entry, with its claims.
+    void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<JobClaims>&, absl::Time now);
 
     void answered(const StartResult&, absl::Time now);
     void answered(const StopResult&, absl::Time now);
@@ -115,7 +114,9 @@
     void adoptRuns(CellJob&, absl::Time now);
     void finish(CellJob&, JobEnd, absl::Time now, absl::Duration retryAfter = absl::ZeroDuration());
     void sweepJobs(absl::Time now);
-    void stopJobsOfSilentEntries(absl::Time now);
+    void stopUnclaimedJobs(absl::Time now);
+    /// Whether the claim of a job is so old that its runs must be stopped, to end before their leases do.
+    bool isClaimOver(const CellJob&, absl::Time now) const;
     bool fitsAnyMinion(const ResourceVector& need) const;
     /// Whether a job that starts at the given time would end too late to be useful.
     bool cannotEndInTime(const CellJob&, absl::Time start) const;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -16,6 +16,9 @@
 
     constexpr absl::Duration minRetryAfter = absl::Seconds(1);
 
+    /// Maximum age of a claim that is logged; an unknown one is logged as this.
+    constexpr absl::Duration maxLoggedAge = absl::Hours(1);
+
 } // namespace
 
 CellJob* CellDispatcher::findJob(const JobKey& key) const
@@ -33,10 +36,13 @@
     return stamp->owner == grant_.owner.incarnation ? stamp->sentAt : absl::InfinitePast();
 }
 
-void CellDispatcher::entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp, absl::Time now)
+void CellDispatcher::entryHeartbeatReceived(const DaemonRun& entry, const std::optional<JobClaims>& claims, absl::Time now)
 {
     entryContacts_[entry.daemon] = now;
-    const absl::Time claimedAt = claimTime(stamp, now);
+    const absl::Time claimedAt = claims ? claimTime(claims->stamp, now) : absl::InfinitePast();
+    const auto isClaimed = [&](const CellJob& job) {
+        return claims && (claims->stamp.owner == Incarnation(0) || std::binary_search(claims->offerNumbers.begin(), claims->offerNumbers.end(), job.offer().offerNumber));
+    };
     // An entry numbers its offers from its incarnation upwards, so lower numbers belong to an earlier incarnation.
     std::vector<CellJobPtr> ended;
     for (CellJob& job : jobs_) {
@@ -44,7 +50,7 @@
             continue;
         if (job.offer().offerNumber < entry.incarnation.value())
             ended.emplace_back(&job);
-        else
+        else if (isClaimed(job))
             job.claimedAt = std::max(job.claimedAt, claimedAt);
     }
     for (const CellJobPtr& job : ended) {
@@ -184,15 +190,21 @@
     }
 }
 
-void CellDispatcher::stopJobsOfSilentEntries(absl::Time now)
+bool CellDispatcher::isClaimOver(const CellJob& job, absl::Time now) const
+{
+    // An entry needs a load report of a new owner before it can claim what it has offered to it.
+    return !claimLimit_.allowsStart(claimLimit_.endOf(std::max(job.claimedAt, job.offeredAt())), now);
+}
+
+void CellDispatcher::stopUnclaimedJobs(absl::Time now)
 {
     std::vector<CellJobPtr> orphans;
     for (CellJob& job : jobs_) {
-        if (now - entryContacts_[job.entry()] > policy_.entryTimeout)
+        if (now - entryContacts_[job.entry()] > policy_.entryTimeout || isClaimOver(job, now))
             orphans.emplace_back(&job);
     }
     for (const CellJobPtr& job : orphans) {
-        logEvent("job_orphaned", job->offer().job, {}, absl::StrCat("entry=", job->entry().value()));
+        logEvent("job_orphaned", job->offer().job, {}, absl::StrCat("entry=", job->entry().value(), " claim_age_ms=", absl::ToInt64Milliseconds(std::min(now - job->claimedAt, maxLoggedAge))));
         finish(*job, JobEnd::GivenUp, now);
     }
 }
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -61,9 +61,9 @@
     run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.cancelled(cancel, entry, now); });
 }
 
-void CellShard::entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp)
+void CellShard::entryHeartbeatReceived(const DaemonRun& entry, const std::optional<JobClaims>& claims)
 {
-    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.entryHeartbeatReceived(entry, stamp, now); });
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.entryHeartbeatReceived(entry, claims, now); });
 }
 
 void CellShard::answered(const StartResult& result)
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -32,7 +32,7 @@
     void minionLeft(const MinionInstance&);
     void offered(const JobOffer&, const DaemonId& entry);
     void cancelled(const JobCancel&, const DaemonId& entry);
-    void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp);
+    void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<JobClaims>&);
     void answered(const StartResult&);
     void answered(const StopResult&);
     void answered(const RenewResult&);
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -275,10 +275,10 @@
     CHECK(!coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt - absl::Seconds(1)));
     open(2, "second");
     CHECK(peers.take<JobOffer>().back().second.stamp == OwnerStamp({ Incarnation(1), sentAt }));
-    CHECK(coordinator.ownersOfOpenJobs().at(DaemonId("owner")) == OwnerStamp({ Incarnation(1), sentAt }));
+    CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(1), sentAt }, { 101, 102 } }));
     CHECK(coordinator.loadReceived({ DaemonId("owner"), Incarnation(2) }, absl::FromUnixSeconds(1)));
     CHECK(!coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt));
-    CHECK(coordinator.ownersOfOpenJobs().at(DaemonId("owner")) == OwnerStamp({ Incarnation(2), absl::FromUnixSeconds(1) }));
+    CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(2), absl::FromUnixSeconds(1) }, { 101, 102 } }));
 }
 
 TEST(JobCoordinator, AnOfferToANewOwnerClaimsNothing)
@@ -293,12 +293,12 @@
 TEST(JobCoordinator, OnlyOwnersOfOpenPartsAreListed)
 {
     openShared(1, "job");
-    LONGS_EQUAL(2, coordinator.ownersOfOpenJobs().size());
+    LONGS_EQUAL(2, coordinator.claims().size());
     end("owner", "job", 101, JobEnd::Completed);
-    LONGS_EQUAL(1, coordinator.ownersOfOpenJobs().size());
-    CHECK(coordinator.ownersOfOpenJobs().contains(DaemonId("other")));
+    LONGS_EQUAL(1, coordinator.claims().size());
+    CHECK(coordinator.claims().contains(DaemonId("other")));
     end("other", "job", 102, JobEnd::Completed);
-    CHECK(coordinator.ownersOfOpenJobs().empty());
+    CHECK(coordinator.claims().empty());
 }
 
 // Guards against an entry that got no processor time and then abandons the jobs of owners whose messages it hasn't read
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -70,13 +70,15 @@
 
 void CellFixture::offer(const JobOffer& offer)
 {
+    offersHeld_.insert(offer.offerNumber);
     cell_.offered(offer, entry, now_);
     collect();
 }
 
 void CellFixture::heartbeat()
 {
-    cell_.entryHeartbeatReceived({ entry, Incarnation(0) }, OwnerStamp { owner.incarnation, lastLoadReadAt_.value_or(now_) }, now_);
+    const OwnerStamp stamp { owner.incarnation, lastLoadReadAt_.value_or(now_) };
+    cell_.entryHeartbeatReceived({ entry, Incarnation(0) }, JobClaims { stamp, { offersHeld_.begin(), offersHeld_.end() } }, now_);
 }
 
 void CellFixture::advance(absl::Duration duration)
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -34,6 +34,9 @@
     /// From now on the entry reads no more load reports of the owner, so that its messages claim nothing newer.
     void cutLoads() { lastLoadReadAt_ = now_; }
 
+    /// From now on the entry's heartbeats don't claim an offer any more.
+    void dropOffer(uint64_t number) { offersHeld_.erase(number); }
+
     /// Advances the clock in one step, as if the process hadn't run meanwhile.
     void pause(absl::Duration);
 
@@ -70,6 +73,8 @@
     LeastSlackFirst order_;
     SeededRandom random_ { 1 };
     CellDispatcher cell_;
+    /// The offers that the entry's heartbeats claim.
+    std::set<uint64_t> offersHeld_;
     std::map<std::string, uint64_t> lastEndNumbers_;
     std::vector<StartOrder> starts_;
     std::vector<StartOrder> repeatedStarts_;
--- a/Tests/Placement/ClaimLimitTest.cpp
+++ b/Tests/Placement/ClaimLimitTest.cpp
@@ -105,6 +105,32 @@
     LONGS_EQUAL(0, fixture.takeStarts().size());
 }
 
+// Guards against runs that go on because their entry, which has cancelled the job in vain, still sends heartbeats for
+// others.
+TEST(ClaimLimit, AJobWhoseCancelWasLostIsStopped)
+{
+    fixture.addMinion("m1");
+    fixture.offer("job", 1);
+    const StartOrder start = fixture.takeStarts().front();
+    fixture.answerStart(start);
+    fixture.dropOffer(1);
+    JobOffer other = fixture.makeOffer("other", 1);
+    other.offerNumber = 2;
+    other.estimate = absl::Seconds(5);
+    other.untilLate = other.untilTimeout = absl::Seconds(9);
+    fixture.offer(other);
+    const StartOrder second = fixture.takeStarts().front();
+    fixture.answerStart(second);
+    const absl::Time claimedAt = fixture.now();
+    while (fixture.takeStops().empty()) {
+        const auto progress = static_cast<uint32_t>(absl::ToInt64Milliseconds(fixture.now() - claimedAt) / 20);
+        fixture.answerRenewal("m1", { { start.run, progress }, { second.run, progress } });
+        fixture.advance(absl::Milliseconds(20));
+        CHECK(fixture.now() < claimedAt + absl::Milliseconds(1200));
+    }
+    LONGS_EQUAL(1, fixture.cell().jobCount());
+}
+
 // A start carries a lease, which would keep the runs beside it alive too.
 TEST(ClaimLimit, AMinionWithARunThatNobodyClaimsGetsNoTask)
 {
