--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -79,10 +79,21 @@
     }
     for (auto& host : hosts_)
         start(*host);
+    mayFound_ = !options_.foundsOnce;
 }
 
 GroupCluster::~GroupCluster() = default;
 
+size_t GroupCluster::addHost()
+{
+    const size_t number = hosts_.size();
+    hosts_.push_back(std::make_unique<Host>(*this, number));
+    hosts_.back()->hasDisk = true;
+    hosts_.back()->storage = Incarnation(++storages_);
+    start(*hosts_.back());
+    return number;
+}
+
 ReplicatedGroup* GroupCluster::group(size_t host)
 {
     return hosts_[host]->group.get();
@@ -113,6 +124,7 @@
     settings.maxVoters = options_.maxVoters;
     settings.maxEntries = options_.maxEntries;
     settings.claimGuard = options_.claimGuard;
+    settings.mayFound = mayFound_;
     settings.voterTimeout = options_.voterTimeout;
     settings.keepsOddVoters = options_.keepsOddVoters;
     settings.minSyncedDisks = options_.minSyncedDisks;
--- a/Tests/Control/GroupCluster.h
+++ b/Tests/Control/GroupCluster.h
@@ -34,6 +34,8 @@
         absl::Duration voterTimeout = absl::InfiniteDuration();
         bool keepsOddVoters = false;
         uint32_t minSyncedDisks = 1;
+        /// Whether only the first start of a host may found the group.
+        bool foundsOnce = false;
         absl::Duration claimGuard = absl::ZeroDuration();
         uint64_t seed = 1;
     };
@@ -41,6 +43,9 @@
     GroupCluster(Options, Factory);
     ~GroupCluster();
 
+    /// Starts one more host with an empty disk.
+    /// @return its index.
+    size_t addHost();
     ReplicatedGroup* group(size_t host);
     size_t size() const { return hosts_.size(); }
     absl::Time now() const { return now_; }
@@ -99,6 +104,7 @@
     std::multimap<absl::Time, InFlight> network_;
     std::set<size_t> side_;
     uint64_t storages_ = 0;
+    bool mayFound_ = true;
     uint64_t messagesSent_ = 0;
 };
 
