Offer open jobs again to an owner that has restarted

Callers: their job's owner is killed and is granted its cell again half a second later (an owner that restarts keeps its cells). They wait until their own time is over and get 504.

Cause: JobCoordinator::ownerChanged() compared daemons, not their runs, so it took the new process for the one that has the job. The owner's load reports kept it from counting as silent.

Change: parts name the run that they were offered to. The new process gets them as takeovers, like any other new owner: runs that go on are adopted, others start again once all minions are fenced.

Test: JobCoordinator.AnOwnerThatRestartedIsOfferedItsOpenJobsAgain.

--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -95,10 +95,10 @@
     uint32_t firstTask = 0;
     for (const CellShare& share : shares) {
         Part part;
-        part.owner = share.grant.owner.daemon;
+        part.owner = share.grant.owner;
         part.offeredAt = stallFreeTime_.at(now);
         part.offer = JobOffer { share.grant.cell, job.key, job.requestId, ++lastOfferNumber_, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
-            open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false, stampOf(part.owner) };
+            open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false, stampOf(part.owner.daemon) };
         firstTask += share.taskCount;
         offer(part);
         effects_.add([this, offer = part.offer, grant = share.grant] {
@@ -111,12 +111,12 @@
 
 void JobCoordinator::offer(const Part& part)
 {
-    effects_.add([this, owner = part.owner, offer = part.offer] { ports_.peers.send(owner, offer); });
+    effects_.add([this, owner = part.owner.daemon, offer = part.offer] { ports_.peers.send(owner, offer); });
 }
 
 void JobCoordinator::cancel(const Part& part)
 {
-    effects_.add([this, owner = part.owner, cancel = JobCancel { part.offer.cell, part.offer.job, part.offer.offerNumber }] { ports_.peers.send(owner, cancel); });
+    effects_.add([this, owner = part.owner.daemon, cancel = JobCancel { part.offer.cell, part.offer.job, part.offer.offerNumber }] { ports_.peers.send(owner, cancel); });
 }
 
 void JobCoordinator::cancelOpenParts(const OpenJob& job)
@@ -157,7 +157,7 @@
         // An earlier owner may still report its result after the part was offered to a new owner.
         std::vector<Part>& parts = found->second.parts;
         const auto part = std::find_if(parts.begin(), parts.end(), [&](const Part& each) {
-            return each.offer.offerNumber == result.offerNumber && each.owner == from && each.state == PartState::Open;
+            return each.offer.offerNumber == result.offerNumber && each.owner.daemon == from && each.state == PartState::Open;
         });
         if (part == parts.end())
             return;
@@ -201,7 +201,7 @@
     for (const Ticket& ticket : job.tickets)
         tickets_.erase(ticket);
     const Part& first = job.parts.front();
-    effects_.add([this, key, request = job.requestId, outcome, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner, cell = first.offer.cell, parts = uint64_t { job.parts.size() }, route = first.offer.route, isLate = now > job.lateAt] {
+    effects_.add([this, key, request = job.requestId, outcome, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner.daemon, cell = first.offer.cell, parts = uint64_t { job.parts.size() }, route = first.offer.route, isLate = now > job.lateAt] {
         for (const Ticket& ticket : tickets)
             ports_.replies.reply(ticket, outcome.answer);
         ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome.name }, { "cell", nameOf(cell) }, { "owner", owner.value() }, { "parts", parts }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
@@ -219,10 +219,10 @@
         const absl::Time now = ports_.clock.now();
         for (auto& [key, job] : jobs_) {
             for (Part& part : job.parts) {
-                if (part.offer.cell != grant.cell || part.owner == grant.owner.daemon || part.state != PartState::Open)
+                if (part.offer.cell != grant.cell || part.owner == grant.owner || part.state != PartState::Open)
                     continue;
                 cancel(part);
-                part.owner = grant.owner.daemon;
+                part.owner = grant.owner;
                 part.offeredAt = stallFreeTime_.at(now);
                 part.offer.isTakeover = true;
                 // Its callers may have left unnoticed if this process stood still. The next heartbeat claims the job.
@@ -267,7 +267,7 @@
     const bool isNewProcess = newest.owner != owner.incarnation;
     newest = { owner.incarnation, isNewProcess ? sentAt : std::max(newest.sentAt, sentAt) };
     return isNewProcess && std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
-        return std::any_of(job.second.parts.begin(), job.second.parts.end(), [&](const Part& part) { return part.state == PartState::Open && part.owner == owner.daemon; });
+        return std::any_of(job.second.parts.begin(), job.second.parts.end(), [&](const Part& part) { return part.state == PartState::Open && part.owner.daemon == owner.daemon; });
     });
 }
 
@@ -286,7 +286,7 @@
 bool JobCoordinator::isOwnerSilent(const OpenJob& job, absl::Time now) const
 {
     for (const Part& part : job.parts) {
-        const auto contact = ownerContacts_.find(part.owner);
+        const auto contact = ownerContacts_.find(part.owner.daemon);
         const absl::Time last = contact == ownerContacts_.end() ? part.offeredAt : std::max(contact->second, part.offeredAt);
         if (part.state == PartState::Open && stallFreeTime_.at(now) - last > ownerTimeout)
             return true;
@@ -337,8 +337,8 @@
         for (const Part& part : job.parts) {
             if (part.state != PartState::Open)
                 continue;
-            std::optional<JobClaims>& claims = owners[part.owner];
-            if (const std::optional<OwnerStamp> stamp = stampOf(part.owner); stamp && !claims)
+            std::optional<JobClaims>& claims = owners[part.owner.daemon];
+            if (const std::optional<OwnerStamp> stamp = stampOf(part.owner.daemon); stamp && !claims)
                 claims = JobClaims { *stamp, {} };
             if (claims)
                 claims->offerNumbers.push_back(part.offer.offerNumber);
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -79,7 +79,7 @@
 
     struct Part {
         JobOffer offer;
-        DaemonId owner;
+        DaemonRun owner;
         /// When it was offered to this owner, on the clock of stallFreeTime_.
         absl::Time offeredAt;
         PartState state = PartState::Open;
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -290,6 +290,22 @@
     CHECK(!peers.take<JobOffer>().back().second.stamp);
 }
 
+// Guards against callers that wait until their own timeout, because the owner of their job was killed and is the owner
+// again a second later, without knowing the job.
+TEST(JobCoordinator, AnOwnerThatRestartedIsOfferedItsOpenJobsAgain)
+{
+    open(1, "job");
+    coordinator.ownerChanged(grant);
+    LONGS_EQUAL(1, peers.take<JobOffer>().size());
+    coordinator.ownerChanged({ grant.cell, { DaemonId("owner"), Incarnation(2) }, OwnerEpoch(8) });
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(2, offers.size());
+    CHECK(offers.back().first == DaemonId("owner"));
+    CHECK(offers.back().second.isTakeover);
+    end("owner", "job", 101, JobEnd::Completed);
+    LONGS_EQUAL(1, replies.answers.size());
+}
+
 TEST(JobCoordinator, OnlyOwnersOfOpenPartsAreListed)
 {
     openShared(1, "job");
