Take the stamps of a restarted owner whatever its incarnation

An owner that restarts after its clock was set back has a lower one, and entries ignored its stamps for as long as they ran, so that nobody claimed a job there.

Change: the epoch of the reported cell, which rises across all owners, says which of two processes is the newer one.

Test: JobCoordinator.StampsOfARestartedOwnerReplaceEarlierOnesWhateverItsIncarnation.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -341,7 +341,7 @@
 
 void FleetEntry::receive(const DaemonId&, const CellLoad& load)
 {
-    if (jobs_.loadReceived(load.grant.owner, load.sentAt)) {
+    if (jobs_.loadReceived(load.grant, load.sentAt)) {
         areClaimsDue_ = true;
         wake();
     }
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -257,15 +257,17 @@
     effects_.flush();
 }
 
-bool JobCoordinator::loadReceived(const DaemonRun& owner, absl::Time sentAt)
+bool JobCoordinator::loadReceived(const CellGrant& grant, absl::Time sentAt)
 {
     MutexLock lock(mutex_);
+    const DaemonRun& owner = grant.owner;
     ownerContacts_[owner.daemon] = stallFreeTime_.at(ports_.clock.now());
-    OwnerStamp& newest = stamps_[owner.daemon];
-    if (newest.owner > owner.incarnation)
+    OwnerReport& newest = ownerReports_[owner.daemon];
+    const bool isNewProcess = newest.stamp.owner != owner.incarnation;
+    if (isNewProcess && grant.epoch < newest.epoch)
         return false;
-    const bool isNewProcess = newest.owner != owner.incarnation;
-    newest = { owner.incarnation, isNewProcess ? sentAt : std::max(newest.sentAt, sentAt) };
+    newest.stamp = { owner.incarnation, isNewProcess ? sentAt : std::max(newest.stamp.sentAt, sentAt) };
+    newest.epoch = std::max(newest.epoch, grant.epoch);
     return isNewProcess && std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
         return std::any_of(job.second.parts.begin(), job.second.parts.end(), [&](const Part& part) { return part.state == PartState::Open && part.owner.daemon == owner.daemon; });
     });
@@ -273,8 +275,8 @@
 
 std::optional<OwnerStamp> JobCoordinator::stampOf(const DaemonId& owner) const
 {
-    const auto found = stamps_.find(owner);
-    return found == stamps_.end() ? std::nullopt : std::optional(found->second);
+    const auto found = ownerReports_.find(owner);
+    return found == ownerReports_.end() ? std::nullopt : std::optional(found->second.stamp);
 }
 
 void JobCoordinator::recordDelay(absl::Duration lateness)
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -52,7 +52,7 @@
     /// Records a load report of a cell owner.
     /// @return whether the owner's process is a new one that has been offered jobs but no claim of them yet, so that a
     /// heartbeat should be sent to it at once.
-    bool loadReceived(const DaemonRun& owner, absl::Time sentAt);
+    bool loadReceived(const CellGrant&, absl::Time sentAt);
     /// Records that this process was delayed, so that received messages were read late. The delay doesn't count as
     /// silence of the owners.
     void recordDelay(absl::Duration lateness);
@@ -85,6 +85,14 @@
         PartState state = PartState::Open;
     };
 
+    /// The newest load report of an owner.
+    struct OwnerReport {
+        OwnerStamp stamp;
+        /// The highest epoch of its cells. It shows which of two processes is the newer one, also after a step of the
+        /// owner's time of day, from which incarnations are taken.
+        OwnerEpoch epoch;
+    };
+
     struct OpenJob {
         std::vector<Ticket> tickets;
         std::string requestId;
@@ -128,8 +136,7 @@
     StallFreeTime stallFreeTime_ ABSL_GUARDED_BY(mutex_);
     /// On the clock of stallFreeTime_.
     absl::flat_hash_map<DaemonId, absl::Time> ownerContacts_ ABSL_GUARDED_BY(mutex_);
-    /// Of the newest load report from each owner.
-    absl::flat_hash_map<DaemonId, OwnerStamp> stamps_ ABSL_GUARDED_BY(mutex_);
+    absl::flat_hash_map<DaemonId, OwnerReport> ownerReports_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace trefoilwing
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -217,7 +217,7 @@
     open(1, "job");
     for (int i = 0; i < 10; ++i) {
         clock.time += absl::Milliseconds(200);
-        coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, clock.now());
+        coordinator.loadReceived(grant, clock.now());
         coordinator.tick();
     }
     LONGS_EQUAL(0, replies.answers.size());
@@ -239,7 +239,7 @@
 {
     open(1, "job");
     clock.time += absl::Milliseconds(4000);
-    coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, clock.now());
+    coordinator.loadReceived(grant, clock.now());
     clock.time += absl::Milliseconds(100);
     coordinator.tick();
     CHECK(replies.answers.front().second.kind == AnswerKind::GaveUp);
@@ -271,20 +271,28 @@
     open(1, "first");
     CHECK(!peers.take<JobOffer>().front().second.stamp);
     const absl::Time sentAt = absl::FromUnixSeconds(7);
-    CHECK(coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt));
-    CHECK(!coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt - absl::Seconds(1)));
+    CHECK(coordinator.loadReceived(grant, sentAt));
+    CHECK(!coordinator.loadReceived(grant, sentAt - absl::Seconds(1)));
     open(2, "second");
     CHECK(peers.take<JobOffer>().back().second.stamp == OwnerStamp({ Incarnation(1), sentAt }));
     CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(1), sentAt }, { 101, 102 } }));
-    CHECK(coordinator.loadReceived({ DaemonId("owner"), Incarnation(2) }, absl::FromUnixSeconds(1)));
-    CHECK(!coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt));
-    CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(2), absl::FromUnixSeconds(1) }, { 101, 102 } }));
+}
+
+// Guards against an owner whose jobs nobody claims any more, because it restarted after its time of day was set back.
+TEST(JobCoordinator, StampsOfARestartedOwnerReplaceEarlierOnesWhateverItsIncarnation)
+{
+    open(1, "job");
+    coordinator.loadReceived({ grant.cell, { DaemonId("owner"), Incarnation(9) }, OwnerEpoch(3) }, absl::FromUnixSeconds(7));
+    CHECK(coordinator.loadReceived({ grant.cell, { DaemonId("owner"), Incarnation(2) }, OwnerEpoch(8) }, absl::FromUnixSeconds(1)));
+    // A report of the earlier process that was held up changes nothing.
+    CHECK(!coordinator.loadReceived({ grant.cell, { DaemonId("owner"), Incarnation(9) }, OwnerEpoch(3) }, absl::FromUnixSeconds(8)));
+    CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(2), absl::FromUnixSeconds(1) }, { 101 } }));
 }
 
 TEST(JobCoordinator, AnOfferToANewOwnerClaimsNothing)
 {
     open(1, "job");
-    coordinator.loadReceived({ DaemonId("next"), Incarnation(1) }, clock.now());
+    coordinator.loadReceived({ grant.cell, { DaemonId("next"), Incarnation(1) }, OwnerEpoch(8) }, clock.now());
     coordinator.ownerChanged({ grant.cell, { DaemonId("next"), Incarnation(1) }, OwnerEpoch(8) });
     CHECK(peers.take<JobOffer>().back().first == DaemonId("next"));
     CHECK(!peers.take<JobOffer>().back().second.stamp);
@@ -327,7 +335,7 @@
     coordinator.tick();
     LONGS_EQUAL(0, replies.answers.size());
     clock.time += absl::Seconds(1);
-    coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, clock.now());
+    coordinator.loadReceived(grant, clock.now());
     clock.time += absl::Seconds(2);
     coordinator.tick();
     LONGS_EQUAL(1, replies.answers.size());
