Let the claim of a job limit the lease of its start

The lease of a start was computed before the run was added, so only the claims of the runs beside it counted: with a claim of 0.9 s the run could outlive the rule of ClaimLimit by 0.5 s.

Change: the run is added first.

Test: ClaimLimit.TheLeaseOfAStartEndsInTimeForTheClaimOfItsOwnJob failed before.

--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -269,8 +269,10 @@
     run.job = &job;
     run.need = job.offer().need;
     run.startedAt = run.progressAt = now;
-    run.leaseEndMs = minion->renewLease(now);
-    sendStart(*minion, minion->addRun(std::move(run)));
+    Run& added = minion->addRun(std::move(run));
+    // The claim of this job limits the lease too.
+    added.leaseEndMs = minion->renewLease(now);
+    sendStart(*minion, added);
     task.state = TaskState::Active;
     job.firstStart = std::min(job.firstStart, now);
     job.hasStarted = true;
--- a/Tests/Placement/ClaimLimitTest.cpp
+++ b/Tests/Placement/ClaimLimitTest.cpp
@@ -48,6 +48,18 @@
     CHECK(latest <= claimedAt + policy.resubmitDelay);
 }
 
+TEST(ClaimLimit, TheLeaseOfAStartEndsInTimeForTheClaimOfItsOwnJob)
+{
+    fixture.addMinion("m1");
+    JobOffer offer = fixture.makeOffer("job", 1);
+    const absl::Time claimedAt = fixture.now() - absl::Milliseconds(900);
+    offer.stamp = OwnerStamp { Incarnation(1), claimedAt };
+    fixture.offer(offer);
+    const StartOrder start = fixture.takeStarts().front();
+    CHECK(expiry(start.leaseEndMs, fixture.now()) <= claimedAt + policy.resubmitDelay);
+    CHECK(expiry(start.leaseEndMs, fixture.now()) >= fixture.now() + policy.minLease);
+}
+
 TEST(ClaimLimit, LeasesAreRenewedAsLongAsTheJobIsClaimed)
 {
     fixture.addMinion("m1");
