--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -59,9 +59,14 @@
     visit(value.cell, value.owner, value.epoch);
 }
 
+void visitFields(auto&& visit, Fields<OwnerStamp> auto& value)
+{
+    visit(value.owner, value.sentAt);
+}
+
 void visitFields(auto&& visit, Fields<DaemonHeartbeat> auto& value)
 {
-    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.ackedKeeper, value.ackedUpdate, value.milliCores);
+    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.ackedKeeper, value.ackedUpdate, value.milliCores, value.stamp);
 }
 
 void visitFields(auto&& visit, Fields<DaemonInfo> auto& value)
@@ -76,12 +81,12 @@
 
 void visitFields(auto&& visit, Fields<CellLoad> auto& value)
 {
-    visit(value.grant, value.totalMilliCores, value.freeMilliCores, value.queuedTasks, value.completionsPerSecond);
+    visit(value.grant, value.totalMilliCores, value.freeMilliCores, value.queuedTasks, value.completionsPerSecond, value.sentAt);
 }
 
 void visitFields(auto&& visit, Fields<JobOffer> auto& value)
 {
-    visit(value.cell, value.job, value.requestId, value.offerNumber, value.route, value.firstTask, value.taskCount, value.need, value.estimate, value.spec, value.untilLate, value.untilTimeout, value.priority, value.maxAttempts, value.isTakeover);
+    visit(value.cell, value.job, value.requestId, value.offerNumber, value.route, value.firstTask, value.taskCount, value.need, value.estimate, value.spec, value.untilLate, value.untilTimeout, value.priority, value.maxAttempts, value.isTakeover, value.stamp);
 }
 
 void visitFields(auto&& visit, Fields<JobCancel> auto& value)
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -9,6 +9,8 @@
 
     constexpr uint32_t maxPort = 65535;
     constexpr uint32_t maxLostDisks = 2;
+    constexpr double minResubmitMs = 1;
+    constexpr double maxResubmitMs = 3600.0 * 1000;
     constexpr double minCores = 0.001;
     constexpr double maxCores = 1024;
     constexpr uint32_t minMemoryMb = 16;
@@ -53,6 +55,7 @@
             optionalKey("metrics_port", &FleetSettings::metricsPort, numberValue(0, maxPort)),
             optionalKey("data_folder", &FleetSettings::dataFolder, textValue()),
             optionalKey("founding", &FleetSettings::isFounding, flagValue()),
+            optionalKey("resubmit_ms", &FleetSettings::resubmitMs, fractionValue(minResubmitMs, maxResubmitMs)),
             optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
         };
         return keys;
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
-#include <set>
 #include <utility>
 
 namespace trefoilwing {
@@ -67,6 +66,16 @@
         { "cell_jobs_turned_down", &CellTotals::rejectedJobs },
     } };
 
+    /// Minimum resubmit delay that can be kept: entries claim their jobs every 250 ms, and a claim may be twice as old.
+    constexpr absl::Duration minResubmitDelay = absl::Milliseconds(800);
+
+    DispatchPolicy policyFor(const FleetSettings& settings)
+    {
+        DispatchPolicy policy;
+        policy.resubmitDelay = std::max(minResubmitDelay, absl::Milliseconds(settings.resubmitMs));
+        return policy;
+    }
+
     bool isFromOtherDivision(const CellId& cell, const CellId& granted)
     {
         return cell.pool() == granted.pool() && cell.part.count != granted.part.count;
@@ -92,6 +101,7 @@
     , log_(log)
     , metrics_(metrics)
     , link_(settings, *this, log)
+    , policy_(policyFor(settings))
     , callerHandler_(log)
     , gateway_(loop_, *this)
     , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions })
@@ -320,14 +330,19 @@
             cell->minionReported(report);
         for (const EarlyOffer& early : offers)
             cell->offered(early.offer, early.from);
+        // Entries claim the jobs that they offer to a new owner once they have its first load report.
+        wakeFromIdle();
     }
     jobs_.ownerChanged(grant);
     jobs_.poolDivided(grant.cell);
 }
 
-void FleetEntry::receive(const DaemonId& from, const CellLoad& load)
+void FleetEntry::receive(const DaemonId&, const CellLoad& load)
 {
-    jobs_.ownerMessageReceived(from);
+    if (jobs_.loadReceived(load.grant.owner, load.sentAt)) {
+        areClaimsDue_ = true;
+        wake();
+    }
     bool isNewGrant = false;
     {
         MutexLock lock(viewMutex_);
@@ -370,7 +385,7 @@
 void FleetEntry::receive(const DaemonId&, const DaemonHeartbeat& heartbeat)
 {
     for (const CellPtr& cell : allCells())
-        cell->entryHeartbeatReceived(heartbeat.run);
+        cell->entryHeartbeatReceived(heartbeat.run, heartbeat.stamp);
 }
 
 std::vector<FleetEntry::EarlyOffer> FleetEntry::extractEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken)
@@ -450,9 +465,12 @@
     jobs_.tick();
     rejectEarlyOffers([&](const EarlyOffer& early) { return now > early.at + earlyOfferTimeout; });
     sendLoads(now);
+    if (areClaimsDue_.exchange(false))
+        sendOwnerHeartbeats();
     if (now >= heartbeatDue_) {
         heartbeatDue_ = now + (isStarting_ ? startupHeartbeatInterval : heartbeatInterval);
         sendHeartbeats();
+        sendOwnerHeartbeats();
         checkKeepers(now);
     }
     if (now >= metricsDue_) {
@@ -490,26 +508,38 @@
         signal_.raise();
 }
 
+DaemonHeartbeat FleetEntry::makeHeartbeat() const
+{
+    return { link_.self(), settings_.dataCentre, true, isDraining_, {}, {}, 0, static_cast<uint32_t>(settings_.cores * milliCoresPerCore), std::nullopt };
+}
+
 void FleetEntry::sendHeartbeats()
 {
     std::vector<std::pair<DaemonId, DaemonHeartbeat>> heartbeats;
-    std::set<DaemonId> owners = jobs_.ownersOfOpenJobs();
     {
         MutexLock lock(viewMutex_);
-        const DaemonHeartbeat own { link_.self(), settings_.dataCentre, true, isDraining_, {}, {}, 0, static_cast<uint32_t>(settings_.cores * milliCoresPerCore) };
-        // Owners may still run jobs of this entry's earlier process; a heartbeat of the new one makes them cancel those.
-        if (link_.clock().now() < startedAt_ + startupPeriod) {
-            for (const auto& [cell, grant] : chooser_.grants())
-                owners.insert(grant.owner.daemon);
-        }
-        heartbeats = view_.nextHeartbeats(own);
-        for (const DaemonId& owner : owners)
-            heartbeats.emplace_back(owner, own);
+        heartbeats = view_.nextHeartbeats(makeHeartbeat());
     }
     for (const auto& [to, message] : heartbeats)
         link_.peers().send(to, message);
 }
 
+void FleetEntry::sendOwnerHeartbeats()
+{
+    std::map<DaemonId, std::optional<OwnerStamp>> owners = jobs_.ownersOfOpenJobs();
+    // Owners may still run jobs of this entry's earlier process; a heartbeat of the new one makes them cancel those.
+    if (link_.clock().now() < startedAt_ + startupPeriod) {
+        MutexLock lock(viewMutex_);
+        for (const auto& [cell, grant] : chooser_.grants())
+            owners.try_emplace(grant.owner.daemon);
+    }
+    DaemonHeartbeat heartbeat = makeHeartbeat();
+    for (const auto& [owner, stamp] : owners) {
+        heartbeat.stamp = stamp;
+        link_.peers().send(owner, heartbeat);
+    }
+}
+
 bool FleetEntry::isLoadDue(SentLoad& sent, const CellLoad& load, absl::Duration minInterval, absl::Time now)
 {
     if (now < sent.at + maxLoadInterval && (now < sent.at + minInterval || !differsSignificantly(sent.load, load)))
@@ -533,7 +563,8 @@
         }
     }
     for (const CellPtr& cell : cells) {
-        const CellLoad load = cell->load();
+        CellLoad load = cell->load();
+        load.sentAt = now;
         SentLoads& sent = sentLoads_[cell->cell()];
         if (isLoadDue(sent.local, load, minLocalLoadInterval, now))
             link_.peers().broadcast(local, load);
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -96,6 +96,9 @@
     bool areMinionsKnown(const CellId&, OwnerEpoch) const;
     void applyGrant(const CellGrant&);
     void sendHeartbeats();
+    /// Sends heartbeats to the owners of this entry's jobs, which claim these.
+    void sendOwnerHeartbeats();
+    DaemonHeartbeat makeHeartbeat() const;
     void sendLoads(absl::Time now);
     /// Decides whether a load must be sent now, and if so records it as sent.
     /// @return whether it must be sent.
@@ -147,6 +150,8 @@
     std::atomic<bool> rejectsJobs_ { false };
     /// Whether the pump sleeps until the next heartbeat, as there is no other work.
     std::atomic<bool> isIdle_ { false };
+    /// Whether a new owner waits for the claims of this entry's jobs.
+    std::atomic<bool> areClaimsDue_ { false };
     /// The remaining members are used by the pump's thread only.
     absl::Time heartbeatDue_ = absl::InfinitePast();
     absl::Time metricsDue_ = absl::InfinitePast();
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -98,7 +98,7 @@
         part.owner = share.grant.owner.daemon;
         part.offeredAt = stallFreeTime_.at(now);
         part.offer = JobOffer { share.grant.cell, job.key, job.requestId, ++lastOfferNumber_, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
-            open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false };
+            open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false, stampOf(part.owner) };
         firstTask += share.taskCount;
         offer(part);
         effects_.add([this, offer = part.offer, grant = share.grant] {
@@ -225,6 +225,8 @@
                 part.owner = grant.owner.daemon;
                 part.offeredAt = stallFreeTime_.at(now);
                 part.offer.isTakeover = true;
+                // Its callers may have left unnoticed if this process stood still. The next heartbeat claims the job.
+                part.offer.stamp.reset();
                 part.offer.untilLate = job.lateAt - now;
                 part.offer.untilTimeout = job.timeoutAt - now;
                 offer(part);
@@ -255,10 +257,24 @@
     effects_.flush();
 }
 
-void JobCoordinator::ownerMessageReceived(const DaemonId& owner)
+bool JobCoordinator::loadReceived(const DaemonRun& owner, absl::Time sentAt)
 {
     MutexLock lock(mutex_);
-    ownerContacts_[owner] = stallFreeTime_.at(ports_.clock.now());
+    ownerContacts_[owner.daemon] = stallFreeTime_.at(ports_.clock.now());
+    OwnerStamp& newest = stamps_[owner.daemon];
+    if (newest.owner > owner.incarnation)
+        return false;
+    const bool isNewProcess = newest.owner != owner.incarnation;
+    newest = { owner.incarnation, isNewProcess ? sentAt : std::max(newest.sentAt, sentAt) };
+    return isNewProcess && std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
+        return std::any_of(job.second.parts.begin(), job.second.parts.end(), [&](const Part& part) { return part.state == PartState::Open && part.owner == owner.daemon; });
+    });
+}
+
+std::optional<OwnerStamp> JobCoordinator::stampOf(const DaemonId& owner) const
+{
+    const auto found = stamps_.find(owner);
+    return found == stamps_.end() ? std::nullopt : std::optional(found->second);
 }
 
 void JobCoordinator::recordDelay(absl::Duration lateness)
@@ -313,14 +329,14 @@
     return jobs_.size();
 }
 
-std::set<DaemonId> JobCoordinator::ownersOfOpenJobs() const
+std::map<DaemonId, std::optional<OwnerStamp>> JobCoordinator::ownersOfOpenJobs() const
 {
     MutexLock lock(mutex_);
-    std::set<DaemonId> owners;
+    std::map<DaemonId, std::optional<OwnerStamp>> owners;
     for (const auto& [key, job] : jobs_) {
         for (const Part& part : job.parts) {
             if (part.state == PartState::Open)
-                owners.insert(part.owner);
+                owners.emplace(part.owner, stampOf(part.owner));
         }
     }
     return owners;
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -12,8 +12,8 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -49,8 +49,10 @@
     /// Handles a new division of a pool into cells; the previous cells have no owner any more.
     /// @param cell any cell of the new division.
     void poolDivided(const CellId& cell);
-    /// Records that a message from a cell owner arrived.
-    void ownerMessageReceived(const DaemonId&);
+    /// Records a load report of a cell owner.
+    /// @return whether the owner's process is a new one that has been offered jobs but no claim of them yet, so that a
+    /// heartbeat should be sent to it at once.
+    bool loadReceived(const DaemonRun& owner, absl::Time sentAt);
     /// Records that this process was delayed, so that received messages were read late. The delay doesn't count as
     /// silence of the owners.
     void recordDelay(absl::Duration lateness);
@@ -61,8 +63,9 @@
     void answerAllAsGivenUp();
 
     size_t openCount() const;
-    /// @return the owners of open parts of jobs.
-    std::set<DaemonId> ownersOfOpenJobs() const;
+    /// @return the owners of open parts of jobs, and the stamps that claim these; unset for an owner that hasn't
+    /// reported its load.
+    std::map<DaemonId, std::optional<OwnerStamp>> ownersOfOpenJobs() const;
 
 private:
     enum class PartState {
@@ -114,6 +117,7 @@
     void offer(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancel(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancelOpenParts(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    std::optional<OwnerStamp> stampOf(const DaemonId& owner) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     JobCoordinatorPorts ports_;
     mutable absl::Mutex mutex_;
@@ -124,6 +128,8 @@
     StallFreeTime stallFreeTime_ ABSL_GUARDED_BY(mutex_);
     /// On the clock of stallFreeTime_.
     absl::flat_hash_map<DaemonId, absl::Time> ownerContacts_ ABSL_GUARDED_BY(mutex_);
+    /// Of the newest load report from each owner.
+    absl::flat_hash_map<DaemonId, OwnerStamp> stamps_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace trefoilwing
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -29,6 +29,17 @@
     friend bool operator==(const CellShare&, const CellShare&) = default;
 };
 
+/// The time at which a cell's owner sent a report of its load. Entries return it with their messages, so that the owner
+/// knows how old these are at most, however long they were on the way.
+struct OwnerStamp {
+    /// The owner's process. 0 stands for entries of earlier versions, which return no stamp.
+    Incarnation owner;
+    /// On the owner's clock.
+    absl::Time sentAt;
+
+    friend bool operator==(const OwnerStamp&, const OwnerStamp&) = default;
+};
+
 /// A daemon's periodic message that it is alive, sent to the keepers and to the owners of cells.
 struct DaemonHeartbeat {
     DaemonRun run;
@@ -42,6 +53,9 @@
     uint64_t ackedUpdate = 0;
     /// The sender's processor capacity in thousandths of a core; 0 if unknown.
     uint32_t milliCores = 0;
+    /// From the newest load report that the sender had read from the receiver. It claims the jobs that the sender has
+    /// offered to the receiver; unset if the sender can't claim any.
+    std::optional<OwnerStamp> stamp = OwnerStamp {};
 
     friend bool operator==(const DaemonHeartbeat&, const DaemonHeartbeat&) = default;
 };
@@ -96,6 +110,8 @@
     std::vector<uint32_t> queuedTasks;
     /// Expected number of completions each second among the tasks that run now.
     double completionsPerSecond = 0;
+    /// On the owner's clock, for the stamps that entries return.
+    absl::Time sentAt;
 
     friend bool operator==(const CellLoad&, const CellLoad&) = default;
 };
@@ -124,6 +140,8 @@
     uint32_t maxAttempts = 1;
     /// Whether an earlier owner of the cell may have started tasks of this offer.
     bool isTakeover = false;
+    /// From the newest load report that the sender had read from the receiver; unset if it had read none.
+    std::optional<OwnerStamp> stamp = OwnerStamp {};
 
     friend bool operator==(const JobOffer&, const JobOffer&) = default;
 };
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -35,6 +35,8 @@
     std::string dataFolder;
     /// Whether the fleet is being founded, that is, started for the first time with empty disks.
     bool isFounding = false;
+    /// Minimum time, in milliseconds, after which a caller that got no answer submits its job again.
+    double resubmitMs = 1300;
     /// Maximum number of keepers' disks that may be lost at the same time without loss of data.
     uint32_t lostDisks = 1;
 
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -32,6 +32,7 @@
     , policy_(policy)
     , order_(order)
     , random_(random)
+    , claimLimit_(policy)
     , ownedSince_(now)
     , chooser_(policy)
 {
@@ -123,7 +124,7 @@
     if (minion.knowsClock() && isBusy && minion.health.isReachable())
         order.leaseEndMs = minion.renewLease(now);
     if (isBusy && minion.isFenced && minion.health.isReachable())
-        order.wait = policy_.renewalWait;
+        order.wait = order.leaseEndMs > 0 ? policy_.renewalWait : policy_.unclaimedRenewalWait;
     minion.renewalSentAt = now;
     minion.renewalEndNumber = minion.lastEndNumber;
     minion.lastRenewalAt = now;
@@ -280,12 +281,13 @@
 
 CellLoad CellDispatcher::load(absl::Time now) const
 {
-    CellLoad load { grant_, 0, 0, {}, 0 };
+    CellLoad load { grant_, 0, 0, {}, 0, {} };
     for (const auto& [id, minion] : minions_) {
         if (!minion->isUsable(now))
             continue;
         load.totalMilliCores += usableMilliCores(minion->report().capacity.milliCores);
-        load.freeMilliCores += usableMilliCores(std::max<int64_t>(0, minion->free().milliCores));
+        if (minion->allowsStart(now))
+            load.freeMilliCores += usableMilliCores(std::max<int64_t>(0, minion->free().milliCores));
         load.completionsPerSecond += minion->completionsPerSecond();
     }
     for (const CellJob& job : jobs_) {
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -11,6 +11,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -73,8 +74,9 @@
 
     void offered(const JobOffer&, const DaemonId& entry, absl::Time now);
     void cancelled(const JobCancel&, const DaemonId& entry, absl::Time now);
-    /// Records a heartbeat of an entry.
-    void entryHeartbeatReceived(const DaemonRun& entry, absl::Time now);
+    /// Records a heartbeat of an entry, which claims the jobs that the entry has offered before.
+    /// @param stamp of the heartbeat.
+    void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp, absl::Time now);
 
     void answered(const StartResult&, absl::Time now);
     void answered(const StopResult&, absl::Time now);
@@ -108,6 +110,8 @@
 
     // Jobs.
     CellJob* findJob(const JobKey&) const;
+    /// @return the time of the claim that a message with this stamp makes; infinite past if it makes none.
+    absl::Time claimTime(const std::optional<OwnerStamp>&, absl::Time now) const;
     void adoptRuns(CellJob&, absl::Time now);
     void finish(CellJob&, JobEnd, absl::Time now, absl::Duration retryAfter = absl::ZeroDuration());
     void sweepJobs(absl::Time now);
@@ -135,6 +139,8 @@
     void taskFailed(LeasedMinion&, CellJob&, CellTask&, absl::Time now);
     void stopRun(LeasedMinion&, Run&, absl::Time now);
     void sweepRuns(LeasedMinion&, absl::Time now);
+    /// Whether a run that an earlier owner started has been without a claim for too long.
+    bool isAdoptionOver(const LeasedMinion&, const Run&, absl::Time now) const;
     void sendStart(LeasedMinion&, Run&);
     /// @return whether the start of a run should be sent again, since its answer is late.
     bool isStartRepeatDue(const LeasedMinion&, const Run&, absl::Time now) const;
@@ -166,6 +172,7 @@
     const DispatchPolicy& policy_;
     const JobOrder& order_;
     Random& random_;
+    const ClaimLimit claimLimit_;
     const absl::Time ownedSince_;
     absl::Time lastTickAt_ = absl::InfinitePast();
     /// When this process last ran again after it had stood still.
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -24,14 +24,28 @@
     return found == jobsByKey_.end() ? nullptr : found->second;
 }
 
-void CellDispatcher::entryHeartbeatReceived(const DaemonRun& entry, absl::Time now)
+absl::Time CellDispatcher::claimTime(const std::optional<OwnerStamp>& stamp, absl::Time now) const
+{
+    if (!stamp)
+        return absl::InfinitePast();
+    if (stamp->owner == Incarnation(0))
+        return now;
+    return stamp->owner == grant_.owner.incarnation ? stamp->sentAt : absl::InfinitePast();
+}
+
+void CellDispatcher::entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp, absl::Time now)
 {
     entryContacts_[entry.daemon] = now;
+    const absl::Time claimedAt = claimTime(stamp, now);
     // An entry numbers its offers from its incarnation upwards, so lower numbers belong to an earlier incarnation.
     std::vector<CellJobPtr> ended;
     for (CellJob& job : jobs_) {
-        if (job.entry() == entry.daemon && job.offer().offerNumber < entry.incarnation.value())
+        if (job.entry() != entry.daemon)
+            continue;
+        if (job.offer().offerNumber < entry.incarnation.value())
             ended.emplace_back(&job);
+        else
+            job.claimedAt = std::max(job.claimedAt, claimedAt);
     }
     for (const CellJobPtr& job : ended) {
         logEvent("job_orphaned", job->offer().job, {}, absl::StrCat("restarted_entry=", entry.daemon.value()));
@@ -50,6 +64,7 @@
         finish(*earlier, JobEnd::GivenUp, now);
     }
     CellJobPtr job(new CellJob(offer, entry, now, policy_.lateTolerance));
+    job->claimedAt = claimTime(offer.stamp, now);
     job->hasEarlierRuns = mayHaveEarlierRuns(*job, now);
     intrusive_ptr_add_ref(job.get());
     jobs_.push_back(*job);
@@ -131,7 +146,7 @@
         if (!minion->isUsable(now))
             continue;
         totalMilliCores += usableMilliCores(minion->report().capacity.milliCores);
-        if (job.offer().need.milliCores > 0)
+        if (job.offer().need.milliCores > 0 && minion->allowsStart(now))
             fitting += minion->free().milliCores / job.offer().need.milliCores;
     }
     if (totalMilliCores == 0)
@@ -185,7 +200,7 @@
 bool CellDispatcher::mayStart(const CellJob& job, absl::Time now) const
 {
     // A minion that isn't fenced may still have runs of an earlier owner.
-    return (!job.offer().isTakeover || areAllMinionsFenced(now)) && !job.hasEarlierRuns;
+    return (!job.offer().isTakeover || areAllMinionsFenced(now)) && !job.hasEarlierRuns && claimLimit_.allowsStart(claimLimit_.endOf(job.claimedAt), now);
 }
 
 bool CellDispatcher::mayHaveEarlierRuns(const CellJob& job, absl::Time now) const
--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -209,6 +209,7 @@
             inherited.state = RunState::Running;
             inherited.startedAt = inherited.progressAt = now;
             inherited.isInherited = true;
+            minion.inheritLease(now);
             run = &minion.addRun(std::move(inherited));
             CellJob* job = findJob(id.job);
             if (job && job->offer().isTakeover)
@@ -238,6 +239,14 @@
     }
 }
 
+bool CellDispatcher::isAdoptionOver(const LeasedMinion& minion, const Run& run, absl::Time now) const
+{
+    if (!run.isInherited || run.state != RunState::Running)
+        return false;
+    const bool sharesLease = std::any_of(minion.runs().begin(), minion.runs().end(), [](const auto& each) { return each.second.job != nullptr; });
+    return now > ownedSince_ + (sharesLease ? policy_.sharedAdoptionPeriod : policy_.adoptionPeriod);
+}
+
 void CellDispatcher::sweepRuns(LeasedMinion& minion, absl::Time now)
 {
     if (!minion.health.isReachable() && now > minion.leasesExpireBy() && !minion.runs().empty()) {
@@ -251,7 +260,7 @@
         } else if (isStartRepeatDue(minion, run, now)) {
             ++totals_.repeatedStarts;
             sendStart(minion, run);
-        } else if (run.isInherited && run.state == RunState::Running && now > ownedSince_ + policy_.adoptionPeriod) {
+        } else if (isAdoptionOver(minion, run, now)) {
             logEvent("foreign_run_stopped", id.job, minion.instance().minion, describe(id));
             stopRun(minion, run, now);
         } else if (run.state == RunState::Running && !run.isInherited && run.confirmedAt > run.progressAt + policy_.stallTimeout) {
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -54,6 +54,8 @@
     /// Whether a task may have run, under this owner or an earlier one. The job can't be rejected as not run then.
     bool mayHaveRun() const { return hasStarted || offer_.isTakeover; }
 
+    /// The job's claim, see ClaimLimit; infinite past if none is known.
+    absl::Time claimedAt = absl::InfinitePast();
     /// Whether a start order for any task may have been sent.
     bool hasStarted = false;
     absl::Time firstStart = absl::InfiniteFuture();
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -8,6 +8,7 @@
 #include "Ports/PeerLink.h"
 
 #include <memory>
+#include <optional>
 
 namespace trefoilwing {
 
@@ -31,7 +32,7 @@
     void minionLeft(const MinionInstance&);
     void offered(const JobOffer&, const DaemonId& entry);
     void cancelled(const JobCancel&, const DaemonId& entry);
-    void entryHeartbeatReceived(const DaemonRun& entry);
+    void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<OwnerStamp>& stamp);
     void answered(const StartResult&);
     void answered(const StopResult&);
     void answered(const RenewResult&);
--- /dev/null
+++ b/Source/Placement/ClaimLimit.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "Placement/DispatchPolicy.h"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+
+namespace trefoilwing {
+
+/// Limits the time for which runs go on without a claim.
+///
+/// A job's claim is the latest time, on the owner's clock, at which its entry is known to have held it for a caller that
+/// waits. A caller that gets no answer submits the job again after the resubmit delay, to any entry, and the cell that
+/// then runs it doesn't know of earlier runs elsewhere. Hence the rule: no run outlives its last claim by the resubmit
+/// delay, whichever process restarts, stands still or hands over its cell meanwhile.
+///
+/// A minion ends runs by itself only when its lease expires, so no lease reaches beyond this limit. The lease is the same
+/// for all runs of a minion: the oldest claim among them counts, and a run whose claim isn't known, because an earlier
+/// owner started it, keeps the lease from being extended at all.
+class ClaimLimit {
+public:
+    explicit ClaimLimit(const DispatchPolicy& policy)
+        : policy_(policy)
+    {
+    }
+
+    /// @param claimedAt infinite past if no claim is known.
+    /// @return the time by which the runs of a job with this claim must have ended.
+    absl::Time endOf(absl::Time claimedAt) const { return claimedAt + policy_.resubmitDelay - policy_.claimMargin; }
+
+    /// @return whether a run that must have ended by a time can be given a lease that is worth a start.
+    bool allowsStart(absl::Time end, absl::Time now) const { return maxLease(end, now) >= policy_.minLease; }
+
+    /// @return the longest lease, on the minion's clock, that has certainly expired by a time; not positive if there is
+    /// none. A minion's clock may be slow.
+    absl::Duration maxLease(absl::Time end, absl::Time now) const
+    {
+        return std::min(policy_.leaseDuration, (end - now - policy_.clockMargin) * (1 - policy_.maxClockDrift));
+    }
+
+private:
+    const DispatchPolicy& policy_;
+};
+
+} // namespace trefoilwing
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -12,9 +12,17 @@
     /// Lease duration, counted from the last renewal. Minions accept at most 1 s; a shorter lease lets the tasks
     /// of an unreachable minion restart elsewhere sooner.
     absl::Duration leaseDuration = absl::Milliseconds(800);
+    /// Minimum duration of the lease with which a task is started.
+    absl::Duration minLease = absl::Milliseconds(200);
+    /// Minimum time after which a caller that got no answer submits its job again, to any entry. See ClaimLimit.
+    absl::Duration resubmitDelay = absl::Milliseconds(1300);
+    /// Allowance for the time in which an entry notices that a caller has left.
+    absl::Duration claimMargin = absl::Milliseconds(100);
     /// Long-poll time of a lease renewal at a busy minion: the minion answers when a run ends, or after this time.
     /// Two renewals may fail before the lease expires.
     absl::Duration renewalWait = absl::Milliseconds(250);
+    /// Long-poll time of a renewal that doesn't extend the lease: the next one may, as soon as all runs are claimed.
+    absl::Duration unclaimedRenewalWait = absl::Milliseconds(50);
     /// Delay before ended runs are acknowledged if no renewal is due earlier.
     absl::Duration acknowledgeDelay = absl::Milliseconds(40);
     /// Interval of renewals at idle minions, which check that the minion answers and read its clock.
@@ -35,6 +43,8 @@
     absl::Duration stopRetryInterval = absl::Milliseconds(100);
     /// How long runs started by an earlier owner are kept, so that entries can offer their jobs to the new owner.
     absl::Duration adoptionPeriod = absl::Milliseconds(600);
+    /// The same, if other runs of the minion are claimed: the lease that they share can't be extended meanwhile.
+    absl::Duration sharedAdoptionPeriod = absl::Milliseconds(250);
     /// Maximum time for which a new owner delays starts while it waits for the answers to its first renewals. Orders
     /// time out after 150 ms.
     absl::Duration firstRenewalTimeout = absl::Milliseconds(200);
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -26,6 +26,7 @@
     : health(policy)
     , report_(std::move(report))
     , policy_(policy)
+    , claimLimit_(policy)
     , free_(report_.capacity)
 {
 }
@@ -40,10 +41,31 @@
 
 int64_t LeasedMinion::renewLease(absl::Time now)
 {
+    const absl::Duration lease = claimLimit_.maxLease(claimsEndAt(), now);
+    if (lease <= absl::ZeroDuration())
+        return 0;
     // Assume the slowest clock that the minion may have, so that the lease never lasts longer than intended.
     const auto elapsed = absl::ToInt64Milliseconds((now - clockAt_) * (1 - policy_.maxClockDrift));
-    leasesExpireBy_ = std::max(leasesExpireBy_, now + policy_.leaseDuration / (1 - policy_.maxClockDrift) + policy_.clockMargin);
-    return clockMs_ + elapsed + absl::ToInt64Milliseconds(policy_.leaseDuration);
+    leasesExpireBy_ = std::max(leasesExpireBy_, endOfLease(lease, now));
+    return clockMs_ + elapsed + absl::ToInt64Milliseconds(lease);
+}
+
+void LeasedMinion::inheritLease(absl::Time now)
+{
+    leasesExpireBy_ = std::max(leasesExpireBy_, endOfLease(policy_.leaseDuration, now));
+}
+
+absl::Time LeasedMinion::endOfLease(absl::Duration lease, absl::Time now) const
+{
+    return now + lease / (1 - policy_.maxClockDrift) + policy_.clockMargin;
+}
+
+absl::Time LeasedMinion::claimsEndAt() const
+{
+    absl::Time end = absl::InfiniteFuture();
+    for (const auto& [id, run] : runs_)
+        end = std::min(end, claimLimit_.endOf(run.job ? run.job->claimedAt : absl::InfinitePast()));
+    return end;
 }
 
 bool LeasedMinion::isUsable(absl::Time now) const
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -2,6 +2,7 @@
 
 #include "Model/Runs.h"
 #include "Placement/CellJob.h"
+#include "Placement/ClaimLimit.h"
 #include "Placement/MinionHealth.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -58,14 +59,20 @@
     /// Records the minion's clock as reported in an answer.
     void recordClock(int64_t clockMs, absl::Time now);
     bool knowsClock() const { return clockMs_ > 0; }
-    /// Renews the lease.
-    /// @return the end of a lease that begins now, on the minion's clock.
+    /// Renews the lease, as far as the claims of the minion's runs allow.
+    /// @return the end of a lease that begins now, on the minion's clock; 0 if the lease must not be extended.
     int64_t renewLease(absl::Time now);
+    /// Records that the lease of an earlier owner, whose last orders can't be known, may still be in force.
+    void inheritLease(absl::Time now);
+    /// @return the time by which some run of the minion must have ended by the rule of ClaimLimit.
+    absl::Time claimsEndAt() const;
     /// Time by which all leases granted have certainly expired.
     absl::Time leasesExpireBy() const { return leasesExpireBy_; }
 
-    /// Whether new runs may be placed on the minion.
+    /// Whether the minion counts as a part of the cell's capacity.
     bool isUsable(absl::Time now) const;
+    /// Whether the claims of its runs leave a lease with which another task may start beside them.
+    bool allowsStart(absl::Time now) const { return claimLimit_.allowsStart(claimsEndAt(), now); }
     /// Resources that are free for new runs.
     const ResourceVector& free() const { return free_; }
 
@@ -102,7 +109,10 @@
 
 private:
     MinionReport report_;
+    absl::Time endOfLease(absl::Duration lease, absl::Time now) const;
+
     const DispatchPolicy& policy_;
+    const ClaimLimit claimLimit_;
     ResourceVector free_;
     absl::flat_hash_map<RunId, Run> runs_;
     int64_t clockMs_ = 0;
--- a/Source/Placement/MinionChooser.cpp
+++ b/Source/Placement/MinionChooser.cpp
@@ -22,7 +22,7 @@
 {
     ResourceVector most;
     for (const auto& [id, minion] : minions) {
-        if (!minion->isUsable(now))
+        if (!minion->isUsable(now) || !minion->allowsStart(now))
             continue;
         const ResourceVector& free = minion->free();
         most.milliCores = std::max(most.milliCores, free.milliCores);
@@ -43,6 +43,8 @@
         if (!minion->isUsable(now))
             continue;
         totalMilliCores += minion->report().capacity.milliCores;
+        if (!minion->allowsStart(now))
+            continue;
         freeMilliCores += minion->free().milliCores;
         if (!minion->free().holds(job.offer().need))
             continue;
--- a/Tests/Bench/FleetBenchmark.cpp
+++ b/Tests/Bench/FleetBenchmark.cpp
@@ -125,7 +125,7 @@
 
 void loadBetweenEntries(benchmark::State& state)
 {
-    roundTrip(state, CellLoad { { cellId, { DaemonId("10.1.0.30"), Incarnation(1788253031012000) }, OwnerEpoch(7) }, 936000, 412000, { 3, 0, 4 }, 400 });
+    roundTrip(state, CellLoad { { cellId, { DaemonId("10.1.0.30"), Incarnation(1788253031012000) }, OwnerEpoch(7) }, 936000, 412000, { 3, 0, 4 }, 400, absl::FromUnixMicros(1788253031012000) });
 }
 
 void choiceOfACell(benchmark::State& state)
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -26,7 +26,7 @@
     /// @param rate number of tasks that end per second.
     void load(const std::string& dataCentre, uint64_t epoch, int64_t free, uint32_t queued, double rate = 20)
     {
-        chooser.loadReceived({ { cell(dataCentre), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(epoch) }, 100000, free, queued > 0 ? std::vector<uint32_t> { queued } : std::vector<uint32_t> {}, rate }, now);
+        chooser.loadReceived({ { cell(dataCentre), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(epoch) }, 100000, free, queued > 0 ? std::vector<uint32_t> { queued } : std::vector<uint32_t> {}, rate, now }, now);
     }
 
     /// @return the cells that share a job, each with its number of tasks.
@@ -123,7 +123,7 @@
 
 TEST(CellChooser, QueuedTasksOfLowerPriorityDontCount)
 {
-    chooser.loadReceived({ { cell("home"), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(1) }, 100000, 0, { 0, 50 }, 20 }, now);
+    chooser.loadReceived({ { cell("home"), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(1) }, 100000, 0, { 0, 50 }, 20, now }, now);
     load("far", 2, 0, 3);
     STRCMP_EQUAL("home 1", shareOut(1).c_str());
 }
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -217,7 +217,7 @@
     open(1, "job");
     for (int i = 0; i < 10; ++i) {
         clock.time += absl::Milliseconds(200);
-        coordinator.ownerMessageReceived(DaemonId("owner"));
+        coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, clock.now());
         coordinator.tick();
     }
     LONGS_EQUAL(0, replies.answers.size());
@@ -239,7 +239,7 @@
 {
     open(1, "job");
     clock.time += absl::Milliseconds(4000);
-    coordinator.ownerMessageReceived(DaemonId("owner"));
+    coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, clock.now());
     clock.time += absl::Milliseconds(100);
     coordinator.tick();
     CHECK(replies.answers.front().second.kind == AnswerKind::GaveUp);
@@ -265,12 +265,38 @@
     LONGS_EQUAL(0, replies.answers.size());
 }
 
+// Owners tell from the stamps how old an offer or a heartbeat is at most.
+TEST(JobCoordinator, OffersAndHeartbeatsReturnTheOwnersNewestStamp)
+{
+    open(1, "first");
+    CHECK(!peers.take<JobOffer>().front().second.stamp);
+    const absl::Time sentAt = absl::FromUnixSeconds(7);
+    CHECK(coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt));
+    CHECK(!coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt - absl::Seconds(1)));
+    open(2, "second");
+    CHECK(peers.take<JobOffer>().back().second.stamp == OwnerStamp({ Incarnation(1), sentAt }));
+    CHECK(coordinator.ownersOfOpenJobs().at(DaemonId("owner")) == OwnerStamp({ Incarnation(1), sentAt }));
+    CHECK(coordinator.loadReceived({ DaemonId("owner"), Incarnation(2) }, absl::FromUnixSeconds(1)));
+    CHECK(!coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, sentAt));
+    CHECK(coordinator.ownersOfOpenJobs().at(DaemonId("owner")) == OwnerStamp({ Incarnation(2), absl::FromUnixSeconds(1) }));
+}
+
+TEST(JobCoordinator, AnOfferToANewOwnerClaimsNothing)
+{
+    open(1, "job");
+    coordinator.loadReceived({ DaemonId("next"), Incarnation(1) }, clock.now());
+    coordinator.ownerChanged({ grant.cell, { DaemonId("next"), Incarnation(1) }, OwnerEpoch(8) });
+    CHECK(peers.take<JobOffer>().back().first == DaemonId("next"));
+    CHECK(!peers.take<JobOffer>().back().second.stamp);
+}
+
 TEST(JobCoordinator, OnlyOwnersOfOpenPartsAreListed)
 {
     openShared(1, "job");
     LONGS_EQUAL(2, coordinator.ownersOfOpenJobs().size());
     end("owner", "job", 101, JobEnd::Completed);
-    CHECK(coordinator.ownersOfOpenJobs() == std::set<DaemonId> { DaemonId("other") });
+    LONGS_EQUAL(1, coordinator.ownersOfOpenJobs().size());
+    CHECK(coordinator.ownersOfOpenJobs().contains(DaemonId("other")));
     end("other", "job", 102, JobEnd::Completed);
     CHECK(coordinator.ownersOfOpenJobs().empty());
 }
@@ -285,7 +311,7 @@
     coordinator.tick();
     LONGS_EQUAL(0, replies.answers.size());
     clock.time += absl::Seconds(1);
-    coordinator.ownerMessageReceived(DaemonId("owner"));
+    coordinator.loadReceived({ DaemonId("owner"), Incarnation(1) }, clock.now());
     clock.time += absl::Seconds(2);
     coordinator.tick();
     LONGS_EQUAL(1, replies.answers.size());
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -5,12 +5,14 @@
 namespace {
 
     const DaemonId entry("entry-1");
+    const DaemonRun owner { entry, Incarnation(1) };
     const CellId cellId { ServiceId("service"), DataCentreId("centre") };
 
 } // namespace
 
-CellFixture::CellFixture(uint64_t epoch)
-    : cell_({ cellId, { entry, Incarnation(1) }, OwnerEpoch(epoch) }, policy_, order_, random_, now_)
+CellFixture::CellFixture(uint64_t epoch, absl::Time now)
+    : now_(now)
+    , cell_({ cellId, owner, OwnerEpoch(epoch) }, policy_, order_, random_, now_)
 {
     cell_.setMinionsKnown(true);
 }
@@ -57,6 +59,7 @@
     offer.untilLate = absl::Milliseconds(300);
     offer.untilTimeout = absl::Seconds(2);
     offer.maxAttempts = 2;
+    offer.stamp = OwnerStamp { owner.incarnation, lastLoadReadAt_.value_or(now_) };
     return offer;
 }
 
@@ -71,13 +74,18 @@
     collect();
 }
 
+void CellFixture::heartbeat()
+{
+    cell_.entryHeartbeatReceived({ entry, Incarnation(0) }, OwnerStamp { owner.incarnation, lastLoadReadAt_.value_or(now_) }, now_);
+}
+
 void CellFixture::advance(absl::Duration duration)
 {
     // The entry keeps sending heartbeats.
     const absl::Time until = now_ + duration;
     while (now_ < until) {
         now_ = std::min(until, now_ + absl::Milliseconds(20));
-        cell_.entryHeartbeatReceived({ entry, Incarnation(0) }, now_);
+        heartbeat();
         cell_.tick(now_);
         collect();
     }
@@ -86,7 +94,7 @@
 void CellFixture::pause(absl::Duration duration)
 {
     now_ += duration;
-    cell_.entryHeartbeatReceived({ entry, Incarnation(0) }, now_);
+    heartbeat();
     cell_.tick(now_);
     collect();
 }
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -4,6 +4,7 @@
 #include "Support/SeededRandom.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -14,7 +15,8 @@
 class CellFixture {
 public:
     /// @param epoch the epoch of the owner.
-    explicit CellFixture(uint64_t epoch = 5);
+    /// @param now the time at which it becomes the owner.
+    explicit CellFixture(uint64_t epoch = 5, absl::Time now = absl::FromUnixSeconds(1000));
 
     /// Adds a minion and answers its first lease renewal.
     void addMinion(const std::string& id, int64_t milliCores = 16000);
@@ -29,6 +31,9 @@
     /// Advances the clock in steps of 20 ms, with a tick and a heartbeat of the entry at each.
     void advance(absl::Duration);
 
+    /// From now on the entry reads no more load reports of the owner, so that its messages claim nothing newer.
+    void cutLoads() { lastLoadReadAt_ = now_; }
+
     /// Advances the clock in one step, as if the process hadn't run meanwhile.
     void pause(absl::Duration);
 
@@ -55,9 +60,12 @@
 
 private:
     void collect();
+    void heartbeat();
     int64_t clockMs() const { return absl::ToUnixMillis(now_); }
 
-    absl::Time now_ = absl::FromUnixSeconds(1000);
+    absl::Time now_;
+    /// When the entry last read a load report; unset if it reads each at once.
+    std::optional<absl::Time> lastLoadReadAt_;
     DispatchPolicy policy_;
     LeastSlackFirst order_;
     SeededRandom random_ { 1 };
--- a/Tests/Placement/MinionChooserTest.cpp
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -34,7 +34,9 @@
         offer.estimate = estimate;
         offer.untilLate = untilLate;
         offer.untilTimeout = absl::Seconds(9);
-        return CellJobPtr(new CellJob(offer, DaemonId("entry"), now, 0.3));
+        CellJobPtr made(new CellJob(offer, DaemonId("entry"), now, 0.3));
+        made->claimedAt = now;
+        return made;
     }
 
     /// Fills a minion with two runs that started the given time ago.
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -169,7 +169,7 @@
 {
     fixture.offer("job", 1);
     fixture.answerStart(fixture.takeStarts().front());
-    fixture.cell().entryHeartbeatReceived({ DaemonId("entry-1"), Incarnation(500) }, fixture.now());
+    fixture.cell().entryHeartbeatReceived({ DaemonId("entry-1"), Incarnation(500) }, std::nullopt, fixture.now());
     fixture.advance(absl::Milliseconds(20));
     LONGS_EQUAL(1, fixture.takeStops().size());
     LONGS_EQUAL(0, fixture.cell().jobCount());
