--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -249,6 +249,7 @@
 
 void CellDispatcher::sweepRuns(LeasedMinion& minion, absl::Time now)
 {
+    minion.refreshClaims();
     if (!minion.health.isReachable() && now > minion.leasesExpireBy() && !minion.runs().empty()) {
         removeAllRuns(minion, "lease_over");
         return;
--- a/Source/Placement/ClaimLimit.h
+++ b/Source/Placement/ClaimLimit.h
@@ -4,8 +4,6 @@
 
 #include <absl/time/time.h>
 
-#include <algorithm>
-
 namespace trefoilwing {
 
 /// Limits the time for which runs go on without a claim.
@@ -22,6 +20,8 @@
 public:
     explicit ClaimLimit(const DispatchPolicy& policy)
         : policy_(policy)
+        , timeForMinLease_(timeFor(policy.minLease))
+        , timeForFullLease_(timeFor(policy.leaseDuration))
     {
     }
 
@@ -30,17 +30,22 @@
     absl::Time endOf(absl::Time claimedAt) const { return claimedAt + policy_.resubmitDelay - policy_.claimMargin; }
 
     /// @return whether a run that must have ended by a time can be given a lease that is worth a start.
-    bool allowsStart(absl::Time end, absl::Time now) const { return maxLease(end, now) >= policy_.minLease; }
+    bool allowsStart(absl::Time end, absl::Time now) const { return end - now >= timeForMinLease_; }
 
     /// @return the longest lease, on the minion's clock, that has certainly expired by a time; not positive if there is
-    /// none. A minion's clock may be slow.
+    /// none.
     absl::Duration maxLease(absl::Time end, absl::Time now) const
     {
-        return std::min(policy_.leaseDuration, (end - now - policy_.clockMargin) * (1 - policy_.maxClockDrift));
+        return end - now >= timeForFullLease_ ? policy_.leaseDuration : (end - now - policy_.clockMargin) * (1 - policy_.maxClockDrift);
     }
 
+    /// @return the time after which a lease that begins now has certainly expired. A minion's clock may be slow.
+    absl::Duration timeFor(absl::Duration lease) const { return lease / (1 - policy_.maxClockDrift) + policy_.clockMargin; }
+
 private:
     const DispatchPolicy& policy_;
+    const absl::Duration timeForMinLease_;
+    const absl::Duration timeForFullLease_;
 };
 
 } // namespace trefoilwing
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -41,31 +41,31 @@
 
 int64_t LeasedMinion::renewLease(absl::Time now)
 {
-    const absl::Duration lease = claimLimit_.maxLease(claimsEndAt(), now);
+    refreshClaims();
+    const absl::Duration lease = claimLimit_.maxLease(claimsEndAt_, now);
     if (lease <= absl::ZeroDuration())
         return 0;
     // Assume the slowest clock that the minion may have, so that the lease never lasts longer than intended.
     const auto elapsed = absl::ToInt64Milliseconds((now - clockAt_) * (1 - policy_.maxClockDrift));
-    leasesExpireBy_ = std::max(leasesExpireBy_, endOfLease(lease, now));
+    leasesExpireBy_ = std::max(leasesExpireBy_, now + claimLimit_.timeFor(lease));
     return clockMs_ + elapsed + absl::ToInt64Milliseconds(lease);
 }
 
 void LeasedMinion::inheritLease(absl::Time now)
 {
-    leasesExpireBy_ = std::max(leasesExpireBy_, endOfLease(policy_.leaseDuration, now));
+    leasesExpireBy_ = std::max(leasesExpireBy_, now + claimLimit_.timeFor(policy_.leaseDuration));
 }
 
-absl::Time LeasedMinion::endOfLease(absl::Duration lease, absl::Time now) const
+absl::Time LeasedMinion::claimEndOf(const Run& run) const
 {
-    return now + lease / (1 - policy_.maxClockDrift) + policy_.clockMargin;
+    return claimLimit_.endOf(run.job ? run.job->claimedAt : absl::InfinitePast());
 }
 
-absl::Time LeasedMinion::claimsEndAt() const
+void LeasedMinion::refreshClaims()
 {
-    absl::Time end = absl::InfiniteFuture();
+    claimsEndAt_ = absl::InfiniteFuture();
     for (const auto& [id, run] : runs_)
-        end = std::min(end, claimLimit_.endOf(run.job ? run.job->claimedAt : absl::InfinitePast()));
-    return end;
+        claimsEndAt_ = std::min(claimsEndAt_, claimEndOf(run));
 }
 
 bool LeasedMinion::isUsable(absl::Time now) const
@@ -77,6 +77,7 @@
 Run& LeasedMinion::addRun(Run run)
 {
     free_ -= run.need;
+    claimsEndAt_ = std::min(claimsEndAt_, claimEndOf(run));
     const RunId id = run.id;
     return runs_[id] = std::move(run);
 }
@@ -94,6 +95,7 @@
         return;
     free_ += found->second.need;
     runs_.erase(found);
+    refreshClaims();
 }
 
 double LeasedMinion::completionsPerSecond() const
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -64,15 +64,15 @@
     int64_t renewLease(absl::Time now);
     /// Records that the lease of an earlier owner, whose last orders can't be known, may still be in force.
     void inheritLease(absl::Time now);
-    /// @return the time by which some run of the minion must have ended by the rule of ClaimLimit.
-    absl::Time claimsEndAt() const;
+    /// Takes over the newest claims of the minion's jobs. Until then, older ones count.
+    void refreshClaims();
     /// Time by which all leases granted have certainly expired.
     absl::Time leasesExpireBy() const { return leasesExpireBy_; }
 
     /// Whether the minion counts as a part of the cell's capacity.
     bool isUsable(absl::Time now) const;
     /// Whether the claims of its runs leave a lease with which another task may start beside them.
-    bool allowsStart(absl::Time now) const { return claimLimit_.allowsStart(claimsEndAt(), now); }
+    bool allowsStart(absl::Time now) const { return claimLimit_.allowsStart(claimsEndAt_, now); }
     /// Resources that are free for new runs.
     const ResourceVector& free() const { return free_; }
 
@@ -109,12 +109,14 @@
 
 private:
     MinionReport report_;
-    absl::Time endOfLease(absl::Duration lease, absl::Time now) const;
+    absl::Time claimEndOf(const Run&) const;
 
     const DispatchPolicy& policy_;
     const ClaimLimit claimLimit_;
     ResourceVector free_;
     absl::flat_hash_map<RunId, Run> runs_;
+    /// Time by which some run of the minion must have ended by the rule of ClaimLimit.
+    absl::Time claimsEndAt_ = absl::InfiniteFuture();
     int64_t clockMs_ = 0;
     absl::Time clockAt_;
     absl::Time leasesExpireBy_ = absl::InfinitePast();
--- a/Tests/Bench/FleetBenchmark.cpp
+++ b/Tests/Bench/FleetBenchmark.cpp
@@ -136,7 +136,7 @@
     for (uint32_t i = 0; i < count; ++i) {
         const CellGrant grant { { cellId.service, cellId.dataCentre, { i, count } }, { DaemonId("10.1.0." + std::to_string(i)), Incarnation(1) }, OwnerEpoch(7 + i) };
         chooser.granted(grant);
-        chooser.loadReceived({ grant, 936000, 412000, { 3, 0, 4 }, 400 }, now);
+        chooser.loadReceived({ grant, 936000, 412000, { 3, 0, 4 }, 400, now }, now);
     }
     for (auto _ : state)
         benchmark::DoNotOptimize(chooser.choose(cellId.service, { 8000, 64, 0 }, tasksPerJob, 1, now));
