Log which offer each result is for

Change: lines of jobs name the offer; job_answered names the offer that decided it; result_ignored and part_ended tell results that don't show in an answer; offer_waiting and offer_rejected tell the offers that arrive before a grant.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iterator>
 #include <utility>
 
 namespace trefoilwing {
@@ -28,8 +27,6 @@
     constexpr absl::Duration minRemoteLoadInterval = absl::Milliseconds(120);
     /// A cell with at least this fraction of its cores free can accept any job, so its exact load needn't be reported.
     constexpr double ampleRoomFraction = 0.6;
-    /// Maximum time that an offer waits here for the grant of its cell to arrive.
-    constexpr absl::Duration earlyOfferTimeout = absl::Milliseconds(500);
     /// The keepers count as unreachable once all have been silent for this long.
     constexpr absl::Duration keeperTimeout = absl::Seconds(5);
     /// Lateness of the pump from which callers may have left without this process having noticed.
@@ -304,7 +301,7 @@
 void FleetEntry::applyGrant(const CellGrant& grant)
 {
     log_.write(Severity::Info, "cell_granted", { { "service", grant.cell.service.value() }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
-    std::vector<EarlyOffer> offers;
+    std::vector<PendingOffer> offers;
     CellPtr cell;
     {
         MutexLock lock(cellsMutex_);
@@ -318,7 +315,7 @@
             const auto owned = std::make_shared<OwnedCell>(grant, policy_, order_, *this);
             cell = CellPtr(owned, &owned->shard);
             cells_[grant.cell] = cell;
-            offers = extractEarlyOffers([&](const EarlyOffer& early) { return early.offer.cell == grant.cell; });
+            offers = pendingOffers_.takeGranted(grant);
         }
     }
     if (cell) {
@@ -330,8 +327,8 @@
         cell->setMinionsKnown(areMinionsKnown(grant.cell, grant.epoch));
         for (const MinionReport& report : reports)
             cell->minionReported(report);
-        for (const EarlyOffer& early : offers)
-            cell->offered(early.offer, early.from);
+        for (const PendingOffer& pending : offers)
+            cell->offered(pending.offer, pending.entry);
         // Entries claim the jobs that they offer to a new owner once they have its first load report.
         wakeFromIdle();
     }
@@ -358,6 +355,7 @@
 
 void FleetEntry::receive(const DaemonId& from, const JobOffer& offer)
 {
+    const PendingOffer pending { offer, from, link_.clock().now() };
     CellPtr cell;
     {
         MutexLock lock(cellsMutex_);
@@ -365,16 +363,23 @@
         if (found != cells_.end())
             cell = found->second;
         else
-            earlyOffers_.push_back({ offer, from, link_.clock().now() });
+            pendingOffers_.add(pending);
     }
     if (cell)
         cell->offered(offer, from);
+    else
+        logPending(pending, "offer_waiting", "no_grant");
     wakeFromIdle();
 }
 
 void FleetEntry::receive(const DaemonId& from, const JobCancel& cancel)
 {
-    rejectEarlyOffers([&](const EarlyOffer& early) { return early.from == from && early.offer.job == cancel.job && early.offer.offerNumber == cancel.offerNumber; });
+    std::vector<PendingOffer> cancelled;
+    {
+        MutexLock lock(cellsMutex_);
+        cancelled = pendingOffers_.takeCancelled(cancel, from);
+    }
+    rejectPending(cancelled, "cancelled");
     if (const CellPtr cell = findCell(cancel.cell))
         cell->cancelled(cancel, from);
 }
@@ -390,25 +395,28 @@
         cell->entryHeartbeatReceived(heartbeat.run, heartbeat.claims);
 }
 
-std::vector<FleetEntry::EarlyOffer> FleetEntry::extractEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken)
+void FleetEntry::rejectPending(const std::vector<PendingOffer>& rejected, std::string_view reason)
 {
-    const auto first = std::stable_partition(earlyOffers_.begin(), earlyOffers_.end(), [&](const EarlyOffer& early) { return !isTaken(early); });
-    std::vector<EarlyOffer> taken(std::make_move_iterator(first), std::make_move_iterator(earlyOffers_.end()));
-    earlyOffers_.erase(first, earlyOffers_.end());
-    return taken;
+    for (const PendingOffer& pending : rejected) {
+        link_.peers().send(pending.entry, pending.rejection(link_.clock().now()));
+        logPending(pending, "offer_rejected", reason);
+    }
 }
 
-void FleetEntry::rejectEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRejected)
+void FleetEntry::expirePending(absl::Time now)
 {
-    std::vector<EarlyOffer> rejected;
+    std::vector<PendingOffer> expired;
     {
         MutexLock lock(cellsMutex_);
-        rejected = extractEarlyOffers(isRejected);
-    }
-    for (const EarlyOffer& early : rejected) {
-        const JobEnd end = early.offer.isTakeover ? JobEnd::GivenUp : JobEnd::Rejected;
-        link_.peers().send(early.from, JobResult { early.offer.job, early.offer.offerNumber, end, {}, link_.clock().now() - early.at });
+        expired = pendingOffers_.takeExpired(now);
     }
+    rejectPending(expired, "no_grant");
+}
+
+void FleetEntry::logPending(const PendingOffer& pending, std::string_view event, std::string_view reason)
+{
+    const JobOffer& offer = pending.offer;
+    log_.write(Severity::Info, event, { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "entry", pending.entry.value() }, { "cell", nameOf(offer.cell) }, { "takeover", std::string(offer.isTakeover ? "yes" : "no") }, { "waited_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(link_.clock().now() - pending.receivedAt)) }, { "reason", std::string(reason) } });
 }
 
 // Minions.
@@ -465,7 +473,7 @@
     for (const CellPtr& cell : cells)
         cell->tick();
     jobs_.tick();
-    rejectEarlyOffers([&](const EarlyOffer& early) { return now > early.at + earlyOfferTimeout; });
+    expirePending(now);
     sendLoads(now);
     if (areClaimsDue_.exchange(false))
         sendOwnerHeartbeats(now);
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -12,13 +12,13 @@
 #include "Intake/JobCoordinator.h"
 #include "Intake/StartupGate.h"
 #include "Placement/CellShard.h"
+#include "Placement/PendingOffers.h"
 #include "Ports/JobIntake.h"
 #include "Ports/RoutingReader.h"
 #include "platform/CallerHandler.h"
 #include "platform/MinionGateway.h"
 
 #include <atomic>
-#include <functional>
 #include <map>
 #include <memory>
 
@@ -65,12 +65,6 @@
         SentLoad local;
         SentLoad remote;
     };
-    /// An offer of a job that arrived before the grant of its cell.
-    struct EarlyOffer {
-        JobOffer offer;
-        DaemonId from;
-        absl::Time at;
-    };
 
     void messageReceived(const DaemonId& from, PeerMessage) override;
     void receive(const DaemonId& from, const FleetUpdate&);
@@ -105,9 +99,10 @@
     /// Decides whether a load must be sent now, and if so records it as sent.
     /// @return whether it must be sent.
     static bool isLoadDue(SentLoad&, const CellLoad&, absl::Duration minInterval, absl::Time now);
-    std::vector<EarlyOffer> extractEarlyOffers(const std::function<bool(const EarlyOffer&)>& isTaken) ABSL_EXCLUSIVE_LOCKS_REQUIRED(cellsMutex_);
-    /// Rejects waiting offers: tells the senders that none of their tasks ran here.
-    void rejectEarlyOffers(const std::function<bool(const EarlyOffer&)>& isRejected);
+    /// Tells the senders of offers that waited for a grant that none of their tasks ran here.
+    void rejectPending(const std::vector<PendingOffer>&, std::string_view reason);
+    void expirePending(absl::Time now);
+    void logPending(const PendingOffer&, std::string_view event, std::string_view reason);
     void checkKeepers(absl::Time now);
     void publishMetrics();
     /// @param lateness of the pump; negative if it was woken before it was due.
@@ -143,7 +138,7 @@
 
     mutable absl::Mutex cellsMutex_;
     std::map<CellId, CellPtr> cells_ ABSL_GUARDED_BY(cellsMutex_);
-    std::vector<EarlyOffer> earlyOffers_ ABSL_GUARDED_BY(cellsMutex_);
+    PendingOffers pendingOffers_ ABSL_GUARDED_BY(cellsMutex_);
 
     std::atomic<bool> isDraining_ { false };
     /// Whether startup is still under way. Callers' requests wait until it ends.
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -102,7 +102,7 @@
         firstTask += share.taskCount;
         offer(part);
         effects_.add([this, offer = part.offer, grant = share.grant] {
-            ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilTimeout) }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+            ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilTimeout) }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
         });
         open.parts.push_back(std::move(part));
     }
@@ -155,18 +155,26 @@
         if (found == jobs_.end())
             return;
         // An earlier owner may still report its result after the part was offered to a new owner.
-        std::vector<Part>& parts = found->second.parts;
-        const auto part = std::find_if(parts.begin(), parts.end(), [&](const Part& each) {
+        OpenJob& job = found->second;
+        const auto part = std::find_if(job.parts.begin(), job.parts.end(), [&](const Part& each) {
             return each.offer.offerNumber == result.offerNumber && each.owner.daemon == from && each.state == PartState::Open;
         });
-        if (part == parts.end())
-            return;
-        if (const std::optional<Outcome> outcome = applyResult(found->second, *part, result))
-            answer(result.job, *outcome);
+        if (part == job.parts.end())
+            logIgnored(from, result, job);
+        else if (const std::optional<Outcome> outcome = applyResult(job, *part, result))
+            answer(result.job, *outcome, result.offerNumber);
     }
     effects_.flush();
 }
 
+void JobCoordinator::logIgnored(const DaemonId& from, const JobResult& result, const OpenJob& job)
+{
+    effects_.add([this, from, result, request = job.requestId] {
+        ports_.log.write(Severity::Info, "result_ignored", { { "request", request }, { "job", result.job.value() }, { "offer", result.offerNumber }, { "owner", from.value() }, { "result", std::string(mappingOf(result.end).name) } });
+        ports_.metrics.count("results_ignored", {}, 1);
+    });
+}
+
 std::optional<JobCoordinator::Outcome> JobCoordinator::applyResult(OpenJob& job, Part& part, const JobResult& result)
 {
     job.queued = std::max(job.queued, result.queued);
@@ -175,6 +183,11 @@
         return Outcome { { mapping.kind, reported.retryAfter }, std::string(mapping.name) };
     };
     const Outcome outcome = toOutcome(result);
+    if (job.parts.size() > 1) {
+        effects_.add([this, offer = part.offer, owner = part.owner.daemon, name = outcome.name] {
+            ports_.log.write(Severity::Info, "part_ended", { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "owner", owner.value() }, { "result", name } });
+        });
+    }
     if (result.end == JobEnd::Failed || result.end == JobEnd::GivenUp) {
         part.state = PartState::Aborted;
         return outcome;
@@ -192,7 +205,7 @@
     return job.hasPart(PartState::Open) ? std::nullopt : std::optional(toOutcome(*job.rejection));
 }
 
-void JobCoordinator::answer(const JobKey& key, const Outcome& outcome)
+void JobCoordinator::answer(const JobKey& key, const Outcome& outcome, uint64_t decidingOffer)
 {
     const absl::Time now = ports_.clock.now();
     auto node = jobs_.extract(key);
@@ -201,10 +214,10 @@
     for (const Ticket& ticket : job.tickets)
         tickets_.erase(ticket);
     const Part& first = job.parts.front();
-    effects_.add([this, key, request = job.requestId, outcome, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner.daemon, cell = first.offer.cell, parts = uint64_t { job.parts.size() }, route = first.offer.route, isLate = now > job.lateAt] {
+    effects_.add([this, key, request = job.requestId, outcome, decidingOffer, tickets = job.tickets, taken = now - job.openedAt, queued = job.queued, owner = first.owner.daemon, cell = first.offer.cell, parts = uint64_t { job.parts.size() }, route = first.offer.route, isLate = now > job.lateAt] {
         for (const Ticket& ticket : tickets)
             ports_.replies.reply(ticket, outcome.answer);
-        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome.name }, { "cell", nameOf(cell) }, { "owner", owner.value() }, { "parts", parts }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
+        ports_.log.write(Severity::Info, "job_answered", { { "request", request }, { "job", key.value() }, { "outcome", outcome.name }, { "offer", decidingOffer }, { "cell", nameOf(cell) }, { "owner", owner.value() }, { "parts", parts }, { "taken_ms", milliseconds(taken) }, { "queued_ms", milliseconds(queued) }, { "late", isLate ? std::string("yes") : std::string("no") } });
         const MetricLabels labels { cell.service, {}, TaskKindId(route.value()) };
         ports_.metrics.count(absl::StrCat("jobs_", outcome.name), labels, 1);
         ports_.metrics.observe(metric::requestLatency, labels, taken);
@@ -230,8 +243,8 @@
                 part.offer.untilLate = job.lateAt - now;
                 part.offer.untilTimeout = job.timeoutAt - now;
                 offer(part);
-                effects_.add([this, key = key, request = job.requestId, grant] {
-                    ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+                effects_.add([this, key = key, request = job.requestId, number = part.offer.offerNumber, grant] {
+                    ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "offer", number }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
                 });
             }
         }
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -120,8 +120,10 @@
     /// Applies an owner's result of one part.
     /// @return the result of the job, if it is known.
     std::optional<Outcome> applyResult(OpenJob&, Part&, const JobResult&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void logIgnored(const DaemonId& from, const JobResult&, const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Cancels the parts that are still open and answers the callers.
-    void answer(const JobKey&, const Outcome&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// @param decidingOffer the number of the offer whose result decided the outcome; 0 if no result did.
+    void answer(const JobKey&, const Outcome&, uint64_t decidingOffer = 0) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void offer(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancel(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancelOpenParts(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -304,7 +304,7 @@
 void CellDispatcher::logEvent(std::string name, const JobKey& job, const MinionId& minion, std::string detail)
 {
     const CellJob* known = findJob(job);
-    outbox_.events.push_back({ std::move(name), job, known ? known->offer().requestId : std::string(), minion, std::move(detail) });
+    outbox_.events.push_back({ std::move(name), job, known ? known->offer().requestId : std::string(), known ? known->offer().offerNumber : 0, minion, std::move(detail) });
 }
 
 } // namespace trefoilwing
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -27,9 +27,10 @@
 /// A log record of a decision about a job, a run or a minion.
 struct CellEvent {
     std::string name;
-    /// The job concerned and the request that submitted it; empty if the event concerns no job.
+    /// The job concerned, with the request and the offer that it came by; empty if the event concerns no open job.
     JobKey job;
     std::string requestId;
+    uint64_t offerNumber = 0;
     MinionId minion;
     std::string detail;
 };
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -32,7 +32,7 @@
         for (const EntryMessage& message : outbox.messages)
             ports_.peers.send(message.entry, message.result);
         for (const CellEvent& event : outbox.events)
-            ports_.log.write(Severity::Info, event.name, { { "request", event.requestId }, { "job", event.job.value() }, { "minion", event.minion.value() }, { "cell", nameOf(grant_.cell) }, { "epoch", grant_.epoch.value() }, { "why", event.detail } });
+            ports_.log.write(Severity::Info, event.name, { { "request", event.requestId }, { "job", event.job.value() }, { "offer", event.offerNumber }, { "minion", event.minion.value() }, { "cell", nameOf(grant_.cell) }, { "epoch", grant_.epoch.value() }, { "why", event.detail } });
     });
 }
 
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -104,6 +104,19 @@
     LONGS_EQUAL(0, replies.answers.size());
 }
 
+// A trace shows which result an answer came from, and which results came too late.
+TEST(JobCoordinator, TheLogNamesTheOfferOfEachResult)
+{
+    openShared(1, "job");
+    end("other", "job", 102, JobEnd::Completed);
+    end("other", "job", 102, JobEnd::Rejected);
+    end("owner", "job", 101, JobEnd::Completed);
+    LONGS_EQUAL(1, log.count("event=job_offered request=\"\" job=job offer=101 "));
+    LONGS_EQUAL(1, log.count("event=part_ended request=\"\" job=job offer=102 owner=other result=completed"));
+    LONGS_EQUAL(1, log.count("event=result_ignored request=\"\" job=job offer=102 owner=other result=overloaded"));
+    LONGS_EQUAL(1, log.count("event=job_answered request=\"\" job=job outcome=completed offer=101 "));
+}
+
 TEST(JobCoordinator, AResubmittedJobIsAnsweredWithTheOpenOne)
 {
     open(1, "job");
