--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -60,6 +60,14 @@
         coordinator.open(Ticket(ticket), job, route, shares);
     }
 
+    void changeOwner(const std::string& daemon, uint64_t incarnation, uint64_t epoch)
+    {
+        coordinator.ownerChanged({ grant.cell, { DaemonId(daemon), Incarnation(incarnation) }, OwnerEpoch(epoch) });
+    }
+
+    /// @return the number of the offer that was sent last.
+    uint64_t lastOffer() const { return peers.take<JobOffer>().back().second.offerNumber; }
+
     void end(const std::string& from, const std::string& key, uint64_t offerNumber, JobEnd how)
     {
         coordinator.resultReceived(DaemonId(from), { JobKey(key), offerNumber, how, absl::Seconds(2), {} });
@@ -327,6 +335,30 @@
     LONGS_EQUAL(1, replies.answers.size());
 }
 
+// Guards against jobs that run after their callers were told that they had not: a rejection of the first offer to an
+// owner was taken for one of the second.
+TEST(JobCoordinator, ARejectionOfAnOfferFromBeforeItsOwnersRestartIsIgnored)
+{
+    open(1, "job");
+    changeOwner("owner", 2, 8);
+    end("owner", "job", 101, JobEnd::Rejected);
+    LONGS_EQUAL(0, replies.answers.size());
+    end("owner", "job", lastOffer(), JobEnd::Completed);
+    CHECK(replies.answers.back().second.kind == AnswerKind::Completed);
+}
+
+// The same with another owner in between.
+TEST(JobCoordinator, ARejectionOfAnOfferFromBeforeTheCellCameBackIsIgnored)
+{
+    open(1, "job");
+    changeOwner("next", 1, 8);
+    changeOwner("owner", 1, 9);
+    end("owner", "job", 101, JobEnd::Rejected);
+    LONGS_EQUAL(0, replies.answers.size());
+    end("owner", "job", lastOffer(), JobEnd::Completed);
+    CHECK(replies.answers.back().second.kind == AnswerKind::Completed);
+}
+
 TEST(JobCoordinator, OnlyOwnersOfOpenPartsAreListed)
 {
     openShared(1, "job");
