Give each offer of a part its own number

Callers: told 429 (nothing ran, come back later) while their job was started and ended done.

Cause: when the owner of a cell changes, the entry cancels an open part and offers it again under the same number. A result is matched by daemon and number. An offer that waits for its grant at a restarted owner is rejected by the cancel, and this rejection ends the second offer at the entry, which the same owner then starts. The part counts as ended, so no cancel follows.

Class: a message about an earlier attempt is taken for one about a later attempt, because both have the same name.

Change: an offer that is made again has a new number, so results and cancels of the earlier one fit nothing.

ANewOwnerIsOfferedTheJobsAsATakeover demanded that the number stay the same, which is the fault; it now demands the new one and that results under any other are ignored.

--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -237,6 +237,7 @@
                 cancel(part);
                 part.owner = grant.owner;
                 part.offeredAt = stallFreeTime_.at(now);
+                part.offer.offerNumber = ++lastOfferNumber_;
                 part.offer.isTakeover = true;
                 // Its callers may have left unnoticed if this process stood still. The next heartbeat claims the job.
                 part.offer.stamp.reset();
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -130,7 +130,8 @@
     JobKey job;
     /// The id of the caller's request, for the log.
     std::string requestId;
-    /// Number of the offer at its sender, so that an answer is matched to the offer that it is for.
+    /// Number of the offer at its sender, so that an answer is matched to the offer that it is for. A part that is
+    /// offered again gets another number.
     uint64_t offerNumber = 0;
     RouteName route;
     /// The index of the first task offered; the indexes of the others follow.
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -157,11 +157,14 @@
     LONGS_EQUAL(2, offers.size());
     CHECK(offers.back().first == DaemonId("next"));
     CHECK(offers.back().second.isTakeover);
-    LONGS_EQUAL(101, offers.back().second.offerNumber);
-    // The result from the earlier owner arrives too late and is ignored.
+    LONGS_EQUAL(102, offers.back().second.offerNumber);
+    // The result from the earlier owner arrives too late and is ignored, and so is one of the new owner for an offer
+    // that it wasn't made.
     end("owner", "job", 101, JobEnd::Rejected);
-    LONGS_EQUAL(0, replies.answers.size());
+    end("owner", "job", 102, JobEnd::Rejected);
     end("next", "job", 101, JobEnd::Completed);
+    LONGS_EQUAL(0, replies.answers.size());
+    end("next", "job", 102, JobEnd::Completed);
     CHECK(replies.answers.front().second.kind == AnswerKind::Completed);
 }
 
@@ -331,7 +334,8 @@
     LONGS_EQUAL(2, offers.size());
     CHECK(offers.back().first == DaemonId("owner"));
     CHECK(offers.back().second.isTakeover);
-    end("owner", "job", 101, JobEnd::Completed);
+    CHECK(offers.back().second.offerNumber != offers.front().second.offerNumber);
+    end("owner", "job", lastOffer(), JobEnd::Completed);
     LONGS_EQUAL(1, replies.answers.size());
 }
 
