Take no sign of life from an owner's earlier process

Callers of an owner that has restarted and hangs wait until their own time is over, instead of 1.5 s, while reports of its earlier process that were held up still arrive.

Cause: JobCoordinator::loadReceived() recorded the contact before it looked whether the report was of an earlier process.

Test: JobCoordinator.LateReportsOfAnEarlierProcessDontKeepAnOwnerFromBeingSilent failed before.

--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -275,11 +275,11 @@
 {
     MutexLock lock(mutex_);
     const DaemonRun& owner = grant.owner;
-    ownerContacts_[owner.daemon] = stallFreeTime_.at(ports_.clock.now());
     OwnerReport& newest = ownerReports_[owner.daemon];
     const bool isNewProcess = newest.stamp.owner != owner.incarnation;
     if (isNewProcess && grant.epoch < newest.epoch)
         return false;
+    ownerContacts_[owner.daemon] = stallFreeTime_.at(ports_.clock.now());
     newest.stamp = { owner.incarnation, isNewProcess ? sentAt : std::max(newest.stamp.sentAt, sentAt) };
     newest.epoch = std::max(newest.epoch, grant.epoch);
     return isNewProcess && std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -313,6 +313,22 @@
     CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(2), absl::FromUnixSeconds(1) }, { 101 } }));
 }
 
+// Reports of an owner's earlier process that were held up don't show that the new one runs.
+TEST(JobCoordinator, LateReportsOfAnEarlierProcessDontKeepAnOwnerFromBeingSilent)
+{
+    const CellGrant restarted { grant.cell, { DaemonId("owner"), Incarnation(2) }, OwnerEpoch(8) };
+    coordinator.ownerChanged(restarted);
+    coordinator.loadReceived(restarted, clock.now());
+    open(1, "job");
+    for (int i = 0; i < 9; ++i) {
+        clock.time += absl::Milliseconds(200);
+        coordinator.loadReceived(grant, clock.now());
+        coordinator.tick();
+    }
+    LONGS_EQUAL(1, replies.answers.size());
+    CHECK(replies.answers.back().second.kind == AnswerKind::GaveUp);
+}
+
 TEST(JobCoordinator, AnOfferToANewOwnerClaimsNothing)
 {
     open(1, "job");
