Name the owner's grant in each offer

A process that restarts under the id reads offers that were sent to its predecessor and accepted them in the cell that it is granted anew, beside the offer that the entry makes to it. A process that loses its cell and gets it back has dropped the jobs of the earlier grant without a result, and the entry, which compared runs, never offered them again. The newest grant of a cell was decided in two places, in the order in which threads came, so an older one could be applied last.

Change: offers carry the epoch of the grant. An owner accepts those of its own grant only; others wait until they are cancelled or have expired. An entry offers open parts again at each newer grant, also to the same process. GrantTable decides for the choice of cells, for open jobs and for the cells owned which grant is newer. A job that is being rejected isn't offered to a new owner any more, since its part could not be called not run, and its callers hear at once.

Offers of entries of earlier versions name no grant and are accepted as before.

--- a/Source/Adapters/Msgpack/FieldList.h
+++ b/Source/Adapters/Msgpack/FieldList.h
@@ -62,8 +62,10 @@
         [[maybe_unused]] auto& [f1, f2, f3, f4, f5, f6, f7, f8, f9, f10, f11, f12, f13, f14, f15] = value;
     else if constexpr (count == 16)
         [[maybe_unused]] auto& [f1, f2, f3, f4, f5, f6, f7, f8, f9, f10, f11, f12, f13, f14, f15, f16] = value;
+    else if constexpr (count == 17)
+        [[maybe_unused]] auto& [f1, f2, f3, f4, f5, f6, f7, f8, f9, f10, f11, f12, f13, f14, f15, f16, f17] = value;
     else
-        static_assert(count <= 16, "extend the list above");
+        static_assert(count <= 17, "extend the list above");
     // clang-format on
 }
 
--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -91,7 +91,7 @@
 
 void visitFields(auto&& visit, Fields<JobOffer> auto& value)
 {
-    visit(value.cell, value.job, value.requestId, value.offerNumber, value.route, value.firstTask, value.taskCount, value.need, value.estimate, value.spec, value.untilLate, value.untilTimeout, value.priority, value.maxAttempts, value.isTakeover, value.stamp);
+    visit(value.cell, value.job, value.requestId, value.offerNumber, value.route, value.firstTask, value.taskCount, value.need, value.estimate, value.spec, value.untilLate, value.untilTimeout, value.priority, value.maxAttempts, value.isTakeover, value.stamp, value.epoch);
 }
 
 void visitFields(auto&& visit, Fields<JobCancel> auto& value)
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -305,11 +305,9 @@
     CellPtr cell;
     {
         MutexLock lock(cellsMutex_);
-        const auto held = cells_.find(grant.cell);
-        if (held != cells_.end() && held->second->epoch() >= grant.epoch)
+        if (!appliedGrants_.accept(grant))
             return;
-        if (held != cells_.end())
-            cells_.erase(held);
+        cells_.erase(grant.cell);
         std::erase_if(cells_, [&](const auto& entry) { return isFromOtherDivision(entry.first, grant.cell); });
         if (grant.owner == link_.self()) {
             const auto owned = std::make_shared<OwnedCell>(grant, policy_, order_, *this);
@@ -360,7 +358,7 @@
     {
         MutexLock lock(cellsMutex_);
         const auto found = cells_.find(offer.cell);
-        if (found != cells_.end())
+        if (found != cells_.end() && PendingOffers::isFor(offer, found->second->epoch()))
             cell = found->second;
         else
             pendingOffers_.add(pending);
@@ -416,7 +414,7 @@
 void FleetEntry::logPending(const PendingOffer& pending, std::string_view event, std::string_view reason)
 {
     const JobOffer& offer = pending.offer;
-    log_.write(Severity::Info, event, { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "entry", pending.entry.value() }, { "cell", nameOf(offer.cell) }, { "takeover", std::string(offer.isTakeover ? "yes" : "no") }, { "waited_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(link_.clock().now() - pending.receivedAt)) }, { "reason", std::string(reason) } });
+    log_.write(Severity::Info, event, { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "entry", pending.entry.value() }, { "cell", nameOf(offer.cell) }, { "epoch", offer.epoch.value() }, { "takeover", std::string(offer.isTakeover ? "yes" : "no") }, { "waited_ms", static_cast<uint64_t>(absl::ToInt64Milliseconds(link_.clock().now() - pending.receivedAt)) }, { "reason", std::string(reason) } });
 }
 
 // Minions.
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -9,6 +9,7 @@
 #include "Daemon/PumpThread.h"
 #include "Intake/CellChooser.h"
 #include "Intake/FleetView.h"
+#include "Intake/GrantTable.h"
 #include "Intake/JobCoordinator.h"
 #include "Intake/StartupGate.h"
 #include "Placement/CellShard.h"
@@ -138,6 +139,8 @@
 
     mutable absl::Mutex cellsMutex_;
     std::map<CellId, CellPtr> cells_ ABSL_GUARDED_BY(cellsMutex_);
+    /// The grants that have been applied. Grants come from several threads, so an older one may come last.
+    GrantTable appliedGrants_ ABSL_GUARDED_BY(cellsMutex_);
     PendingOffers pendingOffers_ ABSL_GUARDED_BY(cellsMutex_);
 
     std::atomic<bool> isDraining_ { false };
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -21,26 +21,16 @@
 
 bool CellChooser::granted(const CellGrant& grant)
 {
-    // A pool has one division into cells at a time: that of its newest grant.
-    const auto isOfOtherDivision = [&](const auto& entry) { return entry.first.pool() == grant.cell.pool() && entry.first.part.count != grant.cell.part.count; };
-    for (const auto& entry : grants_) {
-        if (isOfOtherDivision(entry) && entry.second.epoch > grant.epoch)
-            return false;
-    }
-    std::erase_if(grants_, isOfOtherDivision);
-    std::erase_if(statuses_, isOfOtherDivision);
-    CellGrant& known = grants_[grant.cell];
-    if (grant.epoch <= known.epoch)
+    if (!grants_.accept(grant))
         return false;
-    known = grant;
-    statuses_.erase(grant.cell);
+    std::erase_if(statuses_, [&](const auto& entry) { return entry.first == grant.cell || !grants_.find(entry.first); });
     return true;
 }
 
 void CellChooser::loadReceived(const CellLoad& load, absl::Time now)
 {
-    const auto grant = grants_.find(load.grant.cell);
-    if (grant == grants_.end() || grant->second.epoch != load.grant.epoch)
+    const CellGrant* grant = grants_.find(load.grant.cell);
+    if (!grant || grant->epoch != load.grant.epoch)
         return;
     statuses_[load.grant.cell] = { load, stallFreeTime_.at(now), 0 };
 }
@@ -58,7 +48,7 @@
 std::vector<CellChooser::Candidate> CellChooser::candidates(const ServiceId& service, int64_t taskMilliCores, uint32_t priority, absl::Time now)
 {
     std::vector<Candidate> found;
-    for (const auto& [cell, grant] : grants_) {
+    for (const auto& [cell, grant] : grants_.all()) {
         const auto status = statuses_.find(cell);
         if (cell.service != service || status == statuses_.end() || !isRecent(status->second, now))
             continue;
--- a/Source/Intake/CellChooser.h
+++ b/Source/Intake/CellChooser.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Base/StallFreeTime.h"
+#include "Intake/GrantTable.h"
 #include "Model/FleetMessages.h"
 
 #include <absl/time/time.h>
@@ -33,7 +34,7 @@
     /// @return the cells that share the job's tasks; empty if no owner of the service's cells has reported recently.
     std::vector<CellShare> choose(const ServiceId&, const ResourceVector& need, uint32_t taskCount, uint32_t priority, absl::Time now);
 
-    const std::map<CellId, CellGrant>& grants() const { return grants_; }
+    const std::map<CellId, CellGrant>& grants() const { return grants_.all(); }
     /// @return whether the owner of any cell has reported its load recently.
     bool hasLiveOwner(absl::Time now) const;
 
@@ -62,7 +63,7 @@
 
     const DataCentreId home_;
     StallFreeTime stallFreeTime_;
-    std::map<CellId, CellGrant> grants_;
+    GrantTable grants_;
     std::map<CellId, CellStatus> statuses_;
 };
 
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -94,14 +94,15 @@
     open.timeoutAt = now + (job.maxWait < absl::InfiniteDuration() ? job.maxWait : route.timeout) - replyTransitTime;
     uint32_t firstTask = 0;
     for (const CellShare& share : shares) {
+        // The cell may have been granted to another owner since the shares were chosen.
+        const CellGrant* newest = grants_.find(share.grant.cell);
+        const CellGrant& grant = newest && newest->epoch > share.grant.epoch ? *newest : share.grant;
         Part part;
-        part.owner = share.grant.owner;
-        part.offeredAt = stallFreeTime_.at(now);
-        part.offer = JobOffer { share.grant.cell, job.key, job.requestId, ++lastOfferNumber_, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
-            open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false, stampOf(part.owner.daemon) };
+        part.offer = JobOffer { grant.cell, job.key, job.requestId, 0, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
+            open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false, stampOf(grant.owner.daemon), {} };
         firstTask += share.taskCount;
-        offer(part);
-        effects_.add([this, offer = part.offer, grant = share.grant] {
+        offer(part, grant);
+        effects_.add([this, offer = part.offer, grant] {
             ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilTimeout) }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
         });
         open.parts.push_back(std::move(part));
@@ -109,9 +110,13 @@
     jobs_.emplace(job.key, std::move(open));
 }
 
-void JobCoordinator::offer(const Part& part)
+void JobCoordinator::offer(Part& part, const CellGrant& grant)
 {
-    effects_.add([this, owner = part.owner.daemon, offer = part.offer] { ports_.peers.send(owner, offer); });
+    part.owner = grant.owner;
+    part.offeredAt = stallFreeTime_.at(ports_.clock.now());
+    part.offer.offerNumber = ++lastOfferNumber_;
+    part.offer.epoch = grant.epoch;
+    effects_.add([this, owner = grant.owner.daemon, offer = part.offer] { ports_.peers.send(owner, offer); });
 }
 
 void JobCoordinator::cancel(const Part& part)
@@ -229,30 +234,42 @@
 {
     {
         MutexLock lock(mutex_);
-        const absl::Time now = ports_.clock.now();
+        if (!grants_.accept(grant))
+            return;
+        std::vector<JobKey> ending;
         for (auto& [key, job] : jobs_) {
-            for (Part& part : job.parts) {
-                if (part.offer.cell != grant.cell || part.owner == grant.owner || part.state != PartState::Open)
-                    continue;
-                cancel(part);
-                part.owner = grant.owner;
-                part.offeredAt = stallFreeTime_.at(now);
-                part.offer.offerNumber = ++lastOfferNumber_;
-                part.offer.isTakeover = true;
-                // Its callers may have left unnoticed if this process stood still. The next heartbeat claims the job.
-                part.offer.stamp.reset();
-                part.offer.untilLate = job.lateAt - now;
-                part.offer.untilTimeout = job.timeoutAt - now;
-                offer(part);
-                effects_.add([this, key = key, request = job.requestId, number = part.offer.offerNumber, grant] {
-                    ports_.log.write(Severity::Info, "job_moved", { { "request", request }, { "job", key.value() }, { "offer", number }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
-                });
-            }
+            const auto part = std::find_if(job.parts.begin(), job.parts.end(), [&](const Part& each) {
+                return each.offer.cell == grant.cell && each.offer.epoch < grant.epoch && each.state == PartState::Open;
+            });
+            if (part == job.parts.end())
+                continue;
+            // The job ends with the rejection anyway, and a new owner can't say whether the earlier one ran the part.
+            if (job.rejection)
+                ending.push_back(key);
+            else
+                move(job, *part, grant);
         }
+        for (const JobKey& key : ending)
+            answer(key, { { AnswerKind::GaveUp, {} }, "part_turned_down" });
     }
     effects_.flush();
 }
 
+void JobCoordinator::move(const OpenJob& job, Part& part, const CellGrant& grant)
+{
+    const absl::Time now = ports_.clock.now();
+    cancel(part);
+    part.offer.isTakeover = true;
+    // Its callers may have left unnoticed if this process stood still. The next heartbeat claims the job.
+    part.offer.stamp.reset();
+    part.offer.untilLate = job.lateAt - now;
+    part.offer.untilTimeout = job.timeoutAt - now;
+    offer(part, grant);
+    effects_.add([this, offer = part.offer, owner = grant.owner.daemon] {
+        ports_.log.write(Severity::Info, "job_moved", { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "cell", nameOf(offer.cell) }, { "owner", owner.value() }, { "epoch", offer.epoch.value() } });
+    });
+}
+
 void JobCoordinator::poolDivided(const CellId& cell)
 {
     {
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -2,6 +2,7 @@
 
 #include "Base/EffectQueue.h"
 #include "Base/StallFreeTime.h"
+#include "Intake/GrantTable.h"
 #include "Model/FleetMessages.h"
 #include "Model/IncomingJob.h"
 #include "Ports/CallerReplies.h"
@@ -44,7 +45,8 @@
     /// Handles a caller that disconnected before its answer.
     void abandoned(Ticket);
     void resultReceived(const DaemonId& from, const JobResult&);
-    /// Handles a new owner of a cell.
+    /// Handles a new grant of a cell, also to the process that has it already: that process has dropped the offers of its
+    /// earlier grant. Grants that are older than a known one are ignored.
     void ownerChanged(const CellGrant&);
     /// Handles a new division of a pool into cells; the previous cells have no owner any more.
     /// @param cell any cell of the new division.
@@ -79,6 +81,7 @@
 
     struct Part {
         JobOffer offer;
+        /// The process that it was offered to.
         DaemonRun owner;
         /// When it was offered to this owner, on the clock of stallFreeTime_.
         absl::Time offeredAt;
@@ -124,7 +127,10 @@
     /// Cancels the parts that are still open and answers the callers.
     /// @param decidingOffer the number of the offer whose result decided the outcome; 0 if no result did.
     void answer(const JobKey&, const Outcome&, uint64_t decidingOffer = 0) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void offer(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Offers a part under a number of its own.
+    void offer(Part&, const CellGrant&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Cancels an open part at its owner and offers it to the owner of a newer grant.
+    void move(const OpenJob&, Part&, const CellGrant&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancel(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancelOpenParts(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     std::optional<OwnerStamp> stampOf(const DaemonId& owner) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
@@ -133,6 +139,7 @@
     mutable absl::Mutex mutex_;
     EffectQueue effects_;
     uint64_t lastOfferNumber_ ABSL_GUARDED_BY(mutex_);
+    GrantTable grants_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<JobKey, OpenJob> jobs_ ABSL_GUARDED_BY(mutex_);
     absl::flat_hash_map<Ticket, JobKey> tickets_ ABSL_GUARDED_BY(mutex_);
     StallFreeTime stallFreeTime_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -151,6 +151,8 @@
     bool isTakeover = false;
     /// From the newest load report that the sender had read from the receiver; unset if it had read none.
     std::optional<OwnerStamp> stamp = OwnerStamp {};
+    /// The grant by which the receiver is the owner; 0 if the sender is of an earlier version and doesn't say.
+    OwnerEpoch epoch;
 
     friend bool operator==(const JobOffer&, const JobOffer&) = default;
 };
--- a/Source/Placement/PendingOffers.cpp
+++ b/Source/Placement/PendingOffers.cpp
@@ -33,9 +33,15 @@
     offers_.push_back(std::move(pending));
 }
 
+bool PendingOffers::isFor(const JobOffer& offer, OwnerEpoch held)
+{
+    // Entries of earlier versions don't name the grant.
+    return offer.epoch == held || offer.epoch == OwnerEpoch(0);
+}
+
 std::vector<PendingOffer> PendingOffers::takeGranted(const CellGrant& grant)
 {
-    return take([&](const PendingOffer& pending) { return pending.offer.cell == grant.cell; });
+    return take([&](const PendingOffer& pending) { return pending.offer.cell == grant.cell && isFor(pending.offer, grant.epoch); });
 }
 
 std::vector<PendingOffer> PendingOffers::takeCancelled(const JobCancel& cancel, const DaemonId& entry)
--- a/Source/Placement/PendingOffers.h
+++ b/Source/Placement/PendingOffers.h
@@ -18,14 +18,22 @@
     JobResult rejection(absl::Time now) const;
 };
 
-/// Holds offers of jobs until the grant of their cell arrives: an entry may learn of a grant before the new owner does.
+/// Holds offers of jobs until the grant that they name arrives: an entry may learn of a grant before the new owner does.
+///
+/// An offer is for the owner by one grant. A process that restarts keeps its id, so it reads what was sent to its
+/// predecessor; a process that gets a cell back has dropped the jobs of its earlier grant. An offer for an earlier owner
+/// is never accepted: it waits until its entry knows the newer grant and cancels it, or until it expires.
 class PendingOffers {
 public:
+    /// @param held the epoch under which this daemon owns the offer's cell.
+    /// @return whether the offer is for the owner under that epoch.
+    static bool isFor(const JobOffer&, OwnerEpoch held);
+
     void add(PendingOffer);
 
-    /// Removes the offers that a new grant decides on.
-    /// @return the offers that its owner accepts, in the order of their arrival.
-    std::vector<PendingOffer> takeGranted(const CellGrant&);
+    /// @param grant of a cell to this daemon.
+    /// @return the offers for its owner, in the order of their arrival, which are removed.
+    std::vector<PendingOffer> takeGranted(const CellGrant& grant);
     /// @return the offers that the cancel is for, which are removed.
     std::vector<PendingOffer> takeCancelled(const JobCancel&, const DaemonId& entry);
     /// @return the offers that have waited for too long, which are removed.
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -66,7 +66,10 @@
     }
 
     /// @return the number of the offer that was sent last.
-    uint64_t lastOffer() const { return peers.take<JobOffer>().back().second.offerNumber; }
+    uint64_t lastOffer() const
+    {
+        return peers.take<JobOffer>().back().second.offerNumber;
+    }
 
     void end(const std::string& from, const std::string& key, uint64_t offerNumber, JobEnd how)
     {
@@ -379,6 +382,60 @@
     CHECK(replies.answers.back().second.kind == AnswerKind::Completed);
 }
 
+TEST(JobCoordinator, AnOfferNamesTheGrantOfItsOwner)
+{
+    open(1, "job");
+    CHECK(peers.take<JobOffer>().back().second.epoch == OwnerEpoch(3));
+    changeOwner("next", 1, 8);
+    CHECK(peers.take<JobOffer>().back().second.epoch == OwnerEpoch(8));
+}
+
+// Guards against callers that wait until their own timeout, because the process that has their job lost its cell, got it
+// back and has dropped the jobs of the earlier grant.
+TEST(JobCoordinator, AProcessThatGetsItsCellBackIsOfferedItsOpenJobsAgain)
+{
+    open(1, "job");
+    changeOwner("owner", 1, 8);
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(2, offers.size());
+    CHECK(offers.back().second.isTakeover);
+    end("owner", "job", 101, JobEnd::Rejected);
+    LONGS_EQUAL(0, replies.answers.size());
+}
+
+// Guards against jobs that move back to an owner that has been replaced, since keepers that are behind tell older grants.
+TEST(JobCoordinator, AGrantThatIsOlderThanAKnownOneChangesNothing)
+{
+    open(1, "job");
+    changeOwner("next", 1, 8);
+    changeOwner("owner", 1, 3);
+    changeOwner("third", 1, 7);
+    LONGS_EQUAL(2, peers.take<JobOffer>().size());
+}
+
+// Guards against a job that no owner has: its cell was granted anew between the choice of the cell and the offer.
+TEST(JobCoordinator, AJobIsOfferedToTheOwnerOfTheNewestGrant)
+{
+    changeOwner("next", 1, 8);
+    open(1, "job");
+    const auto offers = peers.take<JobOffer>();
+    LONGS_EQUAL(1, offers.size());
+    CHECK(offers.back().first == DaemonId("next"));
+    CHECK(offers.back().second.epoch == OwnerEpoch(8));
+    CHECK_FALSE(offers.back().second.isTakeover);
+}
+
+// A part that is being cancelled can't be called not run any more once its owner has changed.
+TEST(JobCoordinator, APartOfARejectedJobIsNotOfferedToANewOwner)
+{
+    openShared(1, "job");
+    end("other", "job", 102, JobEnd::Rejected);
+    changeOwner("next", 1, 8);
+    LONGS_EQUAL(2, peers.take<JobOffer>().size());
+    LONGS_EQUAL(1, replies.answers.size());
+    CHECK(replies.answers.back().second.kind == AnswerKind::GaveUp);
+}
+
 TEST(JobCoordinator, OnlyOwnersOfOpenPartsAreListed)
 {
     openShared(1, "job");
--- a/Tests/Placement/PendingOffersTest.cpp
+++ b/Tests/Placement/PendingOffersTest.cpp
@@ -12,20 +12,29 @@
     const absl::Time start = absl::FromUnixSeconds(1000);
     PendingOffers pending;
 
-    JobOffer makeOffer(const std::string& job, uint64_t number) const
+    JobOffer makeOffer(const std::string& job, uint64_t number, uint64_t epoch = 8) const
     {
         JobOffer offer;
+        offer.epoch = OwnerEpoch(epoch);
         offer.cell = cell;
         offer.job = JobKey(job);
         offer.offerNumber = number;
         return offer;
     }
 
-    void add(const JobOffer& offer) { pending.add({ offer, entry, start }); }
+    void add(const JobOffer& offer)
+    {
+        pending.add({ offer, entry, start });
+    }
+
+    CellGrant makeGrant(uint64_t epoch) const
+    {
+        return { cell, { DaemonId("owner"), Incarnation(2) }, OwnerEpoch(epoch) };
+    }
 
     std::vector<PendingOffer> takeGranted(uint64_t epoch)
     {
-        return pending.takeGranted({ cell, { DaemonId("owner"), Incarnation(2) }, OwnerEpoch(epoch) });
+        return pending.takeGranted(makeGrant(epoch));
     }
 };
 
@@ -73,3 +82,37 @@
     add(offer);
     CHECK(pending.takeExpired(start + absl::Seconds(1)).front().rejection(start).end == JobEnd::GivenUp);
 }
+
+// Guards against a job that starts twice at a restarted owner: by the offer to its predecessor, which it reads late, and by
+// the offer to itself.
+TEST(PendingOffers, AnOfferToAnEarlierOwnerIsNotAccepted)
+{
+    add(makeOffer("job", 1, 4));
+    add(makeOffer("job", 2, 8));
+    const std::vector<PendingOffer> accepted = takeGranted(8);
+    LONGS_EQUAL(1, accepted.size());
+    LONGS_EQUAL(2, accepted.front().offer.offerNumber);
+    LONGS_EQUAL(1, pending.takeCancelled({ cell, JobKey("job"), 1 }, entry).size());
+}
+
+TEST(PendingOffers, AnOfferWaitsForTheGrantThatItNames)
+{
+    add(makeOffer("job", 1, 9));
+    LONGS_EQUAL(0, takeGranted(8).size());
+    LONGS_EQUAL(1, takeGranted(9).size());
+}
+
+TEST(PendingOffers, AnOwnerAcceptsOffersOfItsOwnGrantOnly)
+{
+    CHECK(PendingOffers::isFor(makeOffer("job", 1, 8), OwnerEpoch(8)));
+    CHECK_FALSE(PendingOffers::isFor(makeOffer("job", 1, 9), OwnerEpoch(8)));
+    CHECK_FALSE(PendingOffers::isFor(makeOffer("job", 1, 7), OwnerEpoch(8)));
+}
+
+// During an upgrade, entries of earlier versions don't name the grant.
+TEST(PendingOffers, AnOfferThatNamesNoGrantIsForAnyOwner)
+{
+    CHECK(PendingOffers::isFor(makeOffer("job", 1, 0), OwnerEpoch(8)));
+    add(makeOffer("job", 1, 0));
+    LONGS_EQUAL(1, takeGranted(8).size());
+}
