Drop answers to orders of an earlier grant

Cause: a process that loses its cell and gets it back still receives answers to the orders of the earlier grant. The dispatcher of the later one took them for its own: an answered renewal counted the minion as fenced, so that tasks could start beside runs of the owner in between, and a refusal for the lower epoch ended the new ownership.

Change: results of orders name the epoch of their order; others than the owner's are dropped.

Tests: Takeover.AnAnswerToAnOrderOfAnEarlierGrantFencesNothing and ARefusalOfAnEarlierGrantDoesNotEndTheLaterOne failed with the check taken out.

--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -178,6 +178,8 @@
 
 struct StartResult {
     MinionInstance instance;
+    /// The epoch of the order that was answered.
+    OwnerEpoch epoch;
     RunId run;
     OrderFailure failure = OrderFailure::None;
     /// The time on the minion's clock; 0 if the answer didn't state it.
@@ -186,6 +188,8 @@
 
 struct StopResult {
     MinionInstance instance;
+    /// The epoch of the order that was answered.
+    OwnerEpoch epoch;
     RunId run;
     OrderFailure failure = OrderFailure::None;
     int64_t clockMs = 0;
@@ -213,6 +217,8 @@
 
 struct RenewResult {
     MinionInstance instance;
+    /// The epoch of the order that was answered.
+    OwnerEpoch epoch;
     OrderFailure failure = OrderFailure::None;
     int64_t clockMs = 0;
     std::vector<RunProgress> running;
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -89,6 +89,12 @@
     return found == minions_.end() || found->second->instance() != instance ? nullptr : found->second.get();
 }
 
+LeasedMinion* CellDispatcher::findAnswering(const MinionInstance& instance, OwnerEpoch epoch)
+{
+    // A process that lost its cell and got it back still receives answers to the orders of its earlier grant.
+    return epoch == grant_.epoch ? findMinion(instance) : nullptr;
+}
+
 OrderHeader CellDispatcher::headerTo(const LeasedMinion& minion) const
 {
     return { minion.instance(), minion.report().endpoint, grant_.epoch };
@@ -155,7 +161,7 @@
 
 void CellDispatcher::answered(const StartResult& result, absl::Time now)
 {
-    LeasedMinion* minion = findMinion(result.instance);
+    LeasedMinion* minion = findAnswering(result.instance, result.epoch);
     if (!minion)
         return;
     recordAnswer(*minion, result.failure, result.clockMs, now);
@@ -213,7 +219,7 @@
 
 void CellDispatcher::answered(const StopResult& result, absl::Time now)
 {
-    LeasedMinion* minion = findMinion(result.instance);
+    LeasedMinion* minion = findAnswering(result.instance, result.epoch);
     if (!minion)
         return;
     recordAnswer(*minion, result.failure, result.clockMs, now);
@@ -229,7 +235,7 @@
 
 void CellDispatcher::answered(const RenewResult& result, absl::Time now)
 {
-    LeasedMinion* minion = findMinion(result.instance);
+    LeasedMinion* minion = findAnswering(result.instance, result.epoch);
     if (!minion)
         return;
     const absl::Time sentAt = minion->renewalSentAt.value_or(now);
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -157,6 +157,8 @@
 
     // Minions.
     LeasedMinion* findMinion(const MinionInstance&);
+    /// @return the minion that an answer is from; null if it is unknown or was ordered under another epoch.
+    LeasedMinion* findAnswering(const MinionInstance&, OwnerEpoch);
     /// Removes a minion whose instance has ended, with its runs.
     void removeMinion(LeasedMinion&, std::string_view reason);
     void recordAnswer(LeasedMinion&, OrderFailure, int64_t clockMs, absl::Time now);
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -128,25 +128,25 @@
 
 void CellFixture::answerStart(const StartOrder& order, OrderFailure failure)
 {
-    cell_.answered(StartResult { order.header.instance, order.run, failure, clockMs() }, now_);
+    cell_.answered(StartResult { order.header.instance, order.header.epoch, order.run, failure, clockMs() }, now_);
     collect();
 }
 
 void CellFixture::answerStop(const StopOrder& order, OrderFailure failure)
 {
-    cell_.answered(StopResult { order.header.instance, order.run, failure, clockMs() }, now_);
+    cell_.answered(StopResult { order.header.instance, order.header.epoch, order.run, failure, clockMs() }, now_);
     collect();
 }
 
 void CellFixture::answerRenewal(const std::string& minion, std::vector<RunProgress> running, std::vector<EndedRun> ended)
 {
-    cell_.answered(RenewResult { instance(minion), OrderFailure::None, clockMs(), std::move(running), std::move(ended) }, now_);
+    cell_.answered(RenewResult { instance(minion), cell_.epoch(), OrderFailure::None, clockMs(), std::move(running), std::move(ended) }, now_);
     collect();
 }
 
 void CellFixture::failRenewal(const std::string& minion)
 {
-    cell_.answered(RenewResult { instance(minion), OrderFailure::NoAnswer, 0, {}, {} }, now_);
+    cell_.answered(RenewResult { instance(minion), cell_.epoch(), OrderFailure::NoAnswer, 0, {}, {} }, now_);
     collect();
 }
 
--- a/Tests/Placement/FaultyMinionTest.cpp
+++ b/Tests/Placement/FaultyMinionTest.cpp
@@ -113,7 +113,7 @@
     fixture.addMinion("m2");
     const StartOrder first = startOne();
     fixture.answerStart(first);
-    fixture.cell().answered(RenewResult { first.header.instance, OrderFailure::OtherInstance, 0, {}, {} }, fixture.now());
+    fixture.cell().answered(RenewResult { first.header.instance, first.header.epoch, OrderFailure::OtherInstance, 0, {}, {} }, fixture.now());
     fixture.advance(absl::Milliseconds(20));
     LONGS_EQUAL(0, fixture.takeStarts().size());
     fixture.advance(absl::Milliseconds(900));
@@ -129,7 +129,7 @@
     fixture.advance(absl::Milliseconds(20));
     const std::string minion = first.header.instance.minion.value();
     fixture.answerRenewal(minion, { { first.run, 5 } });
-    fixture.cell().answered(RenewResult { first.header.instance, OrderFailure::OtherInstance, 0, {}, {} }, fixture.now());
+    fixture.cell().answered(RenewResult { first.header.instance, first.header.epoch, OrderFailure::OtherInstance, 0, {}, {} }, fixture.now());
     fixture.advance(absl::Milliseconds(20));
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -154,6 +154,28 @@
     LONGS_EQUAL(0, fixture.takeRenewals().size());
 }
 
+// A process loses its cell and gets it back while its earlier orders are being answered.
+TEST(Takeover, AnAnswerToAnOrderOfAnEarlierGrantFencesNothing)
+{
+    fixture.reportMinion("m1");
+    fixture.offer(takeover("job", 1));
+    fixture.cell().answered(RenewResult { CellFixture::instance("m1"), OwnerEpoch(4), OrderFailure::None, 1, {}, {} }, fixture.now());
+    fixture.advance(absl::Milliseconds(20));
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.answerRenewal("m1");
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
+TEST(Takeover, ARefusalOfAnEarlierGrantDoesNotEndTheLaterOne)
+{
+    fixture.addMinion("m1");
+    fixture.cell().answered(StartResult { CellFixture::instance("m1"), OwnerEpoch(4), CellFixture::runId("old", 0, 7), OrderFailure::Fenced, 1 }, fixture.now());
+    fixture.cell().answered(StopResult { CellFixture::instance("m1"), OwnerEpoch(4), CellFixture::runId("old", 0, 7), OrderFailure::Fenced, 1 }, fixture.now());
+    CHECK_FALSE(fixture.cell().isSuperseded());
+    fixture.offer("job", 1);
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
 // An entry is killed and restarts within a second; callers submit their jobs again, to it or to another entry.
 TEST_GROUP(RestartedEntry)
 {
