Let a takeover wait for the runs of an earlier offer

Cause: two entries may hold the same job, since its caller has submitted it to both. When the cell moves, both offer it as a takeover; the second replaces the first, whose runs are stopped, and started its tasks at once beside them. Only jobs that aren't takeovers waited for runs under their id.

Change: a takeover waits for those that it hasn't adopted.

Test: Takeover.AJobThatIsOfferedAgainWaitsForTheRunsOfTheEarlierOffer failed before.

--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -130,10 +130,11 @@
     void place(absl::Time now);
     bool placeTask(CellJob&, TaskIndex, absl::Time now);
     bool mayStart(const CellJob&, absl::Time now) const;
-    /// Whether runs of an earlier submission of a new job may still be in progress: a caller may submit the same id
+    /// Whether runs of an earlier submission or offer of a job may still be in progress: a caller may submit the same id
     /// again.
     bool mayHaveEarlierRuns(const CellJob&, absl::Time now) const;
-    bool hasRunsOf(const JobKey&) const;
+    /// Whether there are runs under the id of a job that don't belong to it.
+    bool hasOtherRunsOf(const CellJob&) const;
 
     // Runs.
     void runEnded(LeasedMinion&, const RunId&, RunEnd, absl::Time now);
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -217,15 +217,16 @@
 
 bool CellDispatcher::mayHaveEarlierRuns(const CellJob& job, absl::Time now) const
 {
-    return !job.offer().isTakeover && (!areFirstRenewalsDone(now) || hasRunsOf(job.offer().job));
+    return (!job.offer().isTakeover && !areFirstRenewalsDone(now)) || hasOtherRunsOf(job);
 }
 
-bool CellDispatcher::hasRunsOf(const JobKey& key) const
+bool CellDispatcher::hasOtherRunsOf(const CellJob& job) const
 {
+    const JobKey& key = job.offer().job;
     return std::any_of(minions_.begin(), minions_.end(), [&](const auto& entry) {
         const auto& runs = entry.second->runs();
-        return std::any_of(runs.begin(), runs.end(), [&](const auto& run) { return run.first.job == key; });
-    }) || std::any_of(unlistedStarts_.begin(), unlistedStarts_.end(), [&](const UnlistedStart& unlisted) { return unlisted.job->offer().job == key; });
+        return std::any_of(runs.begin(), runs.end(), [&](const auto& run) { return run.first.job == key && run.second.job != &job; });
+    }) || std::any_of(unlistedStarts_.begin(), unlistedStarts_.end(), [&](const UnlistedStart& unlisted) { return unlisted.job->offer().job == key && unlisted.job != &job; });
 }
 
 void CellDispatcher::place(absl::Time now)
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -59,7 +59,7 @@
     /// Whether a start order for any task may have been sent.
     bool hasStarted = false;
     absl::Time firstStart = absl::InfiniteFuture();
-    /// Whether runs of an earlier submission of the job may still be in progress; nothing starts until they have ended.
+    /// Whether runs of an earlier submission or offer of the job may still be in progress; nothing starts until they have ended.
     bool hasEarlierRuns = false;
     /// Whether the final result was sent to the entry; runs that end later change nothing.
     bool isResultSent = false;
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -154,6 +154,21 @@
     LONGS_EQUAL(0, fixture.takeRenewals().size());
 }
 
+// Guards against tasks that run twice at the same moment: two entries offer a job that its caller has submitted to both.
+TEST(Takeover, AJobThatIsOfferedAgainWaitsForTheRunsOfTheEarlierOffer)
+{
+    fixture.reportMinion("m1");
+    fixture.answerRenewal("m1", { { CellFixture::runId("job", 0, 77), 10 } });
+    fixture.offer(takeover("job", 1));
+    JobOffer again = takeover("job", 1);
+    again.offerNumber = 700;
+    fixture.offer(again);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    LONGS_EQUAL(1, fixture.takeStops().size());
+    fixture.answerRenewal("m1", {}, { { 1, CellFixture::runId("job", 0, 77), RunEnd::Stopped } });
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
 // A process loses its cell and gets it back while its earlier orders are being answered.
 TEST(Takeover, AnAnswerToAnOrderOfAnEarlierGrantFencesNothing)
 {
