Keep cancels that come before their offer

Cause: an offer that has waited for the grant of its cell reaches the dispatcher from another thread than its cancel, which then found nothing to cancel; the offer was started.

Change: a dispatcher remembers cancels of offers that it doesn't know for 2 s, twice as long as a message waits for a daemon, and answers such an offer without a start.

Test: Takeover.AnOfferThatWasCancelledBeforeItArrivedStartsNothing failed before.

--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -13,6 +13,9 @@
     /// added to the last.
     constexpr size_t maxReportedPriorities = 8;
 
+    /// Messages that wait for a daemon are dropped after 1 s, so no offer is later than its cancel by more than this.
+    constexpr absl::Duration earlyCancelRetention = absl::Seconds(2);
+
     std::string_view failureName(OrderFailure failure)
     {
         static constexpr std::array<std::string_view, 10> names { "none", "not_sent", "no_answer", "fenced", "old_run",
@@ -262,6 +265,7 @@
         resumedAt_ = now;
     lastTickAt_ = now;
     sweepUnlistedStarts(now);
+    absl::erase_if(earlyCancels_, [&](const auto& cancel) { return now > cancel.second + earlyCancelRetention; });
     for (const auto& [id, minion] : minions_)
         sweepRuns(*minion, now);
     stopUnclaimedJobs(now);
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -191,6 +192,9 @@
     JobList jobs_;
     absl::flat_hash_map<JobKey, CellJob*> jobsByKey_;
     absl::flat_hash_map<DaemonId, absl::Time> entryContacts_;
+    /// Cancels of offers that aren't known here, by entry and offer number, with the time at which they arrived. Offers
+    /// that wait for a grant reach the dispatcher on another way than cancels.
+    absl::flat_hash_map<std::pair<DaemonId, uint64_t>, absl::Time> earlyCancels_;
     /// Ended runs of an earlier owner whose jobs haven't been offered to this owner yet.
     absl::flat_hash_map<JobKey, std::vector<EndedRun>> unclaimedEnds_;
     std::vector<UnlistedStart> unlistedStarts_;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -69,6 +69,11 @@
         logEvent("job_replaced", offer.job, {}, absl::StrCat("earlier_entry=", earlier->entry().value()));
         finish(*earlier, JobEnd::GivenUp, now);
     }
+    if (earlyCancels_.erase({ entry, offer.offerNumber }) > 0) {
+        logEvent("job_cancelled", offer.job, {}, "before_its_offer=yes");
+        outbox_.messages.push_back({ entry, JobResult { offer.job, offer.offerNumber, offer.isTakeover ? JobEnd::GivenUp : JobEnd::Rejected, retryAfter(absl::ZeroDuration()), {} } });
+        return;
+    }
     CellJobPtr job(new CellJob(offer, entry, now, policy_.lateTolerance));
     job->claimedAt = claimTime(offer.stamp, now);
     job->hasEarlierRuns = mayHaveEarlierRuns(*job, now);
@@ -101,8 +106,10 @@
 void CellDispatcher::cancelled(const JobCancel& cancel, const DaemonId& entry, absl::Time now)
 {
     CellJob* job = findJob(cancel.job);
-    if (!job || job->entry() != entry || job->offer().offerNumber != cancel.offerNumber)
+    if (!job || job->entry() != entry || job->offer().offerNumber != cancel.offerNumber) {
+        earlyCancels_[{ entry, cancel.offerNumber }] = now;
         return;
+    }
     logEvent("job_cancelled", cancel.job, {}, absl::StrCat("queued_tasks=", job->queuedCount()));
     // If no task has run here, the entry may still be able to report that no part of the job ran.
     finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(absl::ZeroDuration()));
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -169,6 +169,24 @@
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
 
+// Guards against jobs that run although they were cancelled: an offer that has waited for its grant comes after its cancel.
+TEST(Takeover, AnOfferThatWasCancelledBeforeItArrivedStartsNothing)
+{
+    fixture.addMinion("m1");
+    const JobOffer offer = fixture.makeOffer("job", 1);
+    fixture.cell().cancelled({ offer.cell, offer.job, offer.offerNumber }, DaemonId("entry-1"), fixture.now());
+    fixture.offer(offer);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    const std::vector<JobResult> ended = fixture.takeResults();
+    LONGS_EQUAL(1, ended.size());
+    CHECK(ended.front().end == JobEnd::Rejected);
+    // The cancel is for that offer only.
+    JobOffer again = offer;
+    again.offerNumber = 700;
+    fixture.offer(again);
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
 // A process loses its cell and gets it back while its earlier orders are being answered.
 TEST(Takeover, AnAnswerToAnOrderOfAnEarlierGrantFencesNothing)
 {
