Number requests to other entries from the incarnation

Callers of the stand-alone daemon could be given the state of another submission: an entry that restarted numbered its requests from 1 again, and the home's answer to a request of the earlier process, which may come 25 s later, was taken for the answer to the new one.

Change: requests are counted from the incarnation, like offers.

Test: SubmissionCoordinator.AnAnswerToARequestOfAnEarlierProcessIsIgnored failed before.

--- a/Source/Dispatch/ForwardTable.h
+++ b/Source/Dispatch/ForwardTable.h
@@ -15,6 +15,13 @@
 /// Pending requests to other daemons.
 class ForwardTable {
 public:
+    /// @param firstNumber the number that requests are counted from; higher than any that an earlier incarnation of this
+    /// daemon used, so that late answers to its requests fit none of these.
+    explicit ForwardTable(uint64_t firstNumber)
+        : last_(firstNumber)
+    {
+    }
+
     /// @param stateOnTimeout the state passed to the callback if no answer arrives in time.
     RequestId add(absl::Time until, SubmissionState stateOnTimeout, CallerOperations::StateCallback);
 
@@ -34,7 +41,7 @@
         CallerOperations::StateCallback callback;
     };
 
-    uint64_t last_ = 0;
+    uint64_t last_;
     absl::flat_hash_map<RequestId, PendingRequest> pending_;
     absl::btree_set<std::pair<absl::Time, RequestId>> timeouts_;
 };
--- a/Source/Dispatch/SubmissionCoordinator.cpp
+++ b/Source/Dispatch/SubmissionCoordinator.cpp
@@ -59,6 +59,7 @@
 
 SubmissionCoordinator::SubmissionCoordinator(SubmissionCoordinatorPorts ports)
     : ports_(ports)
+    , forwards_(ports.directory.self().incarnation.value())
 {
 }
 
--- a/Tests/Dispatch/SubmissionCoordinatorTest.cpp
+++ b/Tests/Dispatch/SubmissionCoordinatorTest.cpp
@@ -34,12 +34,13 @@
 
 class FakeDirectory : public DaemonDirectory {
 public:
-    DaemonRun self() const override { return { DaemonId("a1"), Incarnation(5) }; }
+    DaemonRun self() const override { return { DaemonId("a1"), incarnation }; }
     DataCentreId dataCentre() const override { return DataCentreId("bole"); }
     std::optional<DaemonId> entryIn(const DataCentreId&) const override { return remote; }
     std::optional<DaemonId> brokerFor(const ServiceId&) const override { return DaemonId("a1"); }
     bool isAlive(const DaemonRun& run) const override { return run == self() || run == alive; }
 
+    Incarnation incarnation { 5 };
     std::optional<DaemonId> remote;
     DaemonRun alive;
 };
@@ -247,6 +248,24 @@
     CHECK(lastError().verdict == Verdict::MayHaveRun);
 }
 
+// Guards against a caller that is given the outcome of another submission: the home answers a request of this entry's
+// earlier process after a restart.
+TEST(SubmissionCoordinator, AnAnswerToARequestOfAnEarlierProcessIsIgnored)
+{
+    directory.remote = DaemonId("b1");
+    directory.incarnation = Incarnation(1000);
+    SubmissionCoordinator earlier { SubmissionCoordinatorPorts { clock, declarations, directory, ledger, runner, peers } };
+    earlier.submit(submission("there"), [](const SubmissionState&) {});
+    const RequestId earlierRequest = peers.take<ForwardedSubmission>().back().second.request;
+    directory.incarnation = Incarnation(2000);
+    SubmissionCoordinator restarted { SubmissionCoordinatorPorts { clock, declarations, directory, ledger, runner, peers } };
+    restarted.submit(submission("there", "q2"), storeState());
+    restarted.forwardAnswered({ earlierRequest, JobAnswer { { "of q1" } } });
+    CHECK(states.empty());
+    restarted.forwardAnswered({ peers.take<ForwardedSubmission>().back().second.request, JobAnswer { { "of q2" } } });
+    CHECK(std::get<JobAnswer>(states.back()).outputs[0] == "of q2");
+}
+
 TEST(SubmissionCoordinator, ADrainingEntryTakesNothingNewButJoinsWhatItHas)
 {
     coordinator.submit(submission("here"), storeState());
