Number forwarded proposals from the incarnation

Cause: a member that restarts keeps its id and numbered its proposals from 1 again. The leader took such a proposal for a repeated one while that of the earlier process wasn't committed, and dropped it.

Test: LogRules.ProposalsOfARestartedMemberHaveNumbersOfTheirOwn failed with the numbers of before.

--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -19,6 +19,7 @@
     , store_(std::move(content.snapshot), std::move(content.entries))
     , hardState_(std::move(content.hardState))
     , joinDue_(now)
+    , proposals_(settings_.firstProposal)
     , durableIndex_(store_.lastIndex())
 {
     if (hardState_.epoch != Epoch(0))
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -25,6 +25,9 @@
     GroupId group;
     /// This member, as described in its requests to join.
     Member self;
+    /// The number that forwarded proposals are counted from; higher than any that an earlier incarnation of this daemon
+    /// used, so that the leader doesn't take a new proposal for a repeated one.
+    uint64_t firstProposal = 0;
     /// The daemons that the settings name for the group, including this one.
     std::vector<DaemonId> daemons;
     uint32_t maxVoters = 5;
@@ -256,7 +259,7 @@
     LogIndex termStartIndex_;
     std::map<DaemonId, Member> joining_;
     std::map<DaemonId, ReceivedJoinReply> joinReplies_;
-    uint64_t proposals_ = 0;
+    uint64_t proposals_;
     absl::flat_hash_map<ProposalId, LogIndex> forwarded_;
 
     std::optional<IncomingSnapshot> incoming_;
--- a/Source/Daemon/ControlRole.cpp
+++ b/Source/Daemon/ControlRole.cpp
@@ -111,6 +111,7 @@
     LogSettings settings;
     settings.group = id;
     settings.self = Member { MemberId { self_.daemon, journal ? journal->storage() : self_.incarnation }, false, journal != nullptr, false };
+    settings.firstProposal = self_.incarnation.value();
     settings.daemons = members;
     settings.heartbeat = groupHeartbeat;
     settings.electionTimeout = groupElectionTimeout;
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -86,6 +86,7 @@
     LogSettings settings;
     settings.group = fleetGroup;
     settings.self = Member { MemberId { link_.self().daemon, journal_->storage() }, false, true, false };
+    settings.firstProposal = link_.self().incarnation.value();
     settings.daemons = seedDaemons(settings_);
     settings.electionTimeout = electionTimeout;
     settings.heartbeat = logHeartbeat;
--- a/Tests/Control/LogRulesTest.cpp
+++ b/Tests/Control/LogRulesTest.cpp
@@ -112,3 +112,35 @@
     log->synced(outbox.batches.back().token, now);
     CHECK(std::get<VoteReply>(log->takeOutbox().messages.front().message).isGranted);
 }
+
+// Guards against a change that is dropped as a repeated one: a member that has restarted proposes it under the number of a
+// proposal of its earlier process that isn't committed yet.
+TEST(LogRules, ProposalsOfARestartedMemberHaveNumbersOfTheirOwn)
+{
+    std::vector<ProposalId> proposals;
+    for (const uint64_t incarnation : { 1000, 2000 }) {
+        LogSettings settings;
+        settings.group = group;
+        settings.self = voter("b");
+        settings.firstProposal = incarnation;
+        JournalContent content;
+        content.hardState = { epoch, Term(3), std::nullopt };
+        content.entries = { { LogIndex(1), Term(1), FoundingRecord { epoch, now, {}, { voter("a"), voter("b"), voter("c") } } } };
+        ReplicatedLog follower(settings, content, random, now);
+        follower.receive(AppendRequest { { group, epoch, voter("a").id, voter("b").id, Term(3) }, LogIndex(1), Term(1), {}, LogIndex(1), 1, {} }, now);
+        CHECK(follower.propose(NoOperation {}, now));
+        for (const Envelope& envelope : follower.takeOutbox().messages) {
+            if (const auto* forward = std::get_if<ProposalForward>(&envelope.message))
+                proposals.push_back(forward->proposal);
+        }
+    }
+    LONGS_EQUAL(2, proposals.size());
+    syncAll();
+    const LogIndex before = log->lastIndex();
+    for (const ProposalId& proposal : proposals)
+        log->receive(ProposalForward { headerFrom("b", Term(3)), proposal, NoOperation {} }, now);
+    LONGS_EQUAL(before.value() + 2, log->lastIndex().value());
+    // A proposal that comes twice is appended once.
+    log->receive(ProposalForward { headerFrom("b", Term(3)), proposals.back(), NoOperation {} }, now);
+    LONGS_EQUAL(before.value() + 2, log->lastIndex().value());
+}
