Kill the owner of a cell again and again under load

Real processes on loopback: other entries offer jobs while the owner of their cell is killed and started again, six times. No job that was answered 429 or 503 may have a start at a stand-in minion.

--- a/Tests/Fleet/FleetMinions.cpp
+++ b/Tests/Fleet/FleetMinions.cpp
@@ -79,6 +79,12 @@
     return totals_;
 }
 
+bool FleetMinions::hasStarted(const std::string& job) const
+{
+    MutexLock lock(mutex_);
+    return startedJobs_.contains(job);
+}
+
 void FleetMinions::handle(Minion& minion, const HttpExchangePtr& exchange)
 {
     const json body = json::parse(exchange->request().body, nullptr, false);
@@ -123,6 +129,8 @@
     {
         MutexLock lock(mutex_);
         ++totals_.starts;
+        // The name of a task begins with the id of its job.
+        startedJobs_.insert(task.substr(0, task.find('.')));
         if (++running_[task] > 1)
             ++totals_.duplicateStarts;
     }
--- a/Tests/Fleet/FleetMinions.h
+++ b/Tests/Fleet/FleetMinions.h
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
     void start();
 
     MinionTotals totals() const;
+    /// @return whether any task of a job was started.
+    bool hasStarted(const std::string& job) const;
 
 private:
     struct StandInRun {
@@ -68,6 +71,7 @@
     absl::flat_hash_map<std::string, size_t> running_;
     mutable absl::Mutex mutex_;
     MinionTotals totals_ ABSL_GUARDED_BY(mutex_);
+    std::set<std::string> startedJobs_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace trefoilwing
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -15,18 +15,28 @@
 /// Counts the HTTP statuses of jobs that were submitted concurrently. Status 0 counts jobs without an answer.
 class StatusCounter {
 public:
-    HttpClient::Callback callback()
+    HttpClient::Callback callback(const std::string& job)
     {
         MutexLock lock(mutex_);
         ++open_;
-        return [this](const HttpResult& result) {
+        return [this, job](const HttpResult& result) {
             const auto* response = std::get_if<WebResponse>(&result);
+            const unsigned status = response ? response->status : 0;
             MutexLock done(mutex_);
-            ++statuses_[response ? response->status : 0];
+            ++statuses_[status];
+            if (status == 429 || status == 503)
+                rejected_.push_back(job);
             --open_;
         };
     }
 
+    /// @return the jobs whose callers were told that nothing of them ran or will run.
+    std::vector<std::string> rejected() const
+    {
+        MutexLock lock(mutex_);
+        return rejected_;
+    }
+
     bool awaitAll()
     {
         const absl::Time end = absl::Now() + absl::Seconds(30);
@@ -48,9 +58,10 @@
     }
 
 private:
-    absl::Mutex mutex_;
+    mutable absl::Mutex mutex_;
     size_t open_ ABSL_GUARDED_BY(mutex_) = 0;
     std::map<unsigned, size_t> statuses_ ABSL_GUARDED_BY(mutex_);
+    std::vector<std::string> rejected_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace
@@ -74,7 +85,7 @@
     {
         for (int i = 0; i < jobs; ++i) {
             const std::string id = absl::StrCat(absl::Hex(0xa000000000000000UL + ++lastJob));
-            fleet.caller().submit(fleet.callers(entries[static_cast<size_t>(i) % entries.size()]), id, 3, 30, statuses.callback());
+            fleet.caller().submit(fleet.callers(entries[static_cast<size_t>(i) % entries.size()]), id, 3, 30, statuses.callback(id));
             absl::SleepFor(pause);
         }
     }
@@ -112,6 +123,34 @@
     CHECK_TEXT(fleet.awaitService(others), "the others serve");
 }
 
+// Guards against jobs that run after their callers were told that they had not: the owner of their cell is killed and comes
+// back, while other entries offer it jobs.
+TEST(FleetSystem, WhatWasRejectedNeverRunsHoweverOftenItsOwnerRestarts)
+{
+    begin();
+    for (int kill = 0; kill < 6; ++kill) {
+        const std::string owner = fleet.ownerOf("bole");
+        std::vector<std::string> others;
+        for (const std::string& entry : Fleet::entries()) {
+            if (entry != owner)
+                others.push_back(entry);
+        }
+        submit(others, 20, absl::Milliseconds(5));
+        fleet.node(owner).kill();
+        submit(others, 60, absl::Milliseconds(5));
+        fleet.startNode(owner, false);
+        submit(others, 150, absl::Milliseconds(5));
+    }
+    CHECK(statuses.awaitAll());
+    LONGS_EQUAL(0, statuses.count(0));
+    LONGS_EQUAL(0, fleet.minions().totals().duplicateStarts);
+    size_t ran = 0;
+    for (const std::string& job : statuses.rejected())
+        ran += fleet.minions().hasStarted(job) ? 1 : 0;
+    LONGS_EQUAL(0, ran);
+    CHECK_TEXT(fleet.awaitService(Fleet::entries()), "all entries serve");
+}
+
 // A data centre may have far more minions than one entry can manage. Its pool is then divided into cells while callers
 // are served; only jobs that run at that moment may time out.
 TEST(FleetSystem, ALargePoolIsDividedWhileItServes)
