Remember in the log which minions have left

Cause: the report of a minion that one keeper proposes may be committed after the departure that another proposes. It added the minion again.

Tests: FleetState.ALateReportDoesntAddAMinionThatLeft, ADepartureMayComeBeforeTheReport failed before.

--- a/Source/Adapters/Msgpack/LogFields.h
+++ b/Source/Adapters/Msgpack/LogFields.h
@@ -85,7 +85,7 @@
 
 void visitFields(auto&& visit, Fields<FleetChunk> auto& value)
 {
-    visit(value.routing, value.grants, value.minions);
+    visit(value.routing, value.grants, value.minions, value.departed);
 }
 
 void visitFields(auto&& visit, Fields<LogEntry> auto& value)
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -4,6 +4,13 @@
 
 namespace trefoilwing {
 
+namespace {
+
+    /// Maximum number of departed minions that are remembered, so that a late report doesn't add them again.
+    constexpr size_t maxDeparted = 500;
+
+} // namespace
+
 bool FleetState::apply(const RoutingRecord& record)
 {
     if (record.document.version <= routing_.version)
@@ -36,6 +43,8 @@
 
 bool FleetState::apply(const MinionRecord& record)
 {
+    if (hasLeft(record.report.instance))
+        return false;
     MinionReport& known = minions_[record.report.instance.minion];
     if (!isLater(record.report, known))
         return false;
@@ -48,8 +57,20 @@
     return true;
 }
 
+bool FleetState::hasLeft(const MinionInstance& instance) const
+{
+    // Minions that don't report their start time may return.
+    return instance.startTime > MinionStartTime(0)
+        && std::any_of(departed_.begin(), departed_.end(), [&](const MinionInstance& departed) { return departed.minion == instance.minion && departed.startTime >= instance.startTime; });
+}
+
 bool FleetState::apply(const MinionGoneRecord& record)
 {
+    // The minion's report may come after it.
+    if (!hasLeft(record.instance))
+        departed_.push_back(record.instance);
+    if (departed_.size() > maxDeparted)
+        departed_.pop_front();
     const auto known = minions_.find(record.instance.minion);
     if (known == minions_.end() || known->second.instance != record.instance)
         return false;
@@ -59,7 +80,7 @@
 
 std::vector<SnapshotChunk> FleetState::snapshot() const
 {
-    FleetChunk chunk { routing_, {}, {} };
+    FleetChunk chunk { routing_, {}, {}, { departed_.begin(), departed_.end() } };
     for (const auto& [id, report] : minions_)
         chunk.minions.push_back(report);
     for (const auto& [cell, grant] : grants_)
@@ -72,6 +93,7 @@
     routing_ = {};
     grants_.clear();
     minions_.clear();
+    departed_.clear();
     for (const SnapshotChunk& chunk : chunks) {
         const auto* fleet = std::get_if<FleetChunk>(&chunk);
         if (!fleet)
@@ -81,6 +103,7 @@
             grants_[grant.cell] = grant;
         for (const MinionReport& report : fleet->minions)
             minions_[report.instance.minion] = report;
+        departed_.assign(fleet->departed.begin(), fleet->departed.end());
     }
 }
 
--- a/Source/Control/FleetState.h
+++ b/Source/Control/FleetState.h
@@ -2,6 +2,7 @@
 
 #include "Model/LogRecord.h"
 
+#include <deque>
 #include <map>
 #include <vector>
 
@@ -20,7 +21,7 @@
     /// @return whether the cell was granted.
     bool apply(const GrantRecord&, LogIndex);
 
-    /// Stores the minion's report, unless a newer one is known.
+    /// Stores the minion's report, unless a newer one is known or this instance has left.
     /// @return whether it was stored.
     bool apply(const MinionRecord&);
     bool apply(const MinionGoneRecord&);
@@ -30,9 +31,13 @@
     void restore(const std::vector<SnapshotChunk>&);
 
 private:
+    bool hasLeft(const MinionInstance&) const;
+
     RoutingDocument routing_;
     std::map<CellId, CellGrant> grants_;
     std::map<MinionId, MinionReport> minions_;
+    /// The minions that left last, in the order in which they did.
+    std::deque<MinionInstance> departed_;
 };
 
 } // namespace trefoilwing
--- a/Source/Model/LogRecord.h
+++ b/Source/Model/LogRecord.h
@@ -232,6 +232,8 @@
     RoutingDocument routing;
     std::vector<CellGrant> grants;
     std::vector<MinionReport> minions;
+    /// The minions that left last, in the order in which they did.
+    std::vector<MinionInstance> departed;
 
     friend bool operator==(const FleetChunk&, const FleetChunk&) = default;
 };
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -73,3 +73,25 @@
     CHECK(restored.grants() == state.grants());
     CHECK(restored.minions() == state.minions());
 }
+
+// Guards against a minion that has left and is in use again after the keepers have restarted: a report that another keeper
+// had proposed was committed after its departure.
+TEST(FleetState, ALateReportDoesntAddAMinionThatLeft)
+{
+    CHECK(state.apply(minion("m", 3, 1, "address")));
+    CHECK(state.apply(MinionGoneRecord { { MinionId("m"), MinionStartTime(3) } }));
+    FleetState restored;
+    restored.restore(state.snapshot());
+    for (FleetState* each : { &state, &restored }) {
+        CHECK_FALSE(each->apply(minion("m", 3, 2, "address")));
+        CHECK_FALSE(each->apply(minion("m", 2, 9, "address")));
+        LONGS_EQUAL(0, each->minions().size());
+        CHECK(each->apply(minion("m", 4, 1, "address")));
+    }
+}
+
+TEST(FleetState, ADepartureMayComeBeforeTheReport)
+{
+    CHECK_FALSE(state.apply(MinionGoneRecord { { MinionId("m"), MinionStartTime(3) } }));
+    CHECK_FALSE(state.apply(minion("m", 3, 1, "address")));
+}
