Take a leave only from a minion that reported that it leaves

Cause: DELETE of a minion names no instance.

Change: a minion reports that it leaves before it sends DELETE, so a DELETE for one that serves is of an earlier instance and changes nothing. What remains ambiguous: an instance that is leaving too; and a minion whose report that it leaves reached no keeper stays listed until its address is used again.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -59,7 +59,7 @@
 std::optional<MinionInstance> FleetRegistry::minionLeft(const MinionId& minion)
 {
     const auto found = minions_.find(minion);
-    if (found == minions_.end())
+    if (found == minions_.end() || found->second.report.state != MinionState::Leaving)
         return std::nullopt;
     const MinionInstance instance = found->second.report.instance;
     removeMinion(instance);
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -57,7 +57,9 @@
 
     /// @return whether the report changes anything that other daemons need to know.
     bool minionReported(const MinionReport&);
-    /// @return the instance of the minion that left, if the minion was known.
+    /// Handles a minion's message that it leaves. The message names no instance, but a minion reports that it is leaving
+    /// before it sends it: from one that is known to serve, it is a late message of an earlier instance.
+    /// @return the instance that left; unset if none did.
     std::optional<MinionInstance> minionLeft(const MinionId&);
     /// Sets the minions of the replicated log. Those that are no longer in it have left, whichever keeper they told.
     void setLoggedMinions(const std::map<MinionId, MinionReport>&);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -165,9 +165,12 @@
         MutexLock lock(mutex_);
         instance = registry_.minionLeft(minion);
     }
-    if (instance)
-        group_->forget(*instance);
-    log_.write(Severity::Info, "minion_left", { { "minion", minion.value() } });
+    if (!instance) {
+        log_.write(Severity::Info, "leave_ignored", { { "minion", minion.value() }, { "reason", std::string("it has not reported that it leaves") } });
+        return;
+    }
+    group_->forget(*instance);
+    log_.write(Severity::Info, "minion_left", { { "minion", minion.value() }, { "birth", instance->startTime.value() } });
     sendUpdates();
 }
 
--- a/Tests/Control/FleetRegistryTest.cpp
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -320,7 +320,11 @@
 TEST(FleetRegistry, ALateReportDoesntAddAMinionThatLeft)
 {
     reportMinion();
-    registry.minionLeft(minion(1).instance.minion);
+    MinionReport leaving = minion(1);
+    leaving.sequence = 2;
+    leaving.state = MinionState::Leaving;
+    CHECK_TRUE(registry.minionReported(leaving));
+    CHECK(registry.minionLeft(leaving.instance.minion) == leaving.instance);
     CHECK_FALSE(registry.minionReported(minion(1)));
     LONGS_EQUAL(0, registry.minionCount());
     MinionReport restarted = minion(1);
@@ -328,6 +332,22 @@
     CHECK_TRUE(registry.minionReported(restarted));
 }
 
+// Guards against tasks that run twice: the message of a minion's earlier instance that it leaves was held up, and removed the
+// next instance while that worked.
+TEST(FleetRegistry, ALateLeaveOfAnEarlierInstanceChangesNothing)
+{
+    reportMinion();
+    MinionReport leaving = minion(1);
+    leaving.sequence = 2;
+    leaving.state = MinionState::Leaving;
+    registry.minionReported(leaving);
+    MinionReport restarted = minion(1);
+    restarted.instance.startTime = MinionStartTime(2);
+    registry.minionReported(restarted);
+    CHECK_FALSE(registry.minionLeft(restarted.instance.minion).has_value());
+    LONGS_EQUAL(1, registry.minionCount());
+}
+
 TEST(FleetRegistry, AMinionThatIsntInTheLogYetIsKept)
 {
     setLogged({ 5 });
