Claim open jobs at once at a process that got its cell back

Jobs that are offered anew to the same process under a newer grant waited for the next heartbeat (250 ms at most) before they could start, as only a new process was sent claims at once.

Test: JobCoordinator.AnOwnerWithANewGrantIsSentClaimsAtOnce failed before.

--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -296,10 +296,11 @@
     const bool isNewProcess = newest.stamp.owner != owner.incarnation;
     if (isNewProcess && grant.epoch < newest.epoch)
         return false;
+    const bool isNewGrant = grant.epoch > newest.epoch;
     ownerContacts_[owner.daemon] = stallFreeTime_.at(ports_.clock.now());
     newest.stamp = { owner.incarnation, isNewProcess ? sentAt : std::max(newest.stamp.sentAt, sentAt) };
     newest.epoch = std::max(newest.epoch, grant.epoch);
-    return isNewProcess && std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
+    return (isNewProcess || isNewGrant) && std::any_of(jobs_.begin(), jobs_.end(), [&](const auto& job) {
         return std::any_of(job.second.parts.begin(), job.second.parts.end(), [&](const Part& part) { return part.state == PartState::Open && part.owner.daemon == owner.daemon; });
     });
 }
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -52,8 +52,8 @@
     /// @param cell any cell of the new division.
     void poolDivided(const CellId& cell);
     /// Records a load report of a cell owner.
-    /// @return whether the owner's process is a new one that has been offered jobs but no claim of them yet, so that a
-    /// heartbeat should be sent to it at once.
+    /// @return whether the owner's process or grant is a new one that has been offered jobs but no claim of them yet, so
+    /// that a heartbeat should be sent to it at once.
     bool loadReceived(const CellGrant&, absl::Time sentAt);
     /// Records that this process was delayed, so that received messages were read late. The delay doesn't count as
     /// silence of the owners.
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -137,6 +137,14 @@
     LONGS_EQUAL(2, replies.answers.size());
 }
 
+TEST(JobCoordinator, AnOwnerWithANewGrantIsSentClaimsAtOnce)
+{
+    open(1, "job");
+    CHECK(coordinator.loadReceived(grant, clock.now()));
+    CHECK_FALSE(coordinator.loadReceived(grant, clock.now()));
+    CHECK(coordinator.loadReceived({ grant.cell, grant.owner, OwnerEpoch(8) }, clock.now()));
+}
+
 TEST(JobCoordinator, ACallerThatDisconnectsCancelsItsJob)
 {
     open(1, "job");
