Let a request join its open job before it may be refused

Callers: told 503 (nothing ran) while their job runs for an earlier request whose channel broke unnoticed, if meanwhile no owner is heard or the entry drains.

Cause: FleetEntry::submit() refused before it looked whether the job is open.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -198,6 +198,9 @@
 
 void FleetEntry::submit(Ticket ticket, const IncomingJob& job)
 {
+    // A job that runs for another request of its caller can't be refused as not run.
+    if (jobs_.joinOpen(ticket, job))
+        return;
     std::shared_ptr<const RoutingTable> routes;
     const Route* route = nullptr;
     std::vector<CellShare> shares;
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -74,6 +74,20 @@
     effects_.flush();
 }
 
+bool JobCoordinator::joinOpen(Ticket ticket, const IncomingJob& job)
+{
+    {
+        MutexLock lock(mutex_);
+        const auto known = jobs_.find(job.key);
+        if (known == jobs_.end())
+            return false;
+        tickets_[ticket] = job.key;
+        join(known->second, ticket, job);
+    }
+    effects_.flush();
+    return true;
+}
+
 void JobCoordinator::join(OpenJob& open, Ticket ticket, const IncomingJob& job)
 {
     // The caller submitted the job again while it is open: both requests get the same answer.
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -42,6 +42,9 @@
     /// Opens a job and offers it to owners. A job that is already open only gets one more waiting caller.
     /// @param shares the cells that run the job; together they cover all its tasks.
     void open(Ticket, const IncomingJob&, const Route&, const std::vector<CellShare>& shares);
+    /// Lets a caller wait for a job that is open already, whether or not it could be opened now.
+    /// @return false if the job isn't open.
+    bool joinOpen(Ticket, const IncomingJob&);
     /// Handles a caller that disconnected before its answer.
     void abandoned(Ticket);
     void resultReceived(const DaemonId& from, const JobResult&);
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -137,6 +137,20 @@
     LONGS_EQUAL(2, replies.answers.size());
 }
 
+// Guards against a caller that is told that nothing ran while its job runs for its earlier request: no owner is heard, or the
+// entry drains.
+TEST(JobCoordinator, AnOpenJobIsJoinedWithoutAChoiceOfCells)
+{
+    IncomingJob job;
+    job.key = JobKey("job");
+    CHECK_FALSE(coordinator.joinOpen(Ticket(1), job));
+    open(1, "job");
+    CHECK(coordinator.joinOpen(Ticket(2), job));
+    LONGS_EQUAL(1, peers.take<JobOffer>().size());
+    end("owner", "job", 101, JobEnd::Completed);
+    LONGS_EQUAL(2, replies.answers.size());
+}
+
 TEST(JobCoordinator, AnOwnerWithANewGrantIsSentClaimsAtOnce)
 {
     open(1, "job");
