Serve entries of earlier versions truly during an upgrade

An entry of an earlier version cancels an offer and makes it again under the same number, without naming a grant.

Change: cancels are kept for offers that name a grant; a pending offer that names none is given up, not rejected.

Tests: Takeover.AnOfferThatNamesNoGrantIsTakenUpAfterACancelOfItsNumber, PendingOffers.AnOfferThatNamesNoGrantIsNeverRejectedAsNotRun failed before.

--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -113,6 +113,8 @@
     CellJob* findJob(const JobKey&) const;
     /// @return the time of the claim that a message with this stamp makes; infinite past if it makes none.
     absl::Time claimTime(const std::optional<OwnerStamp>&, absl::Time now) const;
+    /// Sends the result of an offer that isn't taken up.
+    void endUnopened(const JobOffer&, const DaemonId& entry, std::string event, JobEnd);
     void adoptRuns(CellJob&, absl::Time now);
     void finish(CellJob&, JobEnd, absl::Time now, absl::Duration retryAfter = absl::ZeroDuration());
     void sweepJobs(absl::Time now);
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -62,6 +62,12 @@
 void CellDispatcher::offered(const JobOffer& offer, const DaemonId& entry, absl::Time now)
 {
     entryContacts_[entry] = now;
+    // Entries of earlier versions, which name no grant, cancel an offer and make it again under the same number.
+    if (offer.epoch != OwnerEpoch(0) && earlyCancels_.erase({ entry, offer.offerNumber }) > 0) {
+        endUnopened(offer, entry, "job_cancelled", offer.isTakeover ? JobEnd::GivenUp : JobEnd::Rejected);
+        return;
+    }
+    const absl::Time claimedAt = claimTime(offer.stamp, now);
     if (CellJob* earlier = findJob(offer.job)) {
         if (earlier->entry() == entry && earlier->offer().offerNumber == offer.offerNumber)
             return;
@@ -69,13 +75,8 @@
         logEvent("job_replaced", offer.job, {}, absl::StrCat("earlier_entry=", earlier->entry().value()));
         finish(*earlier, JobEnd::GivenUp, now);
     }
-    if (earlyCancels_.erase({ entry, offer.offerNumber }) > 0) {
-        logEvent("job_cancelled", offer.job, {}, "before_its_offer=yes");
-        outbox_.messages.push_back({ entry, JobResult { offer.job, offer.offerNumber, offer.isTakeover ? JobEnd::GivenUp : JobEnd::Rejected, retryAfter(absl::ZeroDuration()), {} } });
-        return;
-    }
     CellJobPtr job(new CellJob(offer, entry, now, policy_.lateTolerance));
-    job->claimedAt = claimTime(offer.stamp, now);
+    job->claimedAt = claimedAt;
     job->hasEarlierRuns = mayHaveEarlierRuns(*job, now);
     intrusive_ptr_add_ref(job.get());
     jobs_.push_back(*job);
@@ -103,6 +104,12 @@
     place(now);
 }
 
+void CellDispatcher::endUnopened(const JobOffer& offer, const DaemonId& entry, std::string event, JobEnd end)
+{
+    logEvent(std::move(event), offer.job, {}, absl::StrCat("entry=", entry.value(), " offer=", offer.offerNumber));
+    outbox_.messages.push_back({ entry, JobResult { offer.job, offer.offerNumber, end, {}, {} } });
+}
+
 void CellDispatcher::cancelled(const JobCancel& cancel, const DaemonId& entry, absl::Time now)
 {
     CellJob* job = findJob(cancel.job);
--- a/Source/Placement/PendingOffers.h
+++ b/Source/Placement/PendingOffers.h
@@ -14,7 +14,7 @@
     DaemonId entry;
     absl::Time receivedAt;
 
-    /// @return the result that ends the offer without a start: no task of it ran here.
+    /// @return the result that ends the offer without a start: rejected as not run, unless that may not be true.
     JobResult rejection(absl::Time now) const;
 };
 
--- a/Tests/Placement/PendingOffersTest.cpp
+++ b/Tests/Placement/PendingOffersTest.cpp
@@ -116,3 +116,9 @@
     add(makeOffer("job", 1, 0));
     LONGS_EQUAL(1, takeGranted(8).size());
 }
+
+TEST(PendingOffers, AnOfferThatNamesNoGrantIsNeverRejectedAsNotRun)
+{
+    add(makeOffer("job", 1, 0));
+    CHECK(pending.takeCancelled({ cell, JobKey("job"), 1 }, entry).front().rejection(start).end == JobEnd::GivenUp);
+}
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -173,7 +173,8 @@
 TEST(Takeover, AnOfferThatWasCancelledBeforeItArrivedStartsNothing)
 {
     fixture.addMinion("m1");
-    const JobOffer offer = fixture.makeOffer("job", 1);
+    JobOffer offer = fixture.makeOffer("job", 1);
+    offer.epoch = OwnerEpoch(9);
     fixture.cell().cancelled({ offer.cell, offer.job, offer.offerNumber }, DaemonId("entry-1"), fixture.now());
     fixture.offer(offer);
     LONGS_EQUAL(0, fixture.takeStarts().size());
@@ -187,6 +188,16 @@
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
 
+// Entries of earlier versions cancel an offer and make it again under the same number.
+TEST(Takeover, AnOfferThatNamesNoGrantIsTakenUpAfterACancelOfItsNumber)
+{
+    fixture.addMinion("m1");
+    const JobOffer again = takeover("job", 1);
+    fixture.cell().cancelled({ again.cell, again.job, again.offerNumber }, DaemonId("entry-1"), fixture.now());
+    fixture.offer(again);
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
 // A process loses its cell and gets it back while its earlier orders are being answered.
 TEST(Takeover, AnAnswerToAnOrderOfAnEarlierGrantFencesNothing)
 {
