Reject no job as not run whose earlier submission ran

Callers: told 429 when a job is sent again and can't be served, though a start of its first submission was sent, whose run may still be stopping.

Cause: whether a job may have run was asked of its newest offer only.

Test: RestartedEntry.AResubmittedJobWhoseEarlierSubmissionRanIsNotRejectedAsNotRun failed before.

--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -68,9 +68,11 @@
         return;
     }
     const absl::Time claimedAt = claimTime(offer.stamp, now);
+    bool hasRunBefore = false;
     if (CellJob* earlier = findJob(offer.job)) {
         if (earlier->entry() == entry && earlier->offer().offerNumber == offer.offerNumber)
             return;
+        hasRunBefore = earlier->mayHaveRun();
         // The caller submitted the same id again: the earlier submission is stopped before the new one starts.
         logEvent("job_replaced", offer.job, {}, absl::StrCat("earlier_entry=", earlier->entry().value()));
         finish(*earlier, JobEnd::GivenUp, now);
@@ -78,6 +80,7 @@
     CellJobPtr job(new CellJob(offer, entry, now, policy_.lateTolerance));
     job->claimedAt = claimedAt;
     job->hasEarlierRuns = mayHaveEarlierRuns(*job, now);
+    job->hasRunBefore = hasRunBefore || hasOtherRunsOf(*job);
     intrusive_ptr_add_ref(job.get());
     jobs_.push_back(*job);
     jobsByKey_[offer.job] = job.get();
@@ -88,7 +91,7 @@
     // A job that an earlier owner may have started can't be rejected as not run.
     if (!offer.isTakeover && !minions_.empty() && !fitsAnyMinion(offer.need)) {
         logEvent("job_impossible", offer.job, {}, absl::StrCat("cpu=", offer.need.milliCores, " memory_mb=", offer.need.memoryMb));
-        finish(*job, JobEnd::Impossible, now);
+        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Impossible, now);
         return;
     }
     const auto milliCores = static_cast<double>(offer.need.milliCores);
@@ -98,7 +101,7 @@
     if (!offer.isTakeover && wait > absl::ZeroDuration() && cannotEndInTime(*job, now + wait)) {
         ++totals_.rejectedJobs;
         logEvent("job_turned_down", offer.job, {}, absl::StrCat("reason=expected_wait wait_ms=", absl::ToInt64Milliseconds(wait), " estimate_ms=", absl::ToInt64Milliseconds(offer.estimate), " queued_jobs=", jobs_.size()));
-        finish(*job, JobEnd::Rejected, now, retryAfter(wait));
+        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(wait));
         return;
     }
     place(now);
@@ -249,8 +252,10 @@
         return;
     std::vector<std::pair<double, CellJob*>> queued;
     for (CellJob& job : jobs_) {
-        if (job.hasEarlierRuns)
+        if (job.hasEarlierRuns) {
+            job.hasRunBefore = job.hasRunBefore || hasOtherRunsOf(job);
             job.hasEarlierRuns = mayHaveEarlierRuns(job, now);
+        }
         if (job.queuedCount() > 0 && mayStart(job, now))
             queued.emplace_back(order_.rank(job, now), &job);
     }
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -52,7 +52,7 @@
     int64_t queuedCoreMs() const;
 
     /// Whether a task may have run, under this owner or an earlier one. The job can't be rejected as not run then.
-    bool mayHaveRun() const { return hasStarted || offer_.isTakeover; }
+    bool mayHaveRun() const { return hasStarted || offer_.isTakeover || hasRunBefore; }
 
     /// The job's claim, see ClaimLimit; infinite past if none is known.
     absl::Time claimedAt = absl::InfinitePast();
@@ -61,6 +61,8 @@
     absl::Time firstStart = absl::InfiniteFuture();
     /// Whether runs of an earlier submission or offer of the job may still be in progress; nothing starts until they have ended.
     bool hasEarlierRuns = false;
+    /// Whether a task may have run by an earlier submission of the job.
+    bool hasRunBefore = false;
     /// Whether the final result was sent to the entry; runs that end later change nothing.
     bool isResultSent = false;
 
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -256,3 +256,21 @@
     fixture.endRun(first, RunEnd::Stopped);
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
+
+// Guards against a caller that is told that nothing ran: its job is sent again and can't be served, while a run of the first
+// submission is being stopped.
+TEST(RestartedEntry, AResubmittedJobWhoseEarlierSubmissionRanIsNotRejectedAsNotRun)
+{
+    fixture.offer("job", 1);
+    fixture.answerStart(fixture.takeStarts().front());
+    JobOffer again = fixture.makeOffer("job", 1);
+    again.offerNumber = 700;
+    fixture.offer(again);
+    fixture.takeResults();
+    fixture.cell().cancelled({ again.cell, again.job, again.offerNumber }, DaemonId("entry-1"), fixture.now());
+    fixture.advance(absl::Milliseconds(20));
+    const std::vector<JobResult> ended = fixture.takeResults();
+    LONGS_EQUAL(1, ended.size());
+    LONGS_EQUAL(700, ended.front().offerNumber);
+    CHECK(ended.front().end == JobEnd::GivenUp);
+}
