Let a late offer not replace a newer one

Callers: 504 for a job that runs well, because an offer of its earlier submission, by another entry, was held up on the way and replaces it at the owner.

Cause: the order of arrival decided between submissions of one job.

Change: an offer whose claim is too old for a start, and older than that of the open job, is given up.

Test: Takeover.ALateOfferDoesntReplaceTheJobOfALaterSubmission failed before.

--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -113,6 +113,9 @@
     CellJob* findJob(const JobKey&) const;
     /// @return the time of the claim that a message with this stamp makes; infinite past if it makes none.
     absl::Time claimTime(const std::optional<OwnerStamp>&, absl::Time now) const;
+    /// @param claimedAt the time of the claim that the offer makes.
+    /// @return whether an offer was held up for so long that the job that is open under its id came after it.
+    bool isLateOffer(const JobOffer&, const CellJob& open, absl::Time claimedAt, absl::Time now) const;
     /// Sends the result of an offer that isn't taken up.
     void endUnopened(const JobOffer&, const DaemonId& entry, std::string event, JobEnd);
     void adoptRuns(CellJob&, absl::Time now);
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -72,6 +72,10 @@
     if (CellJob* earlier = findJob(offer.job)) {
         if (earlier->entry() == entry && earlier->offer().offerNumber == offer.offerNumber)
             return;
+        if (isLateOffer(offer, *earlier, claimedAt, now)) {
+            endUnopened(offer, entry, "offer_late", JobEnd::GivenUp);
+            return;
+        }
         hasRunBefore = earlier->mayHaveRun();
         // The caller submitted the same id again: the earlier submission is stopped before the new one starts.
         logEvent("job_replaced", offer.job, {}, absl::StrCat("earlier_entry=", earlier->entry().value()));
@@ -107,6 +111,11 @@
     place(now);
 }
 
+bool CellDispatcher::isLateOffer(const JobOffer& offer, const CellJob& open, absl::Time claimedAt, absl::Time now) const
+{
+    return !offer.isTakeover && offer.stamp && claimedAt < open.claimedAt && !claimLimit_.allowsStart(claimLimit_.endOf(claimedAt), now);
+}
+
 void CellDispatcher::endUnopened(const JobOffer& offer, const DaemonId& entry, std::string event, JobEnd end)
 {
     logEvent(std::move(event), offer.job, {}, absl::StrCat("entry=", entry.value(), " offer=", offer.offerNumber));
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -198,6 +198,25 @@
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
 
+// Guards against a job that is stopped while its caller waits: an offer of its earlier submission was held up on the way.
+TEST(Takeover, ALateOfferDoesntReplaceTheJobOfALaterSubmission)
+{
+    fixture.addMinion("m1");
+    JobOffer late = fixture.makeOffer("job", 1);
+    fixture.advance(absl::Seconds(1));
+    JobOffer current = fixture.makeOffer("job", 1);
+    current.offerNumber = 700;
+    fixture.offer(current);
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+    fixture.offer(late);
+    LONGS_EQUAL(0, fixture.takeStops().size());
+    LONGS_EQUAL(1, fixture.cell().jobCount());
+    const std::vector<JobResult> ended = fixture.takeResults();
+    LONGS_EQUAL(1, ended.size());
+    LONGS_EQUAL(late.offerNumber, ended.front().offerNumber);
+    CHECK(ended.front().end == JobEnd::GivenUp);
+}
+
 // A process loses its cell and gets it back while its earlier orders are being answered.
 TEST(Takeover, AnAnswerToAnOrderOfAnEarlierGrantFencesNothing)
 {
