Let operators evacuate a data centre

An operator orders that no task starts on the minions of a data centre, and withdraws the order later. The order is stored in the keepers' log with the revision that it replaces, so one that was held up can't take effect after a later one. Owners start nothing in an evacuated data centre and hand jobs that have not begun back as not run; entries send no jobs there.

The calls are offered only where the settings have evacuation_ms.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -79,9 +79,14 @@
     visit(value.run, value.dataCentre, value.isEntry, value.isDraining);
 }
 
+void visitFields(auto&& visit, Fields<Evacuation> auto& value)
+{
+    visit(value.dataCentre, value.revision, value.isEvacuated);
+}
+
 void visitFields(auto&& visit, Fields<FleetUpdate> auto& value)
 {
-    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons, value.changedDaemons, value.lostDaemons, value.newestGrant, value.table);
+    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons, value.changedDaemons, value.lostDaemons, value.newestGrant, value.table, value.evacuations);
 }
 
 void visitFields(auto&& visit, Fields<CellLoad> auto& value)
--- a/Source/Adapters/Msgpack/LogFields.h
+++ b/Source/Adapters/Msgpack/LogFields.h
@@ -83,9 +83,14 @@
     visit(value.instance);
 }
 
+void visitFields(auto&& visit, Fields<EvacuationRecord> auto& value)
+{
+    visit(value.dataCentre, value.isEvacuated, value.previous, value.proposer, value.number);
+}
+
 void visitFields(auto&& visit, Fields<FleetChunk> auto& value)
 {
-    visit(value.routing, value.grants, value.minions, value.departed);
+    visit(value.routing, value.grants, value.minions, value.departed, value.evacuations);
 }
 
 void visitFields(auto&& visit, Fields<LogEntry> auto& value)
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -13,6 +13,8 @@
     constexpr double maxResubmitMs = 3600.0 * 1000;
     constexpr double minCatchUpSeconds = 0.001;
     constexpr double maxCatchUpSeconds = 3600;
+    constexpr double minEvacuationMs = 1000;
+    constexpr double maxEvacuationMs = 3600.0 * 1000;
     constexpr double minCores = 0.001;
     constexpr double maxCores = 1024;
     constexpr uint32_t minMemoryMb = 16;
@@ -34,6 +36,22 @@
         };
     }
 
+    YamlParser<std::vector<DataCentreId>> dataCentresValue()
+    {
+        return [parse = idValue<DataCentreId>()](const YAML::Node& node, const std::string& path, YamlFaults& faults) -> std::optional<std::vector<DataCentreId>> {
+            if (!node.IsSequence()) {
+                faults.add(node, path, "this isn't a list", "write [NAME, ...]");
+                return std::nullopt;
+            }
+            std::vector<DataCentreId> dataCentres;
+            for (const auto& item : node) {
+                if (std::optional<DataCentreId> dataCentre = parse(item, path, faults))
+                    dataCentres.push_back(*std::move(dataCentre));
+            }
+            return dataCentres;
+        };
+    }
+
     YamlParser<std::optional<Endpoint>> optionalEndpointValue()
     {
         return [parse = endpointValue()](const YAML::Node& node, const std::string& path, YamlFaults& faults) -> std::optional<std::optional<Endpoint>> {
@@ -60,6 +78,8 @@
             optionalKey("resubmit_ms", &FleetSettings::resubmitMs, fractionValue(minResubmitMs, maxResubmitMs)),
             optionalKey("catch_up_s", &FleetSettings::catchUpSeconds, fractionValue(minCatchUpSeconds, maxCatchUpSeconds)),
             optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
+            optionalKey("evacuation_ms", &FleetSettings::evacuationMs, fractionValue(minEvacuationMs, maxEvacuationMs)),
+            optionalKey("data_centres", &FleetSettings::dataCentres, dataCentresValue()),
         };
         return keys;
     }
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -170,6 +170,17 @@
     }
 }
 
+void FleetRegistry::setEvacuations(const std::map<DataCentreId, Evacuation>& evacuations)
+{
+    for (const auto& [dataCentre, evacuation] : evacuations) {
+        NumberedEvacuation& known = evacuations_[dataCentre];
+        if (known.number > 0 && known.evacuation == evacuation)
+            continue;
+        urgentNumber_ = ++number_;
+        known = { evacuation, number_ };
+    }
+}
+
 std::vector<std::pair<DaemonId, FleetUpdate>> FleetRegistry::takeUpdates(absl::Time now)
 {
     std::vector<std::pair<DaemonId, FleetUpdate>> updates;
@@ -253,6 +264,10 @@
         if (numbered.number > update.since)
             update.grants.push_back(numbered.grant);
     }
+    for (const auto& [dataCentre, numbered] : evacuations_) {
+        if (numbered.number > update.since)
+            update.evacuations.push_back(numbered.evacuation);
+    }
     for (const Departure& departure : departures_) {
         if (departure.number > update.since)
             update.gone.push_back(departure.instance);
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -71,6 +71,7 @@
     /// entry still lacks it some time later, so that it crosses each link once.
     void setRouting(RoutingTable, absl::Time now);
     void setGrants(const std::map<CellId, CellGrant>&);
+    void setEvacuations(const std::map<DataCentreId, Evacuation>&);
 
     /// @return the updates to send now, for each reachable daemon that lacks changes or is due a keepalive.
     std::vector<std::pair<DaemonId, FleetUpdate>> takeUpdates(absl::Time now);
@@ -101,6 +102,11 @@
         uint64_t number = 0;
     };
 
+    struct NumberedEvacuation {
+        Evacuation evacuation;
+        uint64_t number = 0;
+    };
+
     void removeMinion(const MinionInstance&);
     /// @return whether this instance of a minion has left. Minions that don't report their start time may return.
     bool hasLeft(const MinionInstance&) const;
@@ -137,6 +143,7 @@
     RoutingTable routing_;
     absl::Time routingSetAt_ = absl::InfinitePast();
     std::map<CellId, NumberedGrant> grants_;
+    std::map<DataCentreId, NumberedEvacuation> evacuations_;
     OwnerEpoch newestGrant_;
 };
 
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -78,9 +78,26 @@
     return true;
 }
 
+bool FleetState::apply(const EvacuationRecord& record, LogIndex index)
+{
+    const Evacuation known = evacuationOf(record.dataCentre);
+    if (known.revision != record.previous || known.isEvacuated == record.isEvacuated)
+        return false;
+    evacuations_[record.dataCentre] = { record.dataCentre, EvacuationRevision(index.value()), record.isEvacuated };
+    return true;
+}
+
+Evacuation FleetState::evacuationOf(const DataCentreId& dataCentre) const
+{
+    const auto known = evacuations_.find(dataCentre);
+    return known == evacuations_.end() ? Evacuation { dataCentre, {}, false } : known->second;
+}
+
 std::vector<SnapshotChunk> FleetState::snapshot() const
 {
-    FleetChunk chunk { routing_, {}, {}, { departed_.begin(), departed_.end() } };
+    FleetChunk chunk { routing_, {}, {}, { departed_.begin(), departed_.end() }, {} };
+    for (const auto& [dataCentre, evacuation] : evacuations_)
+        chunk.evacuations.push_back(evacuation);
     for (const auto& [id, report] : minions_)
         chunk.minions.push_back(report);
     for (const auto& [cell, grant] : grants_)
@@ -94,6 +111,7 @@
     grants_.clear();
     minions_.clear();
     departed_.clear();
+    evacuations_.clear();
     for (const SnapshotChunk& chunk : chunks) {
         const auto* fleet = std::get_if<FleetChunk>(&chunk);
         if (!fleet)
@@ -104,6 +122,8 @@
         for (const MinionReport& report : fleet->minions)
             minions_[report.instance.minion] = report;
         departed_.assign(fleet->departed.begin(), fleet->departed.end());
+        for (const Evacuation& evacuation : fleet->evacuations)
+            evacuations_[evacuation.dataCentre] = evacuation;
     }
 }
 
--- a/Source/Control/FleetState.h
+++ b/Source/Control/FleetState.h
@@ -8,7 +8,8 @@
 
 namespace trefoilwing {
 
-/// The state machine of the keepers' replicated log: the routing table in force, the owners of the cells and the minions.
+/// The state machine of the keepers' replicated log: the routing table in force, the owners of the cells, the minions and
+/// the evacuations of data centres.
 class FleetState {
 public:
     const RoutingDocument& routing() const { return routing_; }
@@ -27,6 +28,15 @@
     bool apply(const MinionGoneRecord&);
     const std::map<MinionId, MinionReport>& minions() const { return minions_; }
 
+    /// Begins or ends an evacuation if its revision is still the one that the proposer knew (compare and swap). An order for
+    /// the state that is in force already changes nothing.
+    /// @return whether the state has changed.
+    bool apply(const EvacuationRecord&, LogIndex);
+    /// @return the evacuations that have begun, also those that have ended since.
+    const std::map<DataCentreId, Evacuation>& evacuations() const { return evacuations_; }
+    /// @return the data centre's evacuation; revision 0 if none was ever ordered.
+    Evacuation evacuationOf(const DataCentreId&) const;
+
     std::vector<SnapshotChunk> snapshot() const;
     void restore(const std::vector<SnapshotChunk>&);
 
@@ -38,6 +48,7 @@
     std::map<MinionId, MinionReport> minions_;
     /// The minions that left last, in the order in which they did.
     std::deque<MinionInstance> departed_;
+    std::map<DataCentreId, Evacuation> evacuations_;
 };
 
 } // namespace trefoilwing
--- a/Source/Control/LedgerState.h
+++ b/Source/Control/LedgerState.h
@@ -90,6 +90,7 @@
     Keys applyRecord(const BarrierRecord&) { return {}; }
     Keys applyRecord(const MinionRecord&) { return {}; }
     Keys applyRecord(const MinionGoneRecord&) { return {}; }
+    Keys applyRecord(const EvacuationRecord&) { return {}; }
     Keys applyRecord(const LookUpRecord& record) { return { record.submission }; }
     Keys applyRecord(const FoundingRecord&);
     Keys applyRecord(const ClaimRecord&);
--- a/Source/Control/ReplicatedFleet.cpp
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+
 namespace trefoilwing {
 
 namespace {
@@ -9,6 +11,10 @@
     /// Maximum time that an operator's call waits for the group. Operators try another keeper after 1 s.
     constexpr absl::Duration callTimeout = absl::Milliseconds(2500);
 
+    /// Maximum time for which an order to evacuate is proposed. Operators send an unanswered order to another keeper after
+    /// 1 s, and may withdraw it there.
+    constexpr absl::Duration evacuationTimeout = absl::Milliseconds(950);
+
     Error unavailable(std::string message)
     {
         return { ErrorCode::Unavailable, std::move(message), Verdict::MayHaveRun };
@@ -37,6 +43,50 @@
     flush();
 }
 
+EvacuationOrderNumber ReplicatedFleet::evacuate(const DataCentreId& dataCentre, bool isEvacuated, EvacuationCallback done)
+{
+    const absl::Time time = now();
+    EvacuationOrderNumber number;
+    {
+        MutexLock lock(mutex_);
+        number = EvacuationOrderNumber(++evacuationOrders_);
+        // The order goes through the log even if it seems to be in force already: this member's state may be old.
+        const EvacuationRecord record { dataCentre, isEvacuated, state_.evacuationOf(dataCentre).revision, run_, number.value() };
+        evacuations_.push_back({ record, time + evacuationTimeout, std::move(done) });
+        propose(record, time);
+        processOutbox();
+    }
+    flush();
+    return number;
+}
+
+void ReplicatedFleet::abandonEvacuation(EvacuationOrderNumber number)
+{
+    MutexLock lock(mutex_);
+    std::erase_if(evacuations_, [&](const PendingEvacuation& pending) { return pending.record.number == number.value(); });
+}
+
+void ReplicatedFleet::answerEvacuation(const EvacuationRecord& record)
+{
+    const auto pending = std::find_if(evacuations_.begin(), evacuations_.end(), [&](const PendingEvacuation& each) { return each.record == record; });
+    if (pending == evacuations_.end())
+        return;
+    const Evacuation inForce = state_.evacuationOf(record.dataCentre);
+    const bool isDone = inForce.isEvacuated == record.isEvacuated;
+    const absl::Time time = now();
+    if (!isDone && !pending->isRepeated && time < pending->deadline) {
+        pending->isRepeated = true;
+        pending->record.previous = inForce.revision;
+        defer([this, repeated = pending->record] { proposeNow(repeated); });
+        return;
+    }
+    const auto isThis = [&](const PendingEvacuation& each) { return each.record == record; };
+    if (isDone)
+        completeWhere(evacuations_, isThis, Done {});
+    else
+        completeWhere(evacuations_, isThis, Error { ErrorCode::Unavailable, "a later order for this data centre was committed meanwhile", Verdict::MayHaveRun });
+}
+
 void ReplicatedFleet::readNewest(ReadCallback done)
 {
     const absl::Time time = now();
@@ -103,6 +153,10 @@
     } else if (const auto* gone = std::get_if<MinionGoneRecord>(&entry.command)) {
         if (state_.apply(*gone))
             notifyListener();
+    } else if (const auto* evacuation = std::get_if<EvacuationRecord>(&entry.command)) {
+        if (state_.apply(*evacuation, entry.index))
+            notifyListener();
+        answerEvacuation(*evacuation);
     } else if (const auto* barrier = std::get_if<BarrierRecord>(&entry.command)) {
         answerReads(*barrier);
     }
@@ -153,11 +207,14 @@
 {
     const auto isExpired = [&](const auto& pending) { return pending.deadline <= now; };
     completeWhere(publishes_, isExpired, unavailable("no majority of the keepers answers; send the same again"));
+    completeWhere(evacuations_, isExpired, unavailable("no majority of the keepers answers; send the same again"));
     completeWhere(reads_, isExpired, unavailable("this keeper can't be sure which version is the newest; ask another"));
     for (const PendingPublish& pending : publishes_)
         propose(RoutingRecord { pending.document }, now);
     for (const PendingRead& pending : reads_)
         propose(pending.barrier, now);
+    for (const PendingEvacuation& pending : evacuations_)
+        propose(pending.record, now);
 }
 
 void ReplicatedFleet::failPending(const Error& error)
@@ -166,6 +223,7 @@
     const auto isAny = [](const auto&) { return true; };
     completeWhere(publishes_, isAny, failed);
     completeWhere(reads_, isAny, failed);
+    completeWhere(evacuations_, isAny, failed);
 }
 
 } // namespace trefoilwing
--- a/Source/Control/ReplicatedFleet.h
+++ b/Source/Control/ReplicatedFleet.h
@@ -12,6 +12,8 @@
 class ReplicatedFleet final : public ReplicatedGroup {
 public:
     using PublishCallback = std::function<void(Result<RoutingVersion>)>;
+    /// Receives whether the order is in force, or an error.
+    using EvacuationCallback = std::function<void(Result<Done>)>;
     using ReadCallback = std::function<void(Result<RoutingDocument>)>;
     /// Called with the whole state after each change, with no lock held.
     using ChangeListener = std::function<void(const FleetState&)>;
@@ -23,6 +25,16 @@
     /// with MayHaveRun if no majority answers in time.
     void publish(RoutingDocument, PublishCallback done);
 
+    /// Begins or ends the evacuation of a data centre. An order for the state that is in force already succeeds.
+    /// @param done receives Done once the order is committed; Conflict if a later order was committed meanwhile; or
+    /// Unavailable with MayHaveRun if no majority answers in time.
+    /// @return the number by which the order can be abandoned.
+    EvacuationOrderNumber evacuate(const DataCentreId&, bool isEvacuated, EvacuationCallback done);
+
+    /// Proposes an order no more, as its operator no longer waits for the answer: it may have been sent to another keeper and
+    /// been withdrawn there.
+    void abandonEvacuation(EvacuationOrderNumber);
+
     /// Reads the newest routing table (linearizable read).
     /// @param done receives the table, or Unavailable if this member can't be sure that its table is the newest.
     void readNewest(ReadCallback done);
@@ -45,6 +57,13 @@
         absl::Time deadline;
         PublishCallback done;
     };
+    struct PendingEvacuation {
+        EvacuationRecord record;
+        absl::Time deadline;
+        EvacuationCallback done;
+        /// Whether the order was proposed anew, after another record had changed the revision that it named.
+        bool isRepeated = false;
+    };
     struct PendingRead {
         BarrierRecord barrier;
         absl::Time deadline;
@@ -58,6 +77,7 @@
     void failPending(const Error&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answerPublishes() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answerReads(const BarrierRecord&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void answerEvacuation(const EvacuationRecord&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void proposeNow(Command) ABSL_LOCKS_EXCLUDED(mutex_);
     void notifyListener() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
@@ -66,6 +86,8 @@
     FleetState state_ ABSL_GUARDED_BY(mutex_);
     std::vector<PendingPublish> publishes_ ABSL_GUARDED_BY(mutex_);
     std::vector<PendingRead> reads_ ABSL_GUARDED_BY(mutex_);
+    std::vector<PendingEvacuation> evacuations_ ABSL_GUARDED_BY(mutex_);
+    uint64_t evacuationOrders_ ABSL_GUARDED_BY(mutex_) = 0;
     uint64_t barriers_ ABSL_GUARDED_BY(mutex_) = 0;
     bool isNotificationQueued_ ABSL_GUARDED_BY(mutex_) = false;
 };
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -245,11 +245,15 @@
     {
         MutexLock lock(viewMutex_);
         change = view_.receive(from, update, link_.clock().now());
+        for (const Evacuation& evacuation : change.evacuations)
+            chooser_.setEvacuated(evacuation.dataCentre, evacuation.isEvacuated);
         for (const CellGrant& grant : update.grants) {
             if (chooser_.granted(grant))
                 grants.push_back(grant);
         }
     }
+    for (const Evacuation& evacuation : change.evacuations)
+        applyEvacuation(evacuation);
     if (change.table)
         applyTable(*std::move(change.table));
     if (change.routing)
@@ -321,10 +325,14 @@
     }
     if (cell) {
         std::vector<MinionReport> reports;
+        bool isEvacuated = false;
         {
             MutexLock lock(viewMutex_);
             reports = view_.minionsOf(grant.cell);
+            isEvacuated = view_.isEvacuated(grant.cell.dataCentre);
         }
+        if (isEvacuated)
+            cell->setEvacuated(true, false);
         cell->setMinionsKnown(areMinionsKnown(grant.cell, grant.epoch));
         for (const MinionReport& report : reports)
             cell->minionReported(report);
@@ -337,6 +345,16 @@
     jobs_.poolDivided(grant.cell);
 }
 
+void FleetEntry::applyEvacuation(const Evacuation& evacuation)
+{
+    log_.write(Severity::Info, "evacuation_in_force", { { "data_centre", evacuation.dataCentre.value() }, { "evacuated", std::string(evacuation.isEvacuated ? "yes" : "no") }, { "revision", evacuation.revision.value() } });
+    for (const CellPtr& cell : allCells()) {
+        if (cell->cell().dataCentre == evacuation.dataCentre)
+            cell->setEvacuated(evacuation.isEvacuated, true);
+    }
+    wakeFromIdle();
+}
+
 void FleetEntry::receive(const DaemonId&, const CellLoad& load)
 {
     if (jobs_.loadReceived(load.grant, load.sentAt)) {
@@ -633,6 +651,8 @@
         metrics_.set("configuration_age_seconds", {}, absl::ToDoubleSeconds(now - tableAppliedAt_));
     if (view_.silence(now) < absl::InfiniteDuration())
         metrics_.set("keepers_silent_seconds", {}, absl::ToDoubleSeconds(view_.silence(now)));
+    for (const auto& [dataCentre, evacuation] : view_.evacuations())
+        metrics_.set("data_centre_evacuated", { {}, {}, TaskKindId(dataCentre.value()) }, evacuation.isEvacuated ? 1 : 0);
     metrics_.set("configuration_version", {}, static_cast<double>(view_.routingVersion().value()));
     metrics_.set("minions_known", {}, static_cast<double>(view_.minionCount()));
 }
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -90,6 +90,7 @@
     /// @return whether all minions of an owned cell, granted under this epoch, are known to this entry.
     bool areMinionsKnown(const CellId&, OwnerEpoch) const;
     void applyGrant(const CellGrant&);
+    void applyEvacuation(const Evacuation&);
     void sendHeartbeats();
     /// Sends heartbeats to the owners of this entry's jobs, which claim these.
     void sendOwnerHeartbeats(absl::Time pumpedAt);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -39,6 +39,12 @@
     /// Maximum silence of a daemon that is logged; longer ones are logged as this.
     constexpr absl::Duration maxLoggedSilence = absl::Hours(1);
 
+    /// @return the data centres that operators may evacuate; empty if the settings don't offer evacuations.
+    std::vector<DataCentreId> evacuationCentres(const FleetSettings& settings)
+    {
+        return settings.evacuationMs > 0 ? settings.dataCentres : std::vector<DataCentreId>();
+    }
+
     std::string_view reasonName(GrantReason reason)
     {
         static constexpr std::array<std::string_view, 6> names { "unowned", "owner_silent", "owner_restarted", "owner_drains", "goes_home", "rebalanced" };
@@ -63,7 +69,7 @@
     , metrics_(metrics)
     , link_(settings, *this, log)
     , logRandom_(SeededRandom::freshSeed())
-    , controlHandler_(reader, log)
+    , controlHandler_(reader, log, evacuationCentres(settings))
     , control_(loop_, [this](const HttpExchangePtr& exchange) { controlHandler_.handle(exchange); }, { Bytes(maxControlBody), maxControlSessions })
     , metricsPage_(loop_, metrics)
     , registry_(link_.self())
@@ -179,6 +185,16 @@
     group_->publish(std::move(document), std::move(done));
 }
 
+EvacuationOrderNumber FleetKeeper::evacuate(const DataCentreId& dataCentre, bool isEvacuated, std::function<void(Result<Done>)> done)
+{
+    return group_->evacuate(dataCentre, isEvacuated, std::move(done));
+}
+
+void FleetKeeper::abandonEvacuation(EvacuationOrderNumber number)
+{
+    group_->abandonEvacuation(number);
+}
+
 void FleetKeeper::readNewest(std::function<void(Result<RoutingDocument>)> done)
 {
     group_->readNewest(std::move(done));
@@ -196,13 +212,21 @@
                 registry_.addPool(cell.pool());
             registry_.setGrants(grants_);
         }
+        registry_.setEvacuations(state.evacuations());
         registry_.setLoggedMinions(state.minions());
     }
     if (isNewRouting)
         applyRouting(state.routing());
+    publishEvacuations(state);
     sendUpdates();
 }
 
+void FleetKeeper::publishEvacuations(const FleetState& state)
+{
+    for (const auto& [dataCentre, evacuation] : state.evacuations())
+        metrics_.set("data_centre_evacuated", { {}, {}, TaskKindId(dataCentre.value()) }, evacuation.isEvacuated ? 1 : 0);
+}
+
 void FleetKeeper::applyRouting(const RoutingDocument& document)
 {
     Result<RoutingTable> read = reader_.read(document.text);
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -42,6 +42,8 @@
     void minionReported(const MinionReport&) override;
     void minionLeft(const MinionId&) override;
     void publish(RoutingDocument, std::function<void(Result<RoutingVersion>)> done) override;
+    EvacuationOrderNumber evacuate(const DataCentreId&, bool isEvacuated, std::function<void(Result<Done>)> done) override;
+    void abandonEvacuation(EvacuationOrderNumber) override;
     void readNewest(std::function<void(Result<RoutingDocument>)> done) override;
 
     void messageReceived(const DaemonId& from, PeerMessage) override;
@@ -54,6 +56,7 @@
 
     void stateChanged(const FleetState&);
     void applyRouting(const RoutingDocument&);
+    void publishEvacuations(const FleetState&);
     void assignOwners(absl::Time now);
     void sendUpdates();
     void sendHeartbeats();
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -35,6 +35,14 @@
     statuses_[load.grant.cell] = { load, stallFreeTime_.at(now), 0 };
 }
 
+void CellChooser::setEvacuated(const DataCentreId& dataCentre, bool isEvacuated)
+{
+    if (isEvacuated)
+        evacuated_.insert(dataCentre);
+    else
+        evacuated_.erase(dataCentre);
+}
+
 bool CellChooser::isRecent(const CellStatus& status, absl::Time now) const
 {
     return stallFreeTime_.at(now) - status.receivedAt < ownerTimeout;
@@ -50,7 +58,7 @@
     std::vector<Candidate> found;
     for (const auto& [cell, grant] : grants_.all()) {
         const auto status = statuses_.find(cell);
-        if (cell.service != service || status == statuses_.end() || !isRecent(status->second, now))
+        if (cell.service != service || evacuated_.contains(cell.dataCentre) || status == statuses_.end() || !isRecent(status->second, now))
             continue;
         const CellLoad& load = status->second.load;
         Candidate candidate { &grant, &status->second, 0, 0 };
--- a/Source/Intake/CellChooser.h
+++ b/Source/Intake/CellChooser.h
@@ -7,6 +7,7 @@
 #include <absl/time/time.h>
 
 #include <map>
+#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -26,6 +27,8 @@
     /// @return whether the grant is newer than the known one.
     bool granted(const CellGrant&);
     void loadReceived(const CellLoad&, absl::Time now);
+    /// Sets whether no jobs may be sent to the cells of a data centre.
+    void setEvacuated(const DataCentreId&, bool isEvacuated);
     /// Records that this process was delayed, so that received loads were read late. The delay doesn't count as silence
     /// of the owners.
     void recordDelay(absl::Duration lateness) { stallFreeTime_.recordDelay(lateness); }
@@ -65,6 +68,7 @@
     StallFreeTime stallFreeTime_;
     GrantTable grants_;
     std::map<CellId, CellStatus> statuses_;
+    std::set<DataCentreId> evacuated_;
 };
 
 } // namespace trefoilwing
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -58,6 +58,8 @@
         removeMinion(instance, change);
     for (const MinionReport& report : update.minions)
         applyReport(report, change);
+    for (const Evacuation& evacuation : update.evacuations)
+        applyEvacuation(evacuation, change);
     if (update.table && update.table->version > routing_) {
         routing_ = update.table->version;
         change.table = update.table;
@@ -141,6 +143,22 @@
     minions_.erase(known);
 }
 
+void FleetView::applyEvacuation(const Evacuation& evacuation, FleetChange& change)
+{
+    Evacuation& known = evacuations_[evacuation.dataCentre];
+    // A keeper that is behind may send an earlier state.
+    if (evacuation.revision <= known.revision)
+        return;
+    known = evacuation;
+    change.evacuations.push_back(evacuation);
+}
+
+bool FleetView::isEvacuated(const DataCentreId& dataCentre) const
+{
+    const auto known = evacuations_.find(dataCentre);
+    return known != evacuations_.end() && known->second.isEvacuated;
+}
+
 void FleetView::acknowledgeUpdates(const DaemonId& keeper, DaemonHeartbeat& heartbeat) const
 {
     const auto known = keeperStates_.find(keeper);
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -23,6 +23,8 @@
     std::optional<RoutingDocument> routing;
     std::vector<MinionReport> minions;
     std::vector<MinionReport> removed;
+    /// Evacuations that have begun or ended.
+    std::vector<Evacuation> evacuations;
 };
 
 /// A daemon's view of the fleet, merged from the updates of all keepers that it receives.
@@ -54,6 +56,8 @@
     /// @return the entries that some keeper receives heartbeats from, and their data centres.
     const std::map<DaemonId, DataCentreId>& entries() const { return entries_; }
     std::vector<MinionReport> minionsOf(const CellId&) const;
+    bool isEvacuated(const DataCentreId&) const;
+    const std::map<DataCentreId, Evacuation>& evacuations() const { return evacuations_; }
     RoutingVersion routingVersion() const { return routing_; }
     /// @return whether the updates of all known keepers have been received. A keeper that has just fallen silent may
     /// know minions that no other keeper knows.
@@ -82,6 +86,7 @@
     bool isCurrent(const KeeperState&) const;
     bool applyReport(const MinionReport&, FleetChange&);
     void removeMinion(const MinionInstance&, FleetChange&);
+    void applyEvacuation(const Evacuation&, FleetChange&);
 
     std::vector<DaemonId> seeds_;
     std::map<DaemonId, KeeperState> keeperStates_;
@@ -92,6 +97,7 @@
     absl::flat_hash_map<MinionId, MinionReport> minions_;
     /// The newest instance of each minion that has left, so that a late report doesn't add it again.
     absl::flat_hash_map<MinionId, MinionStartTime> departed_;
+    std::map<DataCentreId, Evacuation> evacuations_;
     RoutingVersion routing_;
     absl::Time lastUpdateAt_ = absl::InfinitePast();
     uint64_t heartbeatRounds_ = 0;
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Model/Evacuation.h"
 #include "Model/Routing.h"
 #include "Model/Runs.h"
 
@@ -103,6 +104,8 @@
     OwnerEpoch newestGrant;
     /// The routing table, decoded by the keeper: entries have far smaller processors, and the operator's text is larger.
     std::optional<RoutingTable> table;
+    /// Evacuations that have begun or ended.
+    std::vector<Evacuation> evacuations;
 
     friend bool operator==(const FleetUpdate&, const FleetUpdate&) = default;
 };
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -42,6 +42,11 @@
     double catchUpSeconds = 4;
     /// Maximum number of keepers' disks that may be lost at the same time without loss of data.
     uint32_t lostDisks = 1;
+    /// Time, in milliseconds, within which the evacuation of a data centre must be in force everywhere; 0 if operators can't
+    /// order evacuations.
+    double evacuationMs = 0;
+    /// The data centres of the fleet, which operators may evacuate.
+    std::vector<DataCentreId> dataCentres;
 
     friend bool operator==(const FleetSettings&, const FleetSettings&) = default;
 };
--- a/Source/Model/LogRecord.h
+++ b/Source/Model/LogRecord.h
@@ -159,10 +159,23 @@
     friend bool operator==(const MinionGoneRecord&, const MinionGoneRecord&) = default;
 };
 
+/// Begins or ends the evacuation of a data centre, if its revision is still the one that the proposer knew. So an order
+/// that was held up can't take effect after a later one.
+struct EvacuationRecord {
+    DataCentreId dataCentre;
+    bool isEvacuated = false;
+    EvacuationRevision previous;
+    /// The proposer and the number of the order there, so that the proposer recognises the record.
+    DaemonRun proposer;
+    uint64_t number = 0;
+
+    friend bool operator==(const EvacuationRecord&, const EvacuationRecord&) = default;
+};
+
 /// The content of a log entry. New alternatives are appended at the end,
 /// because the index in this list is stored on disk.
 using Command = std::variant<NoOperation, FoundingRecord, ClaimRecord, OutcomeRecord, OwnerGoneRecord, PublishRecord, MemberRecord, LookUpRecord,
-    RoutingRecord, GrantRecord, BarrierRecord, MinionRecord, MinionGoneRecord>;
+    RoutingRecord, GrantRecord, BarrierRecord, MinionRecord, MinionGoneRecord, EvacuationRecord>;
 
 /// One entry of a replicated log.
 struct LogEntry {
@@ -234,6 +247,7 @@
     std::vector<MinionReport> minions;
     /// The minions that left last, in the order in which they did.
     std::vector<MinionInstance> departed;
+    std::vector<Evacuation> evacuations;
 
     friend bool operator==(const FleetChunk&, const FleetChunk&) = default;
 };
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -269,6 +269,7 @@
     for (const auto& [id, minion] : minions_)
         sweepRuns(*minion, now);
     stopUnclaimedJobs(now);
+    endEvacuatedJobs(now);
     sweepJobs(now);
     place(now);
     if (isSuperseded_)
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -71,6 +71,9 @@
     /// Sets whether all minions of the cell have been reported. Until then an unknown minion may have runs of an
     /// earlier owner.
     void setMinionsKnown(bool areAllKnown) { areMinionsKnown_ = areAllKnown; }
+    /// Sets whether the cell's data centre is evacuated. Runs go on to their end, but no job is begun.
+    /// @param mayFinishJobs whether the tasks that jobs in progress still lack may start for a short time.
+    void setEvacuated(bool isEvacuated, bool mayFinishJobs, absl::Time now);
     void minionReported(const MinionReport&, absl::Time now);
     void minionLeft(const MinionInstance&, absl::Time now);
 
@@ -122,6 +125,9 @@
     void finish(CellJob&, JobEnd, absl::Time now, absl::Duration retryAfter = absl::ZeroDuration());
     void sweepJobs(absl::Time now);
     void stopUnclaimedJobs(absl::Time now);
+    /// Ends the jobs that lack starts which the evacuation of the data centre doesn't allow.
+    void endEvacuatedJobs(absl::Time now);
+    bool isStartBarred(const CellJob&, absl::Time now) const;
     /// Whether the claim of a job is so old that its runs must be stopped, to end before their leases do.
     bool isClaimOver(const CellJob&, absl::Time now) const;
     bool fitsAnyMinion(const ResourceVector& need) const;
@@ -190,6 +196,9 @@
     absl::Time resumedAt_ = absl::InfinitePast();
     bool isSuperseded_ = false;
     bool areMinionsKnown_ = false;
+    bool isEvacuated_ = false;
+    /// Until when jobs in progress may start their other tasks although the data centre is evacuated.
+    absl::Time finishJobsUntil_ = absl::InfinitePast();
     uint64_t runCounter_ = 0;
     MinionTable minions_;
     const MinionChooser chooser_;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -98,6 +98,10 @@
         finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Impossible, now);
         return;
     }
+    if (isEvacuated_) {
+        endEvacuatedJobs(now);
+        return;
+    }
     const auto milliCores = static_cast<double>(offer.need.milliCores);
     averageMilliCores_ += (milliCores - averageMilliCores_) * (averageMilliCores_ > 0 ? policy_.needWeight : 1);
     const absl::Duration wait = expectedWait(*job, now);
@@ -235,10 +239,43 @@
     }
 }
 
+void CellDispatcher::setEvacuated(bool isEvacuated, bool mayFinishJobs, absl::Time now)
+{
+    if (isEvacuated && !isEvacuated_)
+        finishJobsUntil_ = mayFinishJobs ? now + policy_.evacuationGrace : absl::InfinitePast();
+    isEvacuated_ = isEvacuated;
+    endEvacuatedJobs(now);
+    place(now);
+}
+
+bool CellDispatcher::isStartBarred(const CellJob& job, absl::Time now) const
+{
+    return isEvacuated_ && (!job.hasStarted || now >= finishJobsUntil_);
+}
+
+void CellDispatcher::endEvacuatedJobs(absl::Time now)
+{
+    if (!isEvacuated_)
+        return;
+    std::vector<CellJobPtr> ending;
+    for (CellJob& job : jobs_) {
+        // The runs of a takeover may still be found on the minions.
+        const bool mayFindRuns = job.offer().isTakeover && !areAllMinionsFenced(now);
+        if (job.queuedCount() > 0 && isStartBarred(job, now) && !mayFindRuns)
+            ending.emplace_back(&job);
+    }
+    for (const CellJobPtr& job : ending) {
+        const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
+        totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
+        logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=evacuated queued_tasks=", job->queuedCount()));
+        finish(*job, end, now, retryAfter(absl::ZeroDuration()));
+    }
+}
+
 bool CellDispatcher::mayStart(const CellJob& job, absl::Time now) const
 {
     // A minion that isn't fenced may still have runs of an earlier owner.
-    return (!job.offer().isTakeover || areAllMinionsFenced(now)) && !job.hasEarlierRuns && claimLimit_.allowsStart(claimLimit_.endOf(job.claimedAt), now);
+    return !isStartBarred(job, now) && (!job.offer().isTakeover || areAllMinionsFenced(now)) && !job.hasEarlierRuns && claimLimit_.allowsStart(claimLimit_.endOf(job.claimedAt), now);
 }
 
 bool CellDispatcher::mayHaveEarlierRuns(const CellJob& job, absl::Time now) const
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -41,6 +41,11 @@
     run([&](CellDispatcher& dispatcher, absl::Time) { dispatcher.setMinionsKnown(areAllKnown); });
 }
 
+void CellShard::setEvacuated(bool isEvacuated, bool mayFinishJobs)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.setEvacuated(isEvacuated, mayFinishJobs, now); });
+}
+
 void CellShard::minionReported(const MinionReport& report)
 {
     run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionReported(report, now); });
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -28,6 +28,7 @@
     CellShard(const CellGrant&, const DispatchPolicy&, const JobOrder&, CellPorts);
 
     void setMinionsKnown(bool areAllKnown);
+    void setEvacuated(bool isEvacuated, bool mayFinishJobs);
     void minionReported(const MinionReport&);
     void minionLeft(const MinionInstance&);
     void offered(const JobOffer&, const DaemonId& entry);
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -79,6 +79,9 @@
     double speedMargin = 0.1;
     /// Fraction of the cell's cores that must be free for tasks to go to the fastest minion.
     double ampleCoresFraction = 0.25;
+    /// Time for which an owner that learns that its cell's data centre is evacuated still starts the other tasks of jobs that
+    /// have begun. It is a small part of the time within which evacuations must be in force.
+    absl::Duration evacuationGrace = absl::Milliseconds(500);
     /// Maximum number of jobs considered in one placement round.
     size_t maxJobsPerRound = 64;
 };
