Log the changes of a group's members and the elections that fail

Nothing in the log told who was a voter when a group lost its majority. Each keeper now logs members_changed with the number of voters and how many of them may be lost, counts the changes, and logs failed elections at most every 5 s.

--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -36,6 +36,8 @@
     LogIndex commitIndex;
     LogIndex lastIndex;
     std::vector<Member> members;
+    /// Number of elections, pre-votes included, that this member has started without becoming the leader.
+    uint64_t failedElections = 0;
     /// Why this member's journal can't write; empty while it can.
     std::string failure;
 };
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -47,8 +47,8 @@
     /// Number of disks that must hold an entry before it is committed, in addition to the majority rule: one more
     /// than the number of disks that may be lost at once.
     uint32_t minSyncedDisks = 1;
-    /// Time of silence, for all leaders together, after which a voter is removed if a learner that has caught up can
-    /// replace it.
+    /// Time of silence, for all leaders together, after which a voter is removed once a learner that has caught up has
+    /// been promoted in its place.
     absl::Duration voterTimeout = absl::InfiniteDuration();
     /// Whether the number of voters is kept odd, so that a group of four doesn't need three for its majority.
     bool keepsOddVoters = false;
@@ -128,6 +128,8 @@
     const std::vector<Member>& members() const { return store_.members(); }
     const std::optional<MemberId>& leader() const { return leader_; }
     const Member& self() const { return settings_.self; }
+    /// @return the number of elections, pre-votes included, that this member has started without becoming the leader.
+    uint64_t failedElections() const { return failedElections_; }
 
 private:
     struct MessageAwaitingSync {
@@ -218,6 +220,7 @@
     LogHeader headerTo(const MemberId&) const;
     LogHeader headerTo(const MemberId&, Term) const;
     void send(const MemberId&, PeerMessage);
+    /// Sends a message to the daemons of the settings, to the known members and to the daemons added since.
     void sendToOtherDaemons(const PeerMessage&);
     void sendWhenSynced(const MemberId&, PeerMessage);
     JournalBatch& openBatch();
@@ -250,6 +253,7 @@
     absl::Time heartbeatDue_;
     absl::Time joinDue_;
     std::set<MemberId> votes_;
+    uint64_t failedElections_ = 0;
 
     std::map<MemberId, MemberProgress> progress_;
     /// When each other member was last heard by a leader. It outlasts changes of the leader.
@@ -258,6 +262,8 @@
     /// The index of the leader's first entry of its term.
     LogIndex termStartIndex_;
     std::map<DaemonId, Member> joining_;
+    /// Daemons that this member knows beside those of the settings; they have no part in a founding.
+    std::set<DaemonId> contacts_;
     std::map<DaemonId, ReceivedJoinReply> joinReplies_;
     uint64_t proposals_;
     absl::flat_hash_map<ProposalId, LogIndex> forwarded_;
--- a/Source/Control/ReplicatedLogElection.cpp
+++ b/Source/Control/ReplicatedLogElection.cpp
@@ -51,6 +51,8 @@
 
 void ReplicatedLog::startPreVote(absl::Time now)
 {
+    if (role_ == LogRole::PreCandidate || role_ == LogRole::Candidate)
+        ++failedElections_;
     resetElection(now);
     leader_.reset();
     setRole(LogRole::PreCandidate);
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -1,5 +1,7 @@
 #include "Daemon/FleetKeeper.h"
 
+#include "Control/MemberChanges.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -30,6 +32,9 @@
     /// Time that a stopping keeper leaves for open calls to end.
     constexpr absl::Duration drainTime = absl::Milliseconds(700);
 
+    /// Minimum interval of log lines on failed elections; without a majority one fails every second.
+    constexpr absl::Duration electionLogInterval = absl::Seconds(5);
+
     constexpr uint64_t maxControlBody = 16U << 20U;
     constexpr size_t maxControlSessions = 2000;
     constexpr uint64_t maxSegmentBytes = 4U << 20U;
@@ -294,6 +299,8 @@
         journalFailure_ = state.failure;
         log_.write(journalFailure_.empty() ? Severity::Info : Severity::Error, journalFailure_.empty() ? "journal_recovered" : "journal_failed", { { "reason", journalFailure_ }, { "term", state.term.value() }, { "commit", state.commitIndex.value() } });
     }
+    logMemberChanges(state);
+    logFailedElections(state);
     if (state.isLeading != isLeading_) {
         isLeading_ = state.isLeading;
         MutexLock lock(mutex_);
@@ -307,6 +314,30 @@
     }
 }
 
+void FleetKeeper::logMemberChanges(const GroupState& state)
+{
+    if (state.members == loggedMembers_)
+        return;
+    const QuorumMargin margin = quorumMargin(state.members);
+    for (const MemberChange& change : changesBetween(loggedMembers_, state.members)) {
+        const std::string kind(nameOf(change.kind));
+        log_.write(Severity::Info, "members_changed", { { "change", kind }, { "member", change.member.daemon.value() }, { "storage", change.member.storage.value() }, { "was_voter", std::string(change.wasVoter ? "yes" : "no") }, { "voters", uint64_t { margin.voters } }, { "losses_borne", uint64_t { margin.losses } }, { "members", uint64_t { state.members.size() } }, { "term", state.term.value() }, { "index", state.lastIndex.value() }, { "commit", state.commitIndex.value() } });
+        metrics_.count("log_member_changes", { {}, {}, TaskKindId(kind) }, 1);
+    }
+    loggedMembers_ = state.members;
+}
+
+void FleetKeeper::logFailedElections(const GroupState& state)
+{
+    const absl::Time now = link_.clock().now();
+    if (state.failedElections == loggedFailedElections_ || now < electionLogDue_)
+        return;
+    electionLogDue_ = now + electionLogInterval;
+    const QuorumMargin margin = quorumMargin(state.members);
+    log_.write(Severity::Warning, "election_failed", { { "failed", state.failedElections - loggedFailedElections_ }, { "term", state.term.value() }, { "voters", uint64_t { margin.voters } }, { "losses_borne", uint64_t { margin.losses } }, { "last", state.lastIndex.value() }, { "reason", std::string("no majority of the voters granted its vote in time") } });
+    loggedFailedElections_ = state.failedElections;
+}
+
 void FleetKeeper::sendHeartbeats()
 {
     std::vector<std::pair<DaemonId, DaemonHeartbeat>> heartbeats;
@@ -343,6 +374,10 @@
     metrics_.set("log_commit_index", {}, static_cast<double>(state.commitIndex.value()));
     metrics_.set("log_term", {}, static_cast<double>(state.term.value()));
     metrics_.set("log_members", {}, static_cast<double>(state.members.size()));
+    const QuorumMargin margin = quorumMargin(state.members);
+    metrics_.set("log_voters", {}, static_cast<double>(margin.voters));
+    metrics_.set("log_losses_borne", {}, static_cast<double>(margin.losses));
+    metrics_.set("log_elections_failed", {}, static_cast<double>(state.failedElections));
     metrics_.set("log_journal_failed", {}, state.failure.empty() ? 0 : 1);
     metrics_.set("log_is_leader", {}, state.isLeading ? 1 : 0);
     metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -58,6 +58,8 @@
     void sendUpdates();
     void sendHeartbeats();
     void updateLeadership();
+    void logMemberChanges(const GroupState&);
+    void logFailedElections(const GroupState&);
     void publishMetrics();
 
     const FleetSettings settings_;
@@ -86,6 +88,10 @@
     absl::Time metricsDue_ = absl::InfinitePast();
     bool isLeading_ = false;
     std::optional<MemberId> leader_;
+    /// The members and the number of failed elections that were last logged.
+    std::vector<Member> loggedMembers_;
+    uint64_t loggedFailedElections_ = 0;
+    absl::Time electionLogDue_ = absl::InfinitePast();
     /// The journal's failure that was last logged.
     std::string journalFailure_;
     WorkSignal signal_;
