Keep silent voters until they are replaced, and reach every leader with join requests

What callers saw: after a data centre had been cut off and was back for 6 s, two lost disks and a loss of all power left no majority, and the configuration that was acknowledged last could not be read any more.

Cause: a leader removed the silent voters one after the other, before it promoted the learner that was to take their place, so three voters were left of five. The removed keepers asked only the daemons of their settings to join, because a process that was started to found the group adds no contacts, and the leader was not among those. So they never joined again.

A learner is now promoted first, and a silent voter is removed only while there is one voter more than wanted. Join requests also go to the known members and to contacts; who may found a group is unchanged.

--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -441,10 +441,13 @@
 
 void ReplicatedLog::sendToOtherDaemons(const PeerMessage& message)
 {
-    for (const DaemonId& daemon : settings_.daemons) {
-        if (daemon != settings_.self.id.daemon)
-            outbox_.messages.push_back({ daemon, message });
-    }
+    std::set<DaemonId> receivers = contacts_;
+    receivers.insert(settings_.daemons.begin(), settings_.daemons.end());
+    for (const Member& member : store_.members())
+        receivers.insert(member.id.daemon);
+    receivers.erase(settings_.self.id.daemon);
+    for (const DaemonId& daemon : receivers)
+        outbox_.messages.push_back({ daemon, message });
 }
 
 void ReplicatedLog::sendWhenSynced(const MemberId& to, PeerMessage message)
--- a/Source/Control/ReplicatedLogMembers.cpp
+++ b/Source/Control/ReplicatedLogMembers.cpp
@@ -170,7 +170,7 @@
         return;
     }
     std::vector<Member> members = store_.members();
-    if (admitJoining(members) || dropSilentVoter(members, now) || promoteLearner(members, now))
+    if (admitJoining(members) || promoteLearner(members, now) || dropSilentVoter(members, now))
         changeMembers(std::move(members), now);
 }
 
@@ -243,7 +243,9 @@
 
 bool ReplicatedLog::dropSilentVoter(std::vector<Member>& members, absl::Time now) const
 {
-    if (!std::any_of(members.begin(), members.end(), [&](const Member& member) { return isCaughtUp(member, now); }))
+    // A voter that is only silent may come back with its disk. It is removed only after a learner was promoted in its
+    // place: otherwise a data centre that is cut off would leave a group too small to bear the next losses.
+    if (countVoters(members) <= targetVoterCount())
         return false;
     const auto silent = std::find_if(members.begin(), members.end(), [&](const Member& member) { return isSilentVoter(member, now); });
     if (silent == members.end())
@@ -254,7 +256,8 @@
 
 bool ReplicatedLog::promoteLearner(std::vector<Member>& members, absl::Time now) const
 {
-    if (countVoters(members) >= targetVoterCount())
+    const bool isAnySilent = std::any_of(members.begin(), members.end(), [&](const Member& member) { return isSilentVoter(member, now); });
+    if (countVoters(members) >= targetVoterCount() + (isAnySilent ? 1 : 0))
         return false;
     auto chosen = std::find_if(members.begin(), members.end(), [&](const Member& member) { return member.hasDisk && isCaughtUp(member, now); });
     if (chosen == members.end())
@@ -267,9 +270,11 @@
 
 void ReplicatedLog::addDaemon(const DaemonId& daemon)
 {
+    // Only the daemons of the settings may found the group, so a member that may still found it keeps others apart.
     std::vector<DaemonId>& daemons = settings_.daemons;
-    // Only the daemons in the settings may found the group, so a member that may still found it adds no others.
-    if (!settings_.mayFound && std::find(daemons.begin(), daemons.end(), daemon) == daemons.end())
+    if (settings_.mayFound)
+        contacts_.insert(daemon);
+    else if (std::find(daemons.begin(), daemons.end(), daemon) == daemons.end())
         daemons.push_back(daemon);
 }
 
--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -119,8 +119,10 @@
     LogSettings settings;
     settings.group = GroupId("ledger/dc");
     settings.self = { { host.daemon, host.storage }, false, host.hasDisk, false };
-    for (const auto& other : hosts_)
-        settings.daemons.push_back(other->daemon);
+    for (const auto& other : hosts_) {
+        if (options_.seeds == 0 || other->index < options_.seeds)
+            settings.daemons.push_back(other->daemon);
+    }
     settings.maxVoters = options_.maxVoters;
     settings.maxEntries = options_.maxEntries;
     settings.claimGuard = options_.claimGuard;
--- a/Tests/Control/GroupCluster.h
+++ b/Tests/Control/GroupCluster.h
@@ -29,6 +29,8 @@
         size_t hosts = 3;
         /// Hosts from this one on have no disk.
         size_t hostsWithDisk = 3;
+        /// If not 0, the settings name only this many hosts, from the first one on, and the hosts know the others as contacts.
+        size_t seeds = 0;
         uint32_t maxVoters = 5;
         uint64_t maxEntries = 20000;
         absl::Duration voterTimeout = absl::InfiniteDuration();
--- a/Tests/Control/KeeperLossesTest.cpp
+++ b/Tests/Control/KeeperLossesTest.cpp
@@ -151,6 +151,42 @@
     std::string story_;
 };
 
+/// Cuts off a data centre of two keepers for a while. Then, as soon as its keepers count as returned, a change is
+/// acknowledged, all keepers lose power, and two lose their disks: the leader and another one.
+/// @return what went wrong; empty if the keepers elect a leader that knows the change.
+std::string loseTwoDisksAfterACut(uint64_t seed, size_t dataCentre, size_t otherLost)
+{
+    constexpr size_t keepers = 6;
+    constexpr size_t dataCentres = 3;
+    constexpr absl::Duration catchUp = absl::Seconds(6);
+    LogOracle oracle;
+    const auto cluster = makeRecordingCluster(oracle, { .hosts = keepers, .hostsWithDisk = keepers, .seeds = dataCentres, .maxEntries = 64, .voterTimeout = catchUp / 2, .keepsOddVoters = true, .minSyncedDisks = 3, .foundsOnce = true, .seed = seed });
+    if (!cluster->runUntil([&] { return cluster->isWhole(); }))
+        return "the group was not founded";
+    cluster->cut({ dataCentre, dataCentre + dataCentres });
+    cluster->run(absl::Milliseconds(6400));
+    cluster->heal();
+    cluster->run(catchUp);
+    if (!cluster->hasLeader())
+        return "no leader after the cut";
+    const size_t leader = cluster->leader();
+    auto& leading = dynamic_cast<RecordingGroup&>(*cluster->group(leader));
+    leading.proposeCommand(publishOf(leading.version().value(), 1));
+    if (!cluster->runUntil([&] { return leading.version() == ConfigurationVersion(1); }))
+        return "the change was not acknowledged";
+    for (size_t host = 0; host < keepers; ++host)
+        cluster->crash(host);
+    cluster->loseDisk(leader);
+    cluster->loseDisk((leader + otherLost) % keepers);
+    for (size_t host = 0; host < keepers; ++host)
+        cluster->restart(host);
+    if (!cluster->runUntil([&] { return cluster->hasLeader(); }))
+        return "no leader after the losses";
+    const auto& next = dynamic_cast<const RecordingGroup&>(*cluster->group(cluster->leader()));
+    const bool knowsChange = cluster->runUntil([&] { return next.version() == ConfigurationVersion(1); });
+    return knowsChange ? oracle.violation() : "the acknowledged change is lost";
+}
+
 void checkSeeds(const Site& site, uint64_t count)
 {
     for (uint64_t seed = 1; seed <= count; ++seed) {
@@ -184,3 +220,17 @@
 {
     checkSeeds({ 6, 2, absl::Seconds(6) }, 60);
 }
+
+// Guards against a group that removes the voters of a data centre that is cut off, one after the other, and doesn't admit
+// them again after the cut.
+TEST(KeeperLosses, TwoDisksMayBeLostSoonAfterACut)
+{
+    for (uint64_t seed = 1; seed <= 5; ++seed) {
+        for (size_t dataCentre = 0; dataCentre < 3; ++dataCentre) {
+            for (size_t otherLost = 1; otherLost < 6; ++otherLost) {
+                const std::string fault = loseTwoDisksAfterACut(seed, dataCentre, otherLost);
+                CHECK_TEXT(fault.empty(), absl::StrCat("seed ", seed, ", data centre ", dataCentre, ", other disk ", otherLost, ": ", fault).c_str());
+            }
+        }
+    }
+}
--- a/Tests/Control/RecordingGroup.h
+++ b/Tests/Control/RecordingGroup.h
@@ -46,6 +46,8 @@
 
     /// @return what ReplicatedLog::propose returned.
     bool proposeCommand(Command);
+    /// Adds a daemon to those to which this member sends its requests to join.
+    void addDaemon(const DaemonId&);
     std::optional<LedgerClaim> find(const SubmissionKey&) const;
     ConfigurationVersion version() const;
     size_t applied() const;
