Say in the log why an election failed, and name founding voters as voters

The line election_failed had the same reason whether voters were unreachable or refused. It now has the votes granted and refused, which tell the two apart. members_changed named the voters of a founding, or of a log read at the start, as learners; they are voter_added.

--- a/Source/Control/MemberChanges.cpp
+++ b/Source/Control/MemberChanges.cpp
@@ -21,7 +21,7 @@
     for (const Member& member : later) {
         const Member* before = memberOf(earlier, member.id.daemon);
         if (!before)
-            changes.push_back({ MemberChangeKind::LearnerAdded, member.id, false });
+            changes.push_back({ member.isVoter ? MemberChangeKind::VoterAdded : MemberChangeKind::LearnerAdded, member.id, false });
         else if (before->id != member.id)
             changes.push_back({ MemberChangeKind::Succeeded, member.id, before->isVoter });
         else if (member.isVoter && !before->isVoter)
@@ -42,7 +42,7 @@
 
 std::string_view nameOf(MemberChangeKind kind)
 {
-    static constexpr std::array<std::string_view, 4> names { "learner_added", "succeeded", "promoted", "removed" };
+    static constexpr std::array<std::string_view, 5> names { "learner_added", "voter_added", "succeeded", "promoted", "removed" };
     return names.at(static_cast<size_t>(kind));
 }
 
--- a/Source/Control/MemberChanges.h
+++ b/Source/Control/MemberChanges.h
@@ -11,6 +11,8 @@
 enum class MemberChangeKind {
     /// A daemon that had no member was added as a learner.
     LearnerAdded,
+    /// A daemon that had no member is a voter at once: the group was founded, or this member read its log at the start.
+    VoterAdded,
     /// A member was replaced, as a learner, by a newer member of the same daemon, which lost its storage.
     Succeeded,
     Promoted,
--- a/Source/Control/ReplicatedGroup.cpp
+++ b/Source/Control/ReplicatedGroup.cpp
@@ -73,7 +73,7 @@
 {
     const absl::Time time = now();
     MutexLock lock(mutex_);
-    return { log_.role(), isLeading(time), log_.leader(), log_.epoch(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), log_.failedElections(), failure_ ? failure_->message : std::string() };
+    return { log_.role(), isLeading(time), log_.leader(), log_.epoch(), log_.term(), log_.commitIndex(), log_.lastIndex(), log_.members(), log_.failedElections(), log_.lastFailedElection(), failure_ ? failure_->message : std::string() };
 }
 
 void ReplicatedGroup::synced(SyncToken token)
--- a/Source/Control/ReplicatedGroup.h
+++ b/Source/Control/ReplicatedGroup.h
@@ -38,6 +38,8 @@
     std::vector<Member> members;
     /// Number of elections, pre-votes included, that this member has started without becoming the leader.
     uint64_t failedElections = 0;
+    /// The answers in the last of them.
+    ElectionTally lastFailedElection;
     /// Why this member's journal can't write; empty while it can.
     std::string failure;
 };
--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Control/ElectionTally.h"
 #include "Control/Envelope.h"
 #include "Control/LogStore.h"
 #include "Control/MemberProgress.h"
@@ -130,6 +131,8 @@
     const Member& self() const { return settings_.self; }
     /// @return the number of elections, pre-votes included, that this member has started without becoming the leader.
     uint64_t failedElections() const { return failedElections_; }
+    /// @return the answers in the last of them.
+    const ElectionTally& lastFailedElection() const { return lastFailedElection_; }
 
 private:
     struct MessageAwaitingSync {
@@ -255,7 +258,10 @@
     absl::Time heartbeatDue_;
     absl::Time joinDue_;
     std::set<MemberId> votes_;
+    /// The voters that refused in the current election.
+    std::set<MemberId> refusals_;
     uint64_t failedElections_ = 0;
+    ElectionTally lastFailedElection_;
 
     std::map<MemberId, MemberProgress> progress_;
     /// When each other member was last heard by a leader. It outlasts changes of the leader.
--- a/Source/Control/ReplicatedLogElection.cpp
+++ b/Source/Control/ReplicatedLogElection.cpp
@@ -51,8 +51,10 @@
 
 void ReplicatedLog::startPreVote(absl::Time now)
 {
-    if (role_ == LogRole::PreCandidate || role_ == LogRole::Candidate)
+    if (role_ == LogRole::PreCandidate || role_ == LogRole::Candidate) {
         ++failedElections_;
+        lastFailedElection_ = { votes_.size(), refusals_.size() };
+    }
     resetElection(now);
     leader_.reset();
     setRole(LogRole::PreCandidate);
@@ -76,6 +78,7 @@
 
 void ReplicatedLog::askForVotes(bool isPreVote, Term term)
 {
+    refusals_.clear();
     for (const Member& member : store_.members()) {
         if (!member.isVoter || member.id == settings_.self.id)
             continue;
@@ -123,8 +126,12 @@
     }
     const LogRole asking = reply.isPreVote ? LogRole::PreCandidate : LogRole::Candidate;
     const Term asked = reply.isPreVote ? next(hardState_.term) : hardState_.term;
-    if (role_ != asking || reply.askedTerm != asked || !reply.isGranted)
+    if (role_ != asking || reply.askedTerm != asked)
+        return;
+    if (!reply.isGranted) {
+        refusals_.insert(reply.header.from);
         return;
+    }
     votes_.insert(reply.header.from);
     countVotes(now);
 }
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -358,7 +358,7 @@
         return;
     electionLogDue_ = now + electionLogInterval;
     const QuorumMargin margin = quorumMargin(state.members);
-    log_.write(Severity::Warning, "election_failed", { { "failed", state.failedElections - loggedFailedElections_ }, { "term", state.term.value() }, { "voters", uint64_t { margin.voters } }, { "losses_borne", uint64_t { margin.losses } }, { "last", state.lastIndex.value() }, { "reason", std::string("no majority of the voters granted its vote in time") } });
+    log_.write(Severity::Warning, "election_failed", { { "failed", state.failedElections - loggedFailedElections_ }, { "term", state.term.value() }, { "voters", uint64_t { margin.voters } }, { "losses_borne", uint64_t { margin.losses } }, { "last", state.lastIndex.value() }, { "granted", uint64_t { state.lastFailedElection.granted } }, { "refused", uint64_t { state.lastFailedElection.refused } }, { "reason", std::string(failureReason(state.lastFailedElection, margin.voters)) } });
     loggedFailedElections_ = state.failedElections;
 }
 
