--- a/Tests/Control/GroupModelTest.cpp
+++ b/Tests/Control/GroupModelTest.cpp
@@ -157,7 +157,7 @@
 
     void disturb()
     {
-        static constexpr std::array<void (GroupModel::*)(), 4> disturbances { &GroupModel::silence, &GroupModel::cut, &GroupModel::cut, &GroupModel::restart };
+        static constexpr std::array<void (GroupModel::*)(), 6> disturbances { &GroupModel::silence, &GroupModel::cut, &GroupModel::cut, &GroupModel::restart, &GroupModel::fillDisk, &GroupModel::disturbNetwork };
         static constexpr std::array<void (GroupModel::*)(), 2> losses { &GroupModel::wipe, &GroupModel::replace };
         if (below(100) < lossPercent_)
             (this->*losses.at(below(losses.size())))();
@@ -214,6 +214,29 @@
         comeBack(*keeper, between(absl::Milliseconds(100), absl::Milliseconds(700)));
     }
 
+    /// The keeper's disk refuses writes for a while; for the others the keeper is silent.
+    void fillDisk()
+    {
+        Keeper* keeper = freeKeeper();
+        if (!keeper)
+            return;
+        const absl::Duration duration = between(absl::Milliseconds(300), absl::Seconds(5));
+        const size_t host = keeper->host;
+        tell(absl::StrCat("fill the disk of d", host, " for ", absl::FormatDuration(duration)));
+        keeper->busyUntil = cluster_->now() + duration;
+        noteSilence(duration);
+        cluster_->failDisk(host);
+        later_.push_back({ keeper->busyUntil, [this, host] { cluster_->repairDisk(host); } });
+    }
+
+    void disturbNetwork()
+    {
+        const absl::Duration duration = between(absl::Milliseconds(300), absl::Seconds(5));
+        tell(absl::StrCat("disturb the network for ", absl::FormatDuration(duration)));
+        cluster_->setFaults({ 10, 10, absl::Milliseconds(20) });
+        later_.push_back({ cluster_->now() + duration, [this] { cluster_->setFaults({}); } });
+    }
+
     void wipe()
     {
         Keeper* keeper = freeKeeper();
