--- a/Source/Control/ReplicatedLog.h
+++ b/Source/Control/ReplicatedLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Control/ElectionTally.h"
 #include "Control/Envelope.h"
 #include "Control/LogStore.h"
 #include "Control/MemberProgress.h"
@@ -98,7 +99,7 @@
     absl::Time nextWakeup() const;
 
     /// Appends the command, or forwards it to the leader.
-    /// @return false if no leader is known and nothing was done. True doesn't guarantee that the command is
+    /// @return false if no leader is known, or a new group still lacks voters, and nothing was done. True doesn't guarantee that the command is
     /// committed: the proposer has to repeat it until it is applied.
     bool propose(Command, absl::Time now);
 
@@ -130,6 +131,8 @@
     const Member& self() const { return settings_.self; }
     /// @return the number of elections, pre-votes included, that this member has started without becoming the leader.
     uint64_t failedElections() const { return failedElections_; }
+    /// @return the answers in the last of them.
+    const ElectionTally& lastFailedElection() const { return lastFailedElection_; }
 
 private:
     struct MessageAwaitingSync {
@@ -161,6 +164,8 @@
     std::vector<JoinReply> validJoinReplies(absl::Time now) const;
     bool isOnlySurvivor(const std::vector<JoinReply>& others) const;
     bool holdsAllCommitted() const;
+    /// @return whether the group was founded a short time ago and lacks the voters to bear the losses of its settings.
+    bool isBeingFounded(absl::Time now) const;
     bool needsToJoin(absl::Time now) const;
 
     // Elections.
@@ -234,7 +239,7 @@
     bool hasVoterWithDisk() const;
     /// @return whether a newer member of the same daemon asks to join, which shows that this one will never return.
     bool isSuperseded(const Member&) const;
-    bool acceptsProposals(absl::Time now) const;
+    bool acceptsProposal(const Command&, absl::Time now) const;
     size_t majority() const;
     LogIndex syncedIndex() const;
     void setRole(LogRole);
@@ -253,7 +258,10 @@
     absl::Time heartbeatDue_;
     absl::Time joinDue_;
     std::set<MemberId> votes_;
+    /// The voters that refused in the current election.
+    std::set<MemberId> refusals_;
     uint64_t failedElections_ = 0;
+    ElectionTally lastFailedElection_;
 
     std::map<MemberId, MemberProgress> progress_;
     /// When each other member was last heard by a leader. It outlasts changes of the leader.
