Number every order to evacuate, and order them at owners

Cause: an order for the state in force kept the data centre's revision, so an opposite order that was still on its way could take effect after its withdrawal had been acknowledged. Owners applied orders in the order of the threads that brought them, and listed a new cell before they had told it of the evacuation.

Each order gets a revision of its own, a proposal that lost the comparison is repeated whatever the state is, and owners ignore older revisions. Grants bring all evacuations along. Not built or run yet.

--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -92,6 +92,8 @@
             faults.add(document, "control", "a process can't be both an entry and a keeper", "run them as separate processes");
         if (settings.control && settings.dataFolder.empty())
             faults.add(document, "data_folder", "a keeper has no data folder", "set it to a folder on a persistent disk");
+        if (settings.evacuationMs > 0 && settings.dataCentres.empty())
+            faults.add(document, "data_centres", "evacuation_ms is set, but no data centre is named that may be evacuated", "list all data centres of the fleet");
     }
 
 } // namespace
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -174,7 +174,7 @@
 {
     for (const auto& [dataCentre, evacuation] : evacuations) {
         NumberedEvacuation& known = evacuations_[dataCentre];
-        if (known.number > 0 && known.evacuation == evacuation)
+        if (known.number > 0 && evacuation.revision <= known.evacuation.revision)
             continue;
         urgentNumber_ = ++number_;
         known = { evacuation, number_ };
@@ -265,7 +265,9 @@
             update.grants.push_back(numbered.grant);
     }
     for (const auto& [dataCentre, numbered] : evacuations_) {
-        if (numbered.number > update.since)
+        // Grants bring all evacuations with them, so that a new owner starts nothing in an evacuated data centre even if the
+        // update that told it of the evacuation was lost.
+        if (numbered.number > update.since || !update.grants.empty())
             update.evacuations.push_back(numbered.evacuation);
     }
     for (const Departure& departure : departures_) {
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -71,6 +71,7 @@
     /// entry still lacks it some time later, so that it crosses each link once.
     void setRouting(RoutingTable, absl::Time now);
     void setGrants(const std::map<CellId, CellGrant>&);
+    /// Sets the orders to evacuate data centres; older revisions than the known ones are ignored.
     void setEvacuations(const std::map<DataCentreId, Evacuation>&);
 
     /// @return the updates to send now, for each reachable daemon that lacks changes or is due a keepalive.
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -80,8 +80,7 @@
 
 bool FleetState::apply(const EvacuationRecord& record, LogIndex index)
 {
-    const Evacuation known = evacuationOf(record.dataCentre);
-    if (known.revision != record.previous || known.isEvacuated == record.isEvacuated)
+    if (evacuationOf(record.dataCentre).revision != record.previous)
         return false;
     evacuations_[record.dataCentre] = { record.dataCentre, EvacuationRevision(index.value()), record.isEvacuated };
     return true;
--- a/Source/Control/FleetState.h
+++ b/Source/Control/FleetState.h
@@ -29,10 +29,11 @@
     const std::map<MinionId, MinionReport>& minions() const { return minions_; }
 
     /// Begins or ends an evacuation if its revision is still the one that the proposer knew (compare and swap). An order for
-    /// the state that is in force already changes nothing.
-    /// @return whether the state has changed.
+    /// the state that is in force already gets a revision of its own too: an opposite order that is still on its way then
+    /// can't take effect any more.
+    /// @return whether the order was applied.
     bool apply(const EvacuationRecord&, LogIndex);
-    /// @return the evacuations that have begun, also those that have ended since.
+    /// @return the latest order for each data centre that ever had one.
     const std::map<DataCentreId, Evacuation>& evacuations() const { return evacuations_; }
     /// @return the data centre's evacuation; revision 0 if none was ever ordered.
     Evacuation evacuationOf(const DataCentreId&) const;
--- a/Source/Control/ReplicatedFleet.cpp
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -62,19 +62,26 @@
 
 void ReplicatedFleet::abandonEvacuation(EvacuationOrderNumber number)
 {
+    // The callback is destroyed after the lock is released, since it may own a connection.
+    EvacuationCallback dropped;
     MutexLock lock(mutex_);
-    std::erase_if(evacuations_, [&](const PendingEvacuation& pending) { return pending.record.number == number.value(); });
+    const auto pending = std::find_if(evacuations_.begin(), evacuations_.end(), [&](const PendingEvacuation& each) { return each.record.number == number.value(); });
+    if (pending == evacuations_.end())
+        return;
+    dropped = std::move(pending->done);
+    evacuations_.erase(pending);
 }
 
-void ReplicatedFleet::answerEvacuation(const EvacuationRecord& record)
+void ReplicatedFleet::answerEvacuation(const EvacuationRecord& record, bool isApplied)
 {
     const auto pending = std::find_if(evacuations_.begin(), evacuations_.end(), [&](const PendingEvacuation& each) { return each.record == record; });
     if (pending == evacuations_.end())
         return;
     const Evacuation inForce = state_.evacuationOf(record.dataCentre);
     const bool isDone = inForce.isEvacuated == record.isEvacuated;
-    const absl::Time time = now();
-    if (!isDone && !pending->isRepeated && time < pending->deadline) {
+    // The order is repeated even if its state is in force already: without a revision of its own it wouldn't fend off an
+    // opposite order that is still on its way.
+    if (!isApplied && !pending->isRepeated && now() < pending->deadline) {
         pending->isRepeated = true;
         pending->record.previous = inForce.revision;
         defer([this, repeated = pending->record] { proposeNow(repeated); });
@@ -154,9 +161,10 @@
         if (state_.apply(*gone))
             notifyListener();
     } else if (const auto* evacuation = std::get_if<EvacuationRecord>(&entry.command)) {
-        if (state_.apply(*evacuation, entry.index))
+        const bool isApplied = state_.apply(*evacuation, entry.index);
+        if (isApplied)
             notifyListener();
-        answerEvacuation(*evacuation);
+        answerEvacuation(*evacuation, isApplied);
     } else if (const auto* barrier = std::get_if<BarrierRecord>(&entry.command)) {
         answerReads(*barrier);
     }
--- a/Source/Control/ReplicatedFleet.h
+++ b/Source/Control/ReplicatedFleet.h
@@ -26,8 +26,8 @@
     void publish(RoutingDocument, PublishCallback done);
 
     /// Begins or ends the evacuation of a data centre. An order for the state that is in force already succeeds.
-    /// @param done receives Done once the order is committed; Conflict if a later order was committed meanwhile; or
-    /// Unavailable with MayHaveRun if no majority answers in time.
+    /// @param done receives Done once the order is committed; or Unavailable with MayHaveRun if later orders were committed
+    /// meanwhile, or no majority answers in time.
     /// @return the number by which the order can be abandoned.
     EvacuationOrderNumber evacuate(const DataCentreId&, bool isEvacuated, EvacuationCallback done);
 
@@ -77,7 +77,7 @@
     void failPending(const Error&) override ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answerPublishes() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void answerReads(const BarrierRecord&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
-    void answerEvacuation(const EvacuationRecord&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void answerEvacuation(const EvacuationRecord&, bool isApplied) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void proposeNow(Command) ABSL_LOCKS_EXCLUDED(mutex_);
     void notifyListener() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -310,6 +310,7 @@
     log_.write(Severity::Info, "cell_granted", { { "service", grant.cell.service.value() }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
     std::vector<PendingOffer> offers;
     CellPtr cell;
+    const Evacuation evacuation = evacuationOf(grant.cell.dataCentre);
     {
         MutexLock lock(cellsMutex_);
         if (!appliedGrants_.accept(grant))
@@ -317,7 +318,7 @@
         cells_.erase(grant.cell);
         std::erase_if(cells_, [&](const auto& entry) { return isFromOtherDivision(entry.first, grant.cell); });
         if (grant.owner == link_.self()) {
-            const auto owned = std::make_shared<OwnedCell>(grant, policy_, order_, *this);
+            const auto owned = std::make_shared<OwnedCell>(grant, policy_, order_, *this, evacuation);
             cell = CellPtr(owned, &owned->shard);
             cells_[grant.cell] = cell;
             offers = pendingOffers_.takeGranted(grant);
@@ -325,14 +326,12 @@
     }
     if (cell) {
         std::vector<MinionReport> reports;
-        bool isEvacuated = false;
         {
             MutexLock lock(viewMutex_);
             reports = view_.minionsOf(grant.cell);
-            isEvacuated = view_.isEvacuated(grant.cell.dataCentre);
         }
-        if (isEvacuated)
-            cell->setEvacuated(true, false);
+        // Another thread may have applied an order after it was read above and before the cell was listed.
+        cell->setEvacuated(evacuationOf(grant.cell.dataCentre));
         cell->setMinionsKnown(areMinionsKnown(grant.cell, grant.epoch));
         for (const MinionReport& report : reports)
             cell->minionReported(report);
@@ -350,11 +349,17 @@
     log_.write(Severity::Info, "evacuation_in_force", { { "data_centre", evacuation.dataCentre.value() }, { "evacuated", std::string(evacuation.isEvacuated ? "yes" : "no") }, { "revision", evacuation.revision.value() } });
     for (const CellPtr& cell : allCells()) {
         if (cell->cell().dataCentre == evacuation.dataCentre)
-            cell->setEvacuated(evacuation.isEvacuated, true);
+            cell->setEvacuated(evacuation);
     }
     wakeFromIdle();
 }
 
+Evacuation FleetEntry::evacuationOf(const DataCentreId& dataCentre) const
+{
+    MutexLock lock(viewMutex_);
+    return view_.evacuationOf(dataCentre);
+}
+
 void FleetEntry::receive(const DaemonId&, const CellLoad& load)
 {
     if (jobs_.loadReceived(load.grant, load.sentAt)) {
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -48,9 +48,9 @@
     using CellPtr = std::shared_ptr<CellShard>;
     /// A cell with its own random generator, which the cell's lock protects.
     struct OwnedCell {
-        OwnedCell(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, FleetEntry& entry)
+        OwnedCell(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, FleetEntry& entry, const Evacuation& evacuation)
             : random(SeededRandom::freshSeed())
-            , shard(grant, policy, order, { entry.gateway_, entry.link_.peers(), entry.link_.clock(), random, entry.log_ })
+            , shard(grant, policy, order, { entry.gateway_, entry.link_.peers(), entry.link_.clock(), random, entry.log_ }, evacuation)
         {
         }
 
@@ -91,6 +91,7 @@
     bool areMinionsKnown(const CellId&, OwnerEpoch) const;
     void applyGrant(const CellGrant&);
     void applyEvacuation(const Evacuation&);
+    Evacuation evacuationOf(const DataCentreId&) const;
     void sendHeartbeats();
     /// Sends heartbeats to the owners of this entry's jobs, which claim these.
     void sendOwnerHeartbeats(absl::Time pumpedAt);
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -153,10 +153,10 @@
     change.evacuations.push_back(evacuation);
 }
 
-bool FleetView::isEvacuated(const DataCentreId& dataCentre) const
+Evacuation FleetView::evacuationOf(const DataCentreId& dataCentre) const
 {
     const auto known = evacuations_.find(dataCentre);
-    return known != evacuations_.end() && known->second.isEvacuated;
+    return known == evacuations_.end() ? Evacuation { dataCentre, {}, false } : known->second;
 }
 
 void FleetView::acknowledgeUpdates(const DaemonId& keeper, DaemonHeartbeat& heartbeat) const
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -56,7 +56,8 @@
     /// @return the entries that some keeper receives heartbeats from, and their data centres.
     const std::map<DaemonId, DataCentreId>& entries() const { return entries_; }
     std::vector<MinionReport> minionsOf(const CellId&) const;
-    bool isEvacuated(const DataCentreId&) const;
+    /// @return the latest order known for the data centre; revision 0 if none is.
+    Evacuation evacuationOf(const DataCentreId&) const;
     const std::map<DataCentreId, Evacuation>& evacuations() const { return evacuations_; }
     RoutingVersion routingVersion() const { return routing_; }
     /// @return whether the updates of all known keepers have been received. A keeper that has just fallen silent may
--- a/Source/Model/Evacuation.h
+++ b/Source/Model/Evacuation.h
@@ -7,8 +7,7 @@
 
 namespace trefoilwing {
 
-/// Counts the changes of a data centre's evacuation: the index of the log record that made the change; 0 if there was
-/// none.
+/// Identifies the latest order for a data centre: the index of its log record; 0 if there was none.
 using EvacuationRevision = StrongId<struct EvacuationRevisionTag, uint64_t>;
 
 /// Number of an operator's order at the keeper that received it.
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -259,12 +259,13 @@
         return;
     std::vector<CellJobPtr> ending;
     for (CellJob& job : jobs_) {
-        // The runs of a takeover may still be found on the minions.
-        const bool mayFindRuns = job.offer().isTakeover && !areAllMinionsFenced(now);
+        // Runs under the job's id may still be found on the minions.
+        const bool mayFindRuns = job.offer().isTakeover ? !areAllMinionsFenced(now) : !areFirstRenewalsDone(now);
         if (job.queuedCount() > 0 && isStartBarred(job, now) && !mayFindRuns)
             ending.emplace_back(&job);
     }
     for (const CellJobPtr& job : ending) {
+        job->hasRunBefore = job->hasRunBefore || hasOtherRunsOf(*job);
         const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
         totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
         logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=evacuated queued_tasks=", job->queuedCount()));
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -2,11 +2,15 @@
 
 namespace trefoilwing {
 
-CellShard::CellShard(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, CellPorts ports)
+CellShard::CellShard(const CellGrant& grant, const DispatchPolicy& policy, const JobOrder& order, CellPorts ports, const Evacuation& evacuation)
     : grant_(grant)
     , ports_(ports)
     , dispatcher_(grant, policy, order, ports.random, ports.clock.now())
+    , evacuationRevision_(evacuation.revision)
 {
+    MutexLock lock(mutex_);
+    // A new owner has begun no job that it might finish.
+    dispatcher_.setEvacuated(evacuation.isEvacuated, false, ports_.clock.now());
 }
 
 template <typename Decide>
@@ -41,9 +45,14 @@
     run([&](CellDispatcher& dispatcher, absl::Time) { dispatcher.setMinionsKnown(areAllKnown); });
 }
 
-void CellShard::setEvacuated(bool isEvacuated, bool mayFinishJobs)
+void CellShard::setEvacuated(const Evacuation& evacuation)
 {
-    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.setEvacuated(isEvacuated, mayFinishJobs, now); });
+    run([&](CellDispatcher& dispatcher, absl::Time now) ABSL_NO_THREAD_SAFETY_ANALYSIS {
+        if (evacuation.revision <= evacuationRevision_)
+            return;
+        evacuationRevision_ = evacuation.revision;
+        dispatcher.setEvacuated(evacuation.isEvacuated, true, now);
+    });
 }
 
 void CellShard::minionReported(const MinionReport& report)
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -25,10 +25,13 @@
 /// outside the lock.
 class CellShard {
 public:
-    CellShard(const CellGrant&, const DispatchPolicy&, const JobOrder&, CellPorts);
+    /// @param evacuation the latest order known for the cell's data centre.
+    CellShard(const CellGrant&, const DispatchPolicy&, const JobOrder&, CellPorts, const Evacuation& evacuation);
 
     void setMinionsKnown(bool areAllKnown);
-    void setEvacuated(bool isEvacuated, bool mayFinishJobs);
+    /// Applies an order to evacuate the cell's data centre, or its withdrawal. Orders come from several threads, so one with
+    /// an older revision than the known one is ignored.
+    void setEvacuated(const Evacuation&);
     void minionReported(const MinionReport&);
     void minionLeft(const MinionInstance&);
     void offered(const JobOffer&, const DaemonId& entry);
@@ -58,6 +61,7 @@
     CellPorts ports_;
     mutable absl::Mutex mutex_;
     CellDispatcher dispatcher_ ABSL_GUARDED_BY(mutex_);
+    EvacuationRevision evacuationRevision_ ABSL_GUARDED_BY(mutex_);
     EffectQueue effects_;
 };
 
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -18,6 +18,13 @@
     {
         return { { { MinionId(id), MinionStartTime(startTime) }, sequence, { ServiceId("service"), DataCentreId("home") }, { address, 80 }, {}, {}, MinionState::Serving } };
     }
+
+    static EvacuationRecord order(bool isEvacuated, uint64_t previous, uint64_t number = 1)
+    {
+        return { DataCentreId("home"), isEvacuated, EvacuationRevision(previous), { DaemonId("keeper"), Incarnation(1) }, number };
+    }
+
+    bool isEvacuated() const { return state.evacuationOf(DataCentreId("home")).isEvacuated; }
 };
 
 // Scenario: operators publish concurrently, repeat requests, and publish outdated versions.
@@ -67,8 +74,11 @@
     state.apply(routing(5, "five"));
     state.apply(GrantRecord { cell, { DaemonId("a"), Incarnation(1) }, OwnerEpoch(0) }, LogIndex(7));
     state.apply(minion("a", 1, 1, "10.0.0.1"));
+    state.apply(order(true, 0), LogIndex(8));
     FleetState restored;
     restored.restore(state.snapshot());
+    CHECK(restored.evacuations() == state.evacuations());
+    CHECK(restored.evacuationOf(DataCentreId("home")) == (Evacuation { DataCentreId("home"), EvacuationRevision(8), true }));
     CHECK(restored.routing() == state.routing());
     CHECK(restored.grants() == state.grants());
     CHECK(restored.minions() == state.minions());
@@ -95,3 +105,39 @@
     CHECK_FALSE(state.apply(MinionGoneRecord { { MinionId("m"), MinionStartTime(3) } }));
     CHECK_FALSE(state.apply(minion("m", 3, 1, "address")));
 }
+
+// Guards against an order that was held up in the network and takes effect after it was withdrawn.
+TEST(FleetState, AnEvacuationIsAppliedOnlyOnTheRevisionThatItNames)
+{
+    CHECK(state.apply(order(true, 0), LogIndex(7)));
+    CHECK(isEvacuated());
+    CHECK(state.apply(order(false, 7), LogIndex(9)));
+    CHECK_FALSE(state.apply(order(true, 0), LogIndex(10)));
+    CHECK_FALSE(state.apply(order(true, 7), LogIndex(11)));
+    CHECK_FALSE(isEvacuated());
+    LONGS_EQUAL(9, state.evacuationOf(DataCentreId("home")).revision.value());
+}
+
+// Guards against an order that takes effect after its withdrawal because it was held up while the withdrawal found nothing
+// to withdraw, and the other way round.
+TEST(FleetState, AnOrderThatChangesNothingFendsOffEarlierOnes)
+{
+    CHECK(state.apply(order(false, 0, 2), LogIndex(7)));
+    CHECK_FALSE(state.apply(order(true, 0, 1), LogIndex(8)));
+    CHECK_FALSE(isEvacuated());
+    CHECK(state.apply(order(true, 7, 3), LogIndex(9)));
+    CHECK(state.apply(order(true, 9, 5), LogIndex(10)));
+    CHECK_FALSE(state.apply(order(false, 9, 4), LogIndex(11)));
+    CHECK(isEvacuated());
+}
+
+TEST(FleetState, DataCentresAreEvacuatedIndependently)
+{
+    CHECK(state.apply(order(true, 0), LogIndex(7)));
+    EvacuationRecord other = order(true, 0);
+    other.dataCentre = DataCentreId("away");
+    CHECK(state.apply(other, LogIndex(8)));
+    CHECK(state.apply(order(false, 7), LogIndex(9)));
+    CHECK_FALSE(isEvacuated());
+    CHECK(state.evacuationOf(DataCentreId("away")).isEvacuated);
+}
