--- a/Tests/Adapters/Msgpack/CodecTest.cpp
+++ b/Tests/Adapters/Msgpack/CodecTest.cpp
@@ -40,24 +40,38 @@
     visit(value.address, value.port, value.name);
 }
 
-/// A keeper's update and snapshot as the version before evacuations encodes them.
+/// A keeper's update and its part of a snapshot as the version before evacuations encodes them.
 struct EarlierUpdate {
-    FleetUpdate update;
+    Incarnation keeper;
+    bool isLeading = false;
+    uint64_t number = 0;
+    uint64_t since = 0;
+    std::optional<RoutingDocument> routing;
+    std::vector<CellGrant> grants;
+    std::vector<MinionReport> minions;
+    std::vector<MinionInstance> gone;
+    std::optional<std::vector<DaemonInfo>> daemons;
+    std::vector<DaemonInfo> changedDaemons;
+    std::vector<DaemonId> lostDaemons;
+    OwnerEpoch newestGrant;
+    std::optional<RoutingTable> table;
 };
 
 void visitFields(auto&& visit, Fields<EarlierUpdate> auto& value)
 {
-    auto& update = value.update;
-    visit(update.keeper, update.isLeading, update.number, update.since, update.routing, update.grants, update.minions, update.gone, update.daemons, update.changedDaemons, update.lostDaemons, update.newestGrant, update.table);
+    visit(value.keeper, value.isLeading, value.number, value.since, value.routing, value.grants, value.minions, value.gone, value.daemons, value.changedDaemons, value.lostDaemons, value.newestGrant, value.table);
 }
 
 struct EarlierChunk {
-    FleetChunk chunk;
+    RoutingDocument routing;
+    std::vector<CellGrant> grants;
+    std::vector<MinionReport> minions;
+    std::vector<MinionInstance> departed;
 };
 
 void visitFields(auto&& visit, Fields<EarlierChunk> auto& value)
 {
-    visit(value.chunk.routing, value.chunk.grants, value.chunk.minions, value.chunk.departed);
+    visit(value.routing, value.grants, value.minions, value.departed);
 }
 
 } // namespace
@@ -81,7 +95,7 @@
     const MinionReport report { { MinionId("m-1"), MinionStartTime(3) }, 9, grant.cell.pool(), { "10.0.0.2", 8080 }, { 16000, 65536, 1 }, { "a" }, MinionState::Leaving };
     CHECK(survives(PeerMessage(DaemonHeartbeat { run, DataCentreId("bole"), true, true, RoutingVersion(4), Incarnation(2), 6, 90, JobClaims { { Incarnation(3), absl::FromUnixMicros(41) }, { 5, 8 } } })));
     const RoutingTable table { RoutingVersion(4), { { RouteName("r"), "host", "/p/", ServiceId("s"), absl::Seconds(1), absl::Milliseconds(60), 1.6, 2, 3 } }, { ServiceId("s") } };
-    CHECK(survives(PeerMessage(FleetUpdate { Incarnation(5), true, 8, 2, RoutingDocument { RoutingVersion(4), "{}" }, { grant }, { report }, { report.instance }, { { { run, DataCentreId("bole"), false, true } } }, { { run, DataCentreId("bole"), true, false } }, { run.daemon }, OwnerEpoch(9), table })));
+    CHECK(survives(PeerMessage(FleetUpdate { Incarnation(5), true, 8, 2, RoutingDocument { RoutingVersion(4), "{}" }, { grant }, { report }, { report.instance }, { { { run, DataCentreId("bole"), false, true } } }, { { run, DataCentreId("bole"), true, false } }, { run.daemon }, OwnerEpoch(9), table, { { DataCentreId("bole"), EvacuationRevision(7), true } } })));
     CHECK(survives(PeerMessage(JobOffer { grant.cell, JobKey("job"), "request", 3, RouteName("route"), 5, 2, { 7000, 64, 0 }, absl::Milliseconds(51), "spec", absl::Milliseconds(141), absl::Seconds(2), 1, 4, true, std::nullopt, OwnerEpoch(9) })));
     CHECK(survives(PeerMessage(JobCancel { grant.cell, JobKey("job"), 3 })));
     CHECK(survives(PeerMessage(JobResult { JobKey("job"), 3, JobEnd::Rejected, absl::Seconds(1), absl::Milliseconds(5) })));
@@ -172,10 +186,10 @@
     const DaemonRun run { DaemonId("10.0.0.1"), Incarnation(5) };
     const CellGrant grant { { ServiceId("quotes"), DataCentreId("bole"), { 2, 5 } }, run, OwnerEpoch(7) };
     const FleetUpdate update { Incarnation(5), true, 8, 2, std::nullopt, { grant }, {}, {}, std::nullopt, {}, { run.daemon }, OwnerEpoch(9), std::nullopt, {} };
-    const Result<FleetUpdate> decodedUpdate = decode<FleetUpdate>(encode(EarlierUpdate { update }));
+    const Result<FleetUpdate> decodedUpdate = decode<FleetUpdate>(encode(EarlierUpdate { update.keeper, update.isLeading, update.number, update.since, update.routing, update.grants, update.minions, update.gone, update.daemons, update.changedDaemons, update.lostDaemons, update.newestGrant, update.table }));
     CHECK(valueOf(decodedUpdate) && *valueOf(decodedUpdate) == update);
     const FleetChunk chunk { RoutingDocument { RoutingVersion(4), "{}" }, { grant }, {}, { { MinionId("m-1"), MinionStartTime(3) } }, {} };
-    const Result<FleetChunk> decodedChunk = decode<FleetChunk>(encode(EarlierChunk { chunk }));
+    const Result<FleetChunk> decodedChunk = decode<FleetChunk>(encode(EarlierChunk { chunk.routing, chunk.grants, chunk.minions, chunk.departed }));
     CHECK(valueOf(decodedChunk) && *valueOf(decodedChunk) == chunk);
 }
 
--- a/Tests/Control/ReplicatedFleetTest.cpp
+++ b/Tests/Control/ReplicatedFleetTest.cpp
@@ -95,6 +95,14 @@
         return true;
     }
 
+    /// Gives an order whose proposal is on its way for up to some seconds, and which its operator gives up at once.
+    void giveHeldUp(size_t host, bool isEvacuated)
+    {
+        cluster->setFaults({ 0, 0, absl::Milliseconds(2500) });
+        keeper(host).abandonEvacuation(give(host, isEvacuated).number);
+        cluster->setFaults({});
+    }
+
     size_t follower() const { return cluster->leader() == 0 ? 1 : 0; }
 };
 
@@ -140,10 +148,10 @@
     const size_t old = cluster->leader();
     const size_t receiver = follower();
     cluster->cut({ old });
-    const Order order = give(receiver, true);
-    CHECK(cluster->runUntil([&] { return cluster->leader() != old && order.answer->has_value(); }, operatorTimeout + absl::Seconds(1)) || !order.answer->has_value());
-    // The election may take longer than the operator waits; it then gives the order again.
-    CHECK(isDone(order) || succeedsAtAny(true));
+    cluster->run(absl::Milliseconds(400));
+    CHECK_FALSE(cluster->hasLeader() && cluster->leader() != old);
+    CHECK(succeeds(receiver, true));
+    CHECK(cluster->leader() != old);
     cluster->heal();
     CHECK(cluster->runUntil([&] { return areAllEvacuated(true); }));
 }
@@ -184,22 +192,19 @@
 TEST(ReplicatedFleet, AnOrderHeldUpInTheNetworkHasNoEffectAfterAWithdrawalThatChangedNothing)
 {
     const size_t receiver = follower();
-    cluster->setFaults({ 0, 0, absl::Milliseconds(900) });
-    const Order late = give(receiver, true);
-    keeper(receiver).abandonEvacuation(late.number);
-    cluster->setFaults({});
-    const bool isWithdrawn = succeeds(cluster->leader(), false);
+    giveHeldUp(receiver, true);
+    CHECK(succeeds(cluster->leader(), false));
     cluster->run(absl::Seconds(5));
-    CHECK(isWithdrawn);
     CHECK(areAllEvacuated(false));
-    CHECK_FALSE(late.answer->has_value());
 }
 
 // A keeper that stood still proposes again what it holds. Its operator has given up and withdrawn the order elsewhere.
 TEST(ReplicatedFleet, AnOrderOfAKeeperThatStoodStillHasNoEffectAfterItsWithdrawal)
 {
     const size_t frozen = follower();
+    cluster->setFaults({ 100, 0, absl::ZeroDuration() });
     const Order late = give(frozen, true);
+    cluster->setFaults({});
     cluster->freeze(frozen);
     cluster->run(operatorTimeout);
     const size_t other = cluster->leader();
@@ -208,12 +213,13 @@
     cluster->resume(frozen);
     cluster->run(absl::Seconds(5));
     CHECK(areAllEvacuated(false));
+    CHECK(late.answer->has_value());
+    CHECK_FALSE(isDone(late));
 }
 
 TEST(ReplicatedFleet, AnAbandonedOrderIsNeitherProposedAgainNorAnswered)
 {
-    for (size_t host = 0; host < cluster->size(); ++host)
-        cluster->setFaults({ 100, 0, absl::ZeroDuration() });
+    cluster->setFaults({ 100, 0, absl::ZeroDuration() });
     const size_t receiver = follower();
     const Order order = give(receiver, true);
     cluster->run(absl::Milliseconds(100));
@@ -241,12 +247,11 @@
 // acknowledges it. Whatever was acknowledged last must be in force at the end, and stay so.
 TEST(ReplicatedFleet, TheOrderAcknowledgedLastStaysInForceWhateverIsHeldUp)
 {
-    for (uint64_t seed = 1; seed <= 12; ++seed) {
+    for (uint64_t seed = 1; seed <= 40; ++seed) {
         std::mt19937_64 random(seed);
         cluster->repairAll();
         CHECK(cluster->runUntil([&] { return cluster->isWhole(); }));
         for (int round = 0; round < 8; ++round) {
-            cluster->setFaults({ 5, 10, absl::Milliseconds(static_cast<int64_t>(random() % 400)) });
             if (random() % 3 == 0)
                 cluster->cut({ random() % cluster->size() });
             else
@@ -254,6 +259,9 @@
             if (random() % 4 == 0)
                 cluster->freeze(random() % cluster->size());
             const bool isEvacuated = round % 2 == 0;
+            if (random() % 2 == 0)
+                giveHeldUp(random() % cluster->size(), isEvacuated);
+            cluster->setFaults({ 5, 10, absl::Milliseconds(static_cast<int64_t>(random() % 400)) });
             bool isAcknowledged = false;
             for (int attempt = 0; attempt < 60 && !isAcknowledged; ++attempt) {
                 isAcknowledged = succeeds(random() % cluster->size(), isEvacuated);
