--- a/Tests/Placement/EvacuationTest.cpp
+++ b/Tests/Placement/EvacuationTest.cpp
@@ -120,7 +120,9 @@
     run(fixture, starts, 4);
     fixture.setEvacuated(true);
     run(fixture, starts, 2);
-    CHECK(fixture.takeResults().front().end == JobEnd::GivenUp);
+    const std::vector<JobResult> results = fixture.takeResults();
+    LONGS_EQUAL(1, results.size());
+    CHECK(results.front().end == JobEnd::GivenUp);
 }
 
 // Guards against starts by an owner that takes the cell over after the order: runs that it finds go on, tasks that it doesn't
@@ -139,13 +141,17 @@
     LONGS_EQUAL(0, successor.takeResults().size());
     successor.answerRenewal("m1", { { CellFixture::runId("found", 0, 77), 10 }, { CellFixture::runId("partly-found", 0, 78), 10 } });
     successor.advance(absl::Milliseconds(20));
-    for (const JobResult& result : successor.takeResults()) {
+    std::vector<JobResult> results = successor.takeResults();
+    LONGS_EQUAL(2, results.size());
+    for (const JobResult& result : results) {
         CHECK(result.job != JobKey("found"));
         CHECK(result.end == JobEnd::GivenUp);
     }
     LONGS_EQUAL(1, successor.cell().jobCount());
     successor.answerRenewal("m1", {}, { { 1, CellFixture::runId("found", 0, 77), RunEnd::Done } });
-    CHECK(successor.takeResults().front().end == JobEnd::Completed);
+    results = successor.takeResults();
+    LONGS_EQUAL(1, results.size());
+    CHECK(results.front().end == JobEnd::Completed);
     successor.advance(absl::Seconds(3));
     LONGS_EQUAL(0, successor.takeStarts().size());
 }
