--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -351,7 +351,12 @@
     if (!acceptLeader(request.header, now))
         return;
     AppendReply reply { headerTo(request.header.from), true, request.lastIndex, request.round, std::nullopt };
-    if (request.lastIndex > commitIndex_ && !takeChunk(request)) {
+    if (request.lastIndex > commitIndex_ && store_.termAt(request.lastIndex) == request.lastTerm) {
+        // A late request: this member has all entries up to the snapshot, and may have acknowledged later ones, which
+        // installing it would drop.
+        commitIndex_ = request.lastIndex;
+        deliverCommitted();
+    } else if (request.lastIndex > commitIndex_ && !takeChunk(request)) {
         reply.isAccepted = false;
         reply.nextChunk = static_cast<uint32_t>(incoming_->snapshot->chunks.size());
     }
--- a/Tests/Control/LogRulesTest.cpp
+++ b/Tests/Control/LogRulesTest.cpp
@@ -144,3 +144,30 @@
     log->receive(ProposalForward { headerFrom("b", Term(3)), proposals.back(), NoOperation {} }, now);
     LONGS_EQUAL(before.value() + 2, log->lastIndex().value());
 }
+
+// Guards against the loss of acknowledged entries: a snapshot that was on its way for long replaced a log that held later
+// ones. The leader went on to count them as stored, so that the member never got them again.
+TEST(LogRules, ALateSnapshotDropsNoEntriesThatWereAcknowledged)
+{
+    LogSettings settings;
+    settings.group = group;
+    settings.self = voter("b");
+    JournalContent content;
+    content.hardState = { epoch, Term(3), std::nullopt };
+    content.entries = { { LogIndex(1), Term(1), FoundingRecord { epoch, now, {}, { voter("a"), voter("b"), voter("c") } } } };
+    ReplicatedLog follower(settings, content, random, now);
+    const LogHeader header { group, epoch, voter("a").id, voter("b").id, Term(3) };
+    const std::vector<LogEntry> entries { { LogIndex(2), Term(3), NoOperation {} }, { LogIndex(3), Term(3), NoOperation {} } };
+    follower.receive(AppendRequest { header, LogIndex(1), Term(1), entries, LogIndex(1), 1, {} }, now);
+    for (const JournalBatch& batch : follower.takeOutbox().batches)
+        follower.synced(batch.token, now);
+    const std::vector<Envelope> replies = follower.takeOutbox().messages;
+    LONGS_EQUAL(1, replies.size());
+    LONGS_EQUAL(3, std::get<AppendReply>(replies.front().message).lastIndex.value());
+    follower.receive(SnapshotRequest { header, LogIndex(2), Term(3), { voter("a"), voter("b"), voter("c") }, 0, 1, FleetChunk {}, 2 }, now);
+    LONGS_EQUAL(3, follower.lastIndex().value());
+    LONGS_EQUAL(2, follower.commitIndex().value());
+    // A snapshot of a log that differs from this one replaces it.
+    follower.receive(SnapshotRequest { header, LogIndex(3), Term(2), { voter("a"), voter("b"), voter("c") }, 0, 1, FleetChunk {}, 3 }, now);
+    CHECK(follower.takeOutbox().restored != nullptr);
+}
