Let the test of the handshake timeout wait for the log line

TcpPeerLink.TimesOutWaitingForHelloAndReconnects failed once beside a load of 18 on 7 cores: the line came later than the 250 ms that the test slept. It now waits for the line, as other tests of the group do, and still expects exactly one.

--- a/Tests/Adapters/Wire/TcpPeerLinkTest.cpp
+++ b/Tests/Adapters/Wire/TcpPeerLinkTest.cpp
@@ -293,7 +293,10 @@
         CHECK(!errorOf(unresponsive));
         CHECK(first.start());
         first.link.send(b, query(1));
-        absl::SleepFor(absl::Milliseconds(250));
+        // A busy machine may run the link's thread late, so the test waits for the line and not for a time.
+        const absl::Time limit = absl::Now() + maxWait;
+        while (first.log.count("timed out waiting for the hello") == 0 && absl::Now() < limit)
+            absl::SleepFor(absl::Milliseconds(5));
         CHECK_EQUAL(1, first.log.count("timed out waiting for the hello"));
     }
     Node second(settings(1), 1);
