Let a new group commit after a disk was lost before other keepers joined

Cause: an entry must be on one disk more than may be lost. A group of three seeds whose settings name two lost disks needs all three, so one lost disk stopped every commit, also that of the successor's admission, for good. Found in the state of a group that failed in GroupModelTest.

Disks whose successors ask to join are not waited for any more. That lowers the number only if fewer members are left than disks are needed; groups that have all their keepers aren't concerned.

--- a/Source/Control/ReplicatedLog.cpp
+++ b/Source/Control/ReplicatedLog.cpp
@@ -276,14 +276,20 @@
 LogIndex ReplicatedLog::syncedIndex() const
 {
     std::vector<LogIndex> synced;
+    size_t lost = 0;
     for (const Member& member : store_.members()) {
-        if (member.hasDisk && (member.isVoter || settings_.minSyncedDisks > 1))
-            synced.push_back(matchIndexOf(member));
+        if (!member.hasDisk || (!member.isVoter && settings_.minSyncedDisks <= 1))
+            continue;
+        synced.push_back(matchIndexOf(member));
+        lost += isSuperseded(member) ? 1 : 0;
     }
     if (synced.size() < settings_.minSyncedDisks)
         return LogIndex(0);
+    // A new group may have no more members than disks are needed. If one of them is lost, its successor is admitted by a
+    // commit without it; otherwise nothing could be committed any more.
+    const size_t left = std::max<size_t>(1, synced.size() - lost);
     std::sort(synced.begin(), synced.end(), std::greater<>());
-    return synced[settings_.minSyncedDisks - 1];
+    return synced[std::min<size_t>(settings_.minSyncedDisks, left) - 1];
 }
 
 // Replication, at a follower.
--- a/Tests/Control/KeeperLossesTest.cpp
+++ b/Tests/Control/KeeperLossesTest.cpp
@@ -259,3 +259,17 @@
     CHECK(cluster->runUntil([&] { return leading.proposeCommand(publishOf(0, 1)); }, absl::Seconds(6)));
     CHECK(cluster->runUntil([&] { return leading.version() == ConfigurationVersion(1); }));
 }
+
+// Guards against a new group that can't commit any more, since it needs as many disks as it has members and one is lost.
+TEST(KeeperLosses, ANewGroupBearsALostDiskBeforeOthersJoin)
+{
+    for (size_t lost = 0; lost < 3; ++lost) {
+        LogOracle oracle;
+        const auto cluster = makeRecordingCluster(oracle, { .hosts = 6, .hostsWithDisk = 6, .seeds = 3, .voterTimeout = absl::Seconds(3), .keepsOddVoters = true, .minSyncedDisks = 3, .foundsOnce = true });
+        CHECK(cluster->runUntil([&] { return cluster->hasLeader(); }));
+        cluster->loseDisk(lost);
+        cluster->restart(lost);
+        CHECK_TEXT(cluster->runUntil([&] { return cluster->isWhole(); }), absl::StrCat("lost disk ", lost).c_str());
+        STRCMP_EQUAL("", oracle.violation().c_str());
+    }
+}
