--- a/Tests/Control/GroupModelTest.cpp
+++ b/Tests/Control/GroupModelTest.cpp
@@ -106,7 +106,8 @@
     void tell(const std::string& what) { absl::StrAppend(&story_, " ", what, " at ", absl::FormatDuration(cluster_->now() - start_), ";"); }
 
     /// Runs the cluster and what is due; stops early when the condition holds.
-    bool advance(absl::Duration duration, const std::function<bool()>& condition = [] { return false; })
+    bool advance(
+        absl::Duration duration, const std::function<bool()>& condition = [] { return false; })
     {
         const absl::Time end = cluster_->now() + duration;
         while (cluster_->now() < end) {
