--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -24,7 +24,10 @@
         return { DataCentreId("home"), isEvacuated, EvacuationRevision(previous), { DaemonId("keeper"), Incarnation(1) }, number };
     }
 
-    bool isEvacuated() const { return state.evacuationOf(DataCentreId("home")).isEvacuated; }
+    bool isEvacuated() const
+    {
+        return state.evacuationOf(DataCentreId("home")).isEvacuated;
+    }
 };
 
 // Scenario: operators publish concurrently, repeat requests, and publish outdated versions.
--- a/Tests/Control/ReplicatedFleetTest.cpp
+++ b/Tests/Control/ReplicatedFleetTest.cpp
@@ -48,7 +48,10 @@
         CHECK(cluster->runUntil([&] { return cluster->isWhole(); }));
     }
 
-    ReplicatedFleet& keeper(size_t host) { return dynamic_cast<ReplicatedFleet&>(*cluster->group(host)); }
+    ReplicatedFleet& keeper(size_t host)
+    {
+        return dynamic_cast<ReplicatedFleet&>(*cluster->group(host));
+    }
 
     struct Order {
         Answer answer;
@@ -62,7 +65,10 @@
         return { answer, number };
     }
 
-    static bool isDone(const Order& order) { return *order.answer && !errorOf(**order.answer); }
+    static bool isDone(const Order& order)
+    {
+        return *order.answer && !errorOf(**order.answer);
+    }
 
     /// Gives the order and waits for the answer, as an operator does.
     bool succeeds(size_t host, bool isEvacuated)
@@ -84,7 +90,10 @@
         return false;
     }
 
-    bool isEvacuated(size_t host) { return keeper(host).state().evacuationOf(dataCentre).isEvacuated; }
+    bool isEvacuated(size_t host)
+    {
+        return keeper(host).state().evacuationOf(dataCentre).isEvacuated;
+    }
 
     bool areAllEvacuated(bool wanted)
     {
@@ -103,7 +112,10 @@
         cluster->setFaults({});
     }
 
-    size_t follower() const { return cluster->leader() == 0 ? 1 : 0; }
+    size_t follower() const
+    {
+        return cluster->leader() == 0 ? 1 : 0;
+    }
 };
 
 TEST(ReplicatedFleet, AnOrderAtAnyKeeperIsInForceAtAllAndSucceedsAgainWhenRepeated)
--- a/Tests/Placement/EvacuationTest.cpp
+++ b/Tests/Placement/EvacuationTest.cpp
@@ -224,7 +224,10 @@
         return shard;
     }
 
-    Evacuation evacuation(uint64_t revision, bool isEvacuated) const { return { cell.dataCentre, EvacuationRevision(revision), isEvacuated }; }
+    Evacuation evacuation(uint64_t revision, bool isEvacuated) const
+    {
+        return { cell.dataCentre, EvacuationRevision(revision), isEvacuated };
+    }
 
     /// @return the number of starts that a new job of one task causes.
     size_t startsOf(CellShard & shard, uint64_t number)
--- a/Tests/Platform/ControlHandlerTest.cpp
+++ b/Tests/Platform/ControlHandlerTest.cpp
@@ -69,13 +69,17 @@
     {
         handler = std::make_unique<platform::ControlHandler>(codec, log, std::move(dataCentres));
         handler->setOperations(operations);
-        listener = std::make_unique<HttpListener>(loop, [this](const HttpExchangePtr& exchange) { handler->handle(exchange); }, HttpListenerOptions {});
+        listener = std::make_unique<HttpListener>(
+            loop, [this](const HttpExchangePtr& exchange) { handler->handle(exchange); }, HttpListenerOptions {});
         listener->listen({ "127.0.0.1", 0 });
         client = std::make_unique<HttpClient>(loop, HttpClientOptions {});
         loop.start();
     }
 
-    void beginWithTwo() { begin({ DataCentreId("bole"), DataCentreId("merkato") }); }
+    void beginWithTwo()
+    {
+        begin({ DataCentreId("bole"), DataCentreId("merkato") });
+    }
 
     void teardown() override
     {
