--- a/Tests/Placement/EvacuationTest.cpp
+++ b/Tests/Placement/EvacuationTest.cpp
@@ -14,11 +14,12 @@
     CellFixture fixture;
 
     /// Lets time pass in which the runs make progress.
-    void run(CellFixture & cell, const std::vector<StartOrder>& starts, int steps)
+    void progressRuns(CellFixture & cell, const std::vector<StartOrder>& starts, int steps)
     {
         for (int step = 0; step < steps; ++step) {
             cell.advance(absl::Milliseconds(100));
             std::vector<RunProgress> running;
+            running.reserve(starts.size());
             for (const StartOrder& start : starts)
                 running.push_back({ start.run, ++progress });
             cell.answerRenewal("m1", running);
@@ -49,7 +50,7 @@
     CHECK(results.front().job == JobKey("queued"));
     CHECK(results.front().end == JobEnd::Rejected);
     LONGS_EQUAL(0, fixture.takeStops().size());
-    run(fixture, starts, 9);
+    progressRuns(fixture, starts, 9);
     for (const StartOrder& start : starts)
         fixture.endRun(start, RunEnd::Done);
     results = fixture.takeResults();
@@ -82,7 +83,7 @@
     fixture.endRun(starts[0], RunEnd::Done);
     const std::vector<StartOrder> third = takeStarts();
     LONGS_EQUAL(1, third.size());
-    run(fixture, { starts[1], third[0] }, 6);
+    progressRuns(fixture, { starts[1], third[0] }, 6);
     const std::vector<JobResult> results = fixture.takeResults();
     LONGS_EQUAL(1, results.size());
     CHECK(results.front().end == JobEnd::GivenUp);
@@ -97,7 +98,7 @@
     fixture.offer("job", 2);
     const std::vector<StartOrder> starts = takeStarts();
     fixture.setEvacuated(true);
-    run(fixture, starts, 6);
+    progressRuns(fixture, starts, 6);
     LONGS_EQUAL(0, fixture.takeResults().size());
     fixture.endRun(starts[0], RunEnd::Failed);
     fixture.advance(absl::Milliseconds(20));
@@ -117,9 +118,9 @@
     fixture.offer("job", 3);
     const std::vector<StartOrder> starts = takeStarts();
     fixture.setEvacuated(true);
-    run(fixture, starts, 4);
+    progressRuns(fixture, starts, 4);
     fixture.setEvacuated(true);
-    run(fixture, starts, 2);
+    progressRuns(fixture, starts, 2);
     const std::vector<JobResult> results = fixture.takeResults();
     LONGS_EQUAL(1, results.size());
     CHECK(results.front().end == JobEnd::GivenUp);
