--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -269,6 +269,14 @@
     CHECK(statuses.awaitAll());
     LONGS_EQUAL(starts, fleet.minions().startsIn("bole"));
 
+    CHECK(fleet.evacuate("merkato", true));
+    CHECK(fleet.awaitEvacuation("merkato", true));
+    const size_t refused = statuses.count(503);
+    submit(Fleet::entries(), 8, absl::Milliseconds(20));
+    CHECK(statuses.awaitAll());
+    LONGS_EQUAL(refused + 8, statuses.count(503));
+
+    CHECK(fleet.evacuate("merkato", false));
     CHECK(fleet.evacuate("bole", false));
     CHECK(fleet.awaitEvacuation("bole", false));
     const absl::Time end = absl::Now() + absl::Seconds(30);
