Offer a rejected part of a job to a second cell

A rejection by one cell was final, although the entry chose that cell by load figures that are up to 250 ms old. With the setting second_choices, a part that its owner rejected as not run is offered to another cell that is expected to start it in time; the rejection stands at once if there is none. The choice is made by CellChooser through the port SecondChoice, called without a lock. The age of a late load report counts as a cost, so that new jobs avoid owners whose reports have stopped. Owners state the reason of a rejection.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -9,6 +9,9 @@
 template <>
 inline constexpr JobEnd lastEnumerator<JobEnd> = JobEnd::GivenUp;
 
+template <>
+inline constexpr RejectionReason lastEnumerator<RejectionReason> = RejectionReason::NoGrant;
+
 void visitFields(auto&& visit, Fields<ResourceVector> auto& value)
 {
     visit(value.milliCores, value.memoryMb, value.accelerators);
@@ -106,7 +109,7 @@
 
 void visitFields(auto&& visit, Fields<JobResult> auto& value)
 {
-    visit(value.job, value.offerNumber, value.end, value.retryAfter, value.queued);
+    visit(value.job, value.offerNumber, value.end, value.retryAfter, value.queued, value.reason);
 }
 
 } // namespace trefoilwing
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -9,6 +9,7 @@
 
     constexpr uint32_t maxPort = 65535;
     constexpr uint32_t maxLostDisks = 2;
+    constexpr uint32_t maxSecondChoices = 3;
     constexpr double minResubmitMs = 1;
     constexpr double maxResubmitMs = 3600.0 * 1000;
     constexpr double minCatchUpSeconds = 0.001;
@@ -80,6 +81,7 @@
             optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
             optionalKey("evacuation_ms", &FleetSettings::evacuationMs, fractionValue(minEvacuationMs, maxEvacuationMs)),
             optionalKey("data_centres", &FleetSettings::dataCentres, dataCentresValue()),
+            optionalKey("second_choices", &FleetSettings::secondChoices, numberValue(0, maxSecondChoices)),
         };
         return keys;
     }
--- a/Source/Ctl/RequestTrace.cpp
+++ b/Source/Ctl/RequestTrace.cpp
@@ -32,13 +32,14 @@
     };
 
     /// Events that explain the outcome of a request.
-    constexpr std::array<EventMeaning, 13> eventMeanings { {
+    constexpr std::array<EventMeaning, 14> eventMeanings { {
         { "job_refused", "the entry rejected it" },
         { "job_turned_down", "the owner rejected it" },
         { "job_given_up", "the owner stopped it, because it could not end in time" },
         { "job_orphaned", "its entry was lost, and the owner stopped it" },
         { "job_replaced", "it was submitted again, and the earlier job was stopped" },
         { "job_moved", "its cell got another owner" },
+        { "job_offered_again", "a cell rejected it or a part of it, which was offered to another cell" },
         { "offer_rejected", "an entry that did not own its cell rejected an offer of it" },
         { "result_ignored", "a result came for an offer that was no longer open" },
         { "run_stalled", "a run made no progress and was stopped" },
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -106,9 +106,9 @@
     , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions })
     , readiness_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions })
     , metricsPage_(loop_, metrics)
-    , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
+    , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value(), { this, settings.secondChoices })
     , view_(seedDaemons(settings))
-    , chooser_(settings.dataCentre)
+    , chooser_(settings.dataCentre, settings.secondChoices > 0 ? CellChooser::lateReportCost : CellChooser::noAgeCost)
     , startedAt_(link_.clock().now())
     , gate_(startedAt_)
 {
@@ -227,6 +227,12 @@
     jobs_.abandoned(ticket);
 }
 
+std::optional<CellGrant> FleetEntry::chooseAgain(const RejectedPart& part)
+{
+    MutexLock lock(viewMutex_);
+    return chooser_.chooseAgain(part, link_.clock().now());
+}
+
 // Peers.
 
 void FleetEntry::messageReceived(const DaemonId& from, PeerMessage message)
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -16,6 +16,7 @@
 #include "Placement/PendingOffers.h"
 #include "Ports/JobIntake.h"
 #include "Ports/RoutingReader.h"
+#include "Ports/SecondChoice.h"
 #include "platform/CallerHandler.h"
 #include "platform/MinionGateway.h"
 
@@ -27,7 +28,7 @@
 
 /// An entry of a fleet. It accepts callers' jobs, and dispatches the tasks of the cells (sets of minions) that the
 /// keepers grant it.
-class FleetEntry : public FleetDaemon, public JobIntake, private PeerEvents, private MinionAnswers, private Pumped {
+class FleetEntry : public FleetDaemon, public JobIntake, private SecondChoice, private PeerEvents, private MinionAnswers, private Pumped {
 public:
     /// @param reader, log, metrics must outlive the entry.
     FleetEntry(const FleetSettings&, const RoutingReader& reader, EventLog& log, HistogramMetrics& metrics);
@@ -67,6 +68,8 @@
         SentLoad remote;
     };
 
+    std::optional<CellGrant> chooseAgain(const RejectedPart&) override;
+
     void messageReceived(const DaemonId& from, PeerMessage) override;
     void receive(const DaemonId& from, const FleetUpdate&);
     void receive(const DaemonId& from, const CellLoad&);
--- a/Source/Intake/CellChooser.cpp
+++ b/Source/Intake/CellChooser.cpp
@@ -17,8 +17,26 @@
     /// Minimum advantage of splitting a job over one more cell: the job ends only when its last part does.
     constexpr absl::Duration splitPenalty = absl::Milliseconds(10);
 
+    /// Maximum age of a report whose owner isn't late: reports come at least every 250 ms, from a pump that runs every
+    /// 30 ms, and are some milliseconds on the way.
+    constexpr absl::Duration maxFreshAge = absl::Milliseconds(300);
+
+    /// Cost of each unit of time beyond maxFreshAge. An owner that has been silent for 600 ms costs 1.5 s, the time after
+    /// which callers are answered whose job was lost with its owner.
+    constexpr double lateReportFactor = 5;
+
 } // namespace
 
+absl::Duration CellChooser::noAgeCost(absl::Duration)
+{
+    return absl::ZeroDuration();
+}
+
+absl::Duration CellChooser::lateReportCost(absl::Duration age)
+{
+    return lateReportFactor * std::max(age - maxFreshAge, absl::ZeroDuration());
+}
+
 bool CellChooser::granted(const CellGrant& grant)
 {
     if (!grants_.accept(grant))
@@ -61,7 +79,7 @@
         if (cell.service != service || evacuated_.contains(cell.dataCentre) || status == statuses_.end() || !isRecent(status->second, now))
             continue;
         const CellLoad& load = status->second.load;
-        Candidate candidate { &grant, &status->second, 0, 0 };
+        Candidate candidate { &grant, &status->second, 0, ageCost_(stallFreeTime_.at(now) - status->second.receivedAt), 0 };
         const int64_t free = load.freeMilliCores - status->second.sentMilliCores;
         candidate.freePlaces = taskMilliCores > 0 ? std::floor(static_cast<double>(free) / static_cast<double>(taskMilliCores)) : std::numeric_limits<double>::infinity();
         // Queued tasks of lower priority are placed after this job.
@@ -74,7 +92,7 @@
 
 absl::Duration CellChooser::marginalCost(const Candidate& candidate, bool isFirst) const
 {
-    absl::Duration cost = candidate.grant->cell.dataCentre == home_ ? absl::ZeroDuration() : remotePenalty;
+    absl::Duration cost = candidate.ageCost + (candidate.grant->cell.dataCentre == home_ ? absl::ZeroDuration() : remotePenalty);
     if (!isFirst && candidate.taskCount == 0)
         cost += splitPenalty;
     const double queuePosition = candidate.taskCount + 1 - candidate.freePlaces;
@@ -103,4 +121,27 @@
     return shares;
 }
 
+std::optional<CellGrant> CellChooser::chooseAgain(const RejectedPart& part, absl::Time now)
+{
+    const Candidate* best = nullptr;
+    absl::Duration bestCost = absl::InfiniteDuration();
+    std::vector<Candidate> found = candidates(part.service, part.need.milliCores, part.priority, now);
+    for (Candidate& each : found) {
+        const CellId& cell = each.grant->cell;
+        if (part.offeredCells.contains(cell) || part.evacuated.contains(cell.dataCentre))
+            continue;
+        // The part starts with its last task.
+        each.taskCount = part.taskCount - 1;
+        const absl::Duration cost = marginalCost(each, true);
+        if (cost <= part.maxWait && cost < bestCost) {
+            best = &each;
+            bestCost = cost;
+        }
+    }
+    if (!best)
+        return std::nullopt;
+    best->status->sentMilliCores += part.need.milliCores * part.taskCount;
+    return *best->grant;
+}
+
 } // namespace trefoilwing
--- a/Source/Intake/GrantTable.cpp
+++ b/Source/Intake/GrantTable.cpp
@@ -17,6 +17,13 @@
     return true;
 }
 
+bool GrantTable::isOfEarlierDivision(const CellGrant& grant) const
+{
+    return std::any_of(grants_.begin(), grants_.end(), [&](const auto& entry) {
+        return entry.first.pool() == grant.cell.pool() && entry.first.part.count != grant.cell.part.count && entry.second.epoch > grant.epoch;
+    });
+}
+
 const CellGrant* GrantTable::find(const CellId& cell) const
 {
     const auto found = grants_.find(cell);
--- a/Source/Intake/GrantTable.h
+++ b/Source/Intake/GrantTable.h
@@ -14,6 +14,9 @@
     /// @return whether the grant is newer than the known one.
     bool accept(const CellGrant&);
 
+    /// @return whether the pool of a grant is divided into other cells by a newer grant.
+    bool isOfEarlierDivision(const CellGrant&) const;
+
     /// @return the newest grant of a cell; null if none is known.
     const CellGrant* find(const CellId&) const;
     const std::map<CellId, CellGrant>& all() const { return grants_; }
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -22,6 +22,12 @@
     /// stopped this entry's jobs (after 0.8 s) and has been replaced (within about 1 s) unless it is partitioned.
     constexpr absl::Duration ownerTimeout = absl::Milliseconds(1500);
 
+    /// Delay beyond a job's objective, as a fraction of the time that is left until the objective, at which owners still
+    /// start it (DispatchPolicy::lateTolerance). Owners reject later offers.
+    constexpr double lateTolerance = 0.3;
+
+    constexpr std::array<std::string_view, 5> rejectionNames { "unstated", "expected_wait", "out_of_time", "evacuated", "no_grant" };
+
     struct ResultMapping {
         JobEnd end;
         AnswerKind kind;
@@ -49,8 +55,9 @@
 
 } // namespace
 
-JobCoordinator::JobCoordinator(JobCoordinatorPorts ports, uint64_t firstOfferNumber)
+JobCoordinator::JobCoordinator(JobCoordinatorPorts ports, uint64_t firstOfferNumber, SecondChoices secondChoices)
     : ports_(ports)
+    , secondChoices_(secondChoices)
     , lastOfferNumber_(firstOfferNumber)
 {
 }
@@ -115,6 +122,7 @@
         part.offer = JobOffer { grant.cell, job.key, job.requestId, 0, route.name, firstTask, share.taskCount, job.need, job.estimate, job.spec,
             open.lateAt - now, open.timeoutAt - now, route.priority, route.maxAttempts, false, stampOf(grant.owner.daemon), {} };
         firstTask += share.taskCount;
+        open.offeredCells.insert(grant.cell);
         offer(part, grant);
         effects_.add([this, offer = part.offer, grant] {
             ports_.log.write(Severity::Info, "job_offered", { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "route", offer.route.value() }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "estimate_ms", milliseconds(offer.estimate) }, { "until_late_ms", milliseconds(offer.untilLate) }, { "until_given_up_ms", milliseconds(offer.untilTimeout) }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
@@ -168,6 +176,7 @@
 
 void JobCoordinator::resultReceived(const DaemonId& from, const JobResult& result)
 {
+    std::optional<RejectedPart> wanted;
     {
         MutexLock lock(mutex_);
         const auto found = jobs_.find(result.job);
@@ -180,12 +189,86 @@
         });
         if (part == job.parts.end())
             logIgnored(from, result, job);
+        else if ((wanted = wantedAfter(job, *part, result)))
+            part->state = PartState::Choosing;
         else if (const std::optional<Outcome> outcome = applyResult(job, *part, result))
             answer(result.job, *outcome, result.offerNumber);
     }
+    while (wanted)
+        wanted = applyChoice(result, secondChoices_.cells->chooseAgain(*wanted));
     effects_.flush();
 }
 
+std::optional<RejectedPart> JobCoordinator::wantedAfter(const OpenJob& job, const Part& part, const JobResult& result) const
+{
+    // A job that is being cancelled needs no cell, and an earlier owner of the cell may have started tasks of a takeover.
+    if (result.end != JobEnd::Rejected || part.secondChoices >= secondChoices_.maxPerPart || job.rejection || part.offer.isTakeover)
+        return std::nullopt;
+    const absl::Time now = ports_.clock.now();
+    const absl::Duration untilUseless = std::min(job.timeoutAt - now, (1 + lateTolerance) * (job.lateAt - now));
+    const absl::Duration maxWait = untilUseless - part.offer.estimate;
+    if (maxWait < absl::ZeroDuration())
+        return std::nullopt;
+    RejectedPart wanted { part.offer.cell.service, part.offer.need, part.offer.taskCount, part.offer.priority, maxWait, job.offeredCells, job.evacuated };
+    if (result.reason == RejectionReason::Evacuated)
+        wanted.evacuated.insert(part.offer.cell.dataCentre);
+    return wanted;
+}
+
+std::optional<RejectedPart> JobCoordinator::applyChoice(const JobResult& rejection, const std::optional<CellGrant>& choice)
+{
+    MutexLock lock(mutex_);
+    const auto found = jobs_.find(rejection.job);
+    if (found == jobs_.end())
+        return std::nullopt;
+    OpenJob& job = found->second;
+    const auto part = std::find_if(job.parts.begin(), job.parts.end(), [&](const Part& each) {
+        return each.offer.offerNumber == rejection.offerNumber && each.state == PartState::Choosing;
+    });
+    // The job was answered or abandoned meanwhile, and submitted again.
+    if (part == job.parts.end())
+        return std::nullopt;
+    std::optional<RejectedPart> wanted = choice ? wantedAfter(job, *part, rejection) : std::nullopt;
+    if (!wanted) {
+        if (const std::optional<Outcome> outcome = applyResult(job, *part, rejection))
+            answer(rejection.job, *outcome, rejection.offerNumber);
+        return std::nullopt;
+    }
+    // Another part was offered to the cell meanwhile, or its pool was divided anew.
+    if (job.offeredCells.contains(choice->cell) || grants_.isOfEarlierDivision(*choice)) {
+        job.offeredCells.insert(choice->cell);
+        wanted->offeredCells.insert(choice->cell);
+        return wanted;
+    }
+    offerAgain(job, *part, *choice, rejection);
+    return std::nullopt;
+}
+
+void JobCoordinator::offerAgain(OpenJob& job, Part& part, const CellGrant& choice, const JobResult& rejection)
+{
+    const absl::Time now = ports_.clock.now();
+    const CellGrant* newest = grants_.find(choice.cell);
+    const CellGrant& grant = newest && newest->epoch > choice.epoch ? *newest : choice;
+    if (rejection.reason == RejectionReason::Evacuated)
+        job.evacuated.insert(part.offer.cell.dataCentre);
+    job.offeredCells.insert(grant.cell);
+    const CellId rejectingCell = std::exchange(part.offer.cell, grant.cell);
+    part.state = PartState::Open;
+    ++part.secondChoices;
+    part.waitedElsewhere = now - job.openedAt;
+    part.offer.stamp = stampOf(grant.owner.daemon);
+    // The callers may have left unnoticed since the job was opened, so it is claimed as of that time only.
+    if (part.offer.stamp)
+        part.offer.stamp->sentAt -= now - job.openedAt;
+    part.offer.untilLate = job.lateAt - now;
+    part.offer.untilTimeout = job.timeoutAt - now;
+    offer(part, grant);
+    effects_.add([this, offer = part.offer, grant, rejectingCell, rejection] {
+        ports_.log.write(Severity::Info, "job_offered_again", { { "request", offer.requestId }, { "job", offer.job.value() }, { "offer", offer.offerNumber }, { "rejected_offer", rejection.offerNumber }, { "reason", std::string(rejectionNames.at(static_cast<size_t>(rejection.reason))) }, { "first_task", uint64_t { offer.firstTask } }, { "tasks", uint64_t { offer.taskCount } }, { "until_late_ms", milliseconds(offer.untilLate) }, { "rejecting_cell", nameOf(rejectingCell) }, { "cell", nameOf(grant.cell) }, { "owner", grant.owner.daemon.value() }, { "epoch", grant.epoch.value() } });
+        ports_.metrics.count("second_choices", { offer.cell.service, {}, TaskKindId(offer.route.value()) }, 1);
+    });
+}
+
 void JobCoordinator::logIgnored(const DaemonId& from, const JobResult& result, const OpenJob& job)
 {
     effects_.add([this, from, result, request = job.requestId] {
@@ -196,7 +279,7 @@
 
 std::optional<JobCoordinator::Outcome> JobCoordinator::applyResult(OpenJob& job, Part& part, const JobResult& result)
 {
-    job.queued = std::max(job.queued, result.queued);
+    job.queued = std::max(job.queued, part.waitedElsewhere + result.queued);
     const auto toOutcome = [](const JobResult& reported) {
         const ResultMapping& mapping = mappingOf(reported.end);
         return Outcome { { mapping.kind, reported.retryAfter }, std::string(mapping.name) };
@@ -212,16 +295,18 @@
         return outcome;
     }
     part.state = result.end == JobEnd::Completed ? PartState::Completed : PartState::NotRun;
+    if (part.state == PartState::Completed && part.secondChoices > 0)
+        effects_.add([this, service = part.offer.cell.service, route = part.offer.route] { ports_.metrics.count("second_choices_served", { service, {}, TaskKindId(route.value()) }, 1); });
     if (part.state == PartState::NotRun && !job.rejection) {
         job.rejection = result;
         // The other owners report whether any of their tasks started; only if none did, the job wasn't run.
         cancelOpenParts(job);
     }
     if (!job.rejection)
-        return job.hasPart(PartState::Open) ? std::nullopt : std::optional(outcome);
+        return job.isAwaitingParts() ? std::nullopt : std::optional(outcome);
     if (job.hasPart(PartState::Completed))
         return Outcome { { AnswerKind::GaveUp, {} }, "part_turned_down" };
-    return job.hasPart(PartState::Open) ? std::nullopt : std::optional(toOutcome(*job.rejection));
+    return job.isAwaitingParts() ? std::nullopt : std::optional(toOutcome(*job.rejection));
 }
 
 void JobCoordinator::answer(const JobKey& key, const Outcome& outcome, uint64_t decidingOffer)
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -10,11 +10,13 @@
 #include "Ports/EventLog.h"
 #include "Ports/Metrics.h"
 #include "Ports/PeerLink.h"
+#include "Ports/SecondChoice.h"
 
 #include <absl/container/flat_hash_map.h>
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -28,16 +30,25 @@
     Metrics& metrics;
 };
 
+/// How rejected parts of jobs are offered to other cells.
+struct SecondChoices {
+    /// Chooses the cells; must outlive the coordinator. Called without a lock. Only used if maxPerPart isn't 0.
+    SecondChoice* cells = nullptr;
+    /// Maximum number of further cells that a part is offered to.
+    uint32_t maxPerPart = 0;
+};
+
 /// Tracks the jobs of the callers that are connected to this entry, from submission to answer, under its own lock.
 ///
 /// Each job is offered to the owner of one cell, or in parts to the owners of several cells. The owners decide the
 /// result, from which the caller is answered. When the owner of a cell changes, open parts are offered to the new
-/// owner as takeovers.
+/// owner as takeovers. A part that its owner rejected as not run is offered to another cell that is expected to start it
+/// in time, as often as the settings allow.
 class JobCoordinator {
 public:
     /// @param firstOfferNumber the number that offers are counted from; higher than any that an earlier incarnation
     /// of this daemon used.
-    JobCoordinator(JobCoordinatorPorts, uint64_t firstOfferNumber);
+    JobCoordinator(JobCoordinatorPorts, uint64_t firstOfferNumber, SecondChoices = {});
 
     /// Opens a job and offers it to owners. A job that is already open only gets one more waiting caller.
     /// @param shares the cells that run the job; together they cover all its tasks.
@@ -75,6 +86,8 @@
 private:
     enum class PartState {
         Open,
+        /// Its owner rejected it, and another cell is being chosen for it without the lock.
+        Choosing,
         Completed,
         /// Its owner reported that no task of it ran or will run.
         NotRun,
@@ -89,6 +102,10 @@
         /// When it was offered to this owner, on the clock of stallFreeTime_.
         absl::Time offeredAt;
         PartState state = PartState::Open;
+        /// Number of further cells that it was offered to.
+        uint32_t secondChoices = 0;
+        /// Time from the job's arrival to the last offer to another cell.
+        absl::Duration waitedElsewhere;
     };
 
     /// The newest load report of an owner.
@@ -110,8 +127,14 @@
         absl::Duration queued;
         /// The first report that a part wasn't run; the other parts are being cancelled.
         std::optional<JobResult> rejection;
+        /// Cells that any part was offered to.
+        std::set<CellId> offeredCells;
+        /// Data centres whose owners rejected a part because they are evacuated.
+        std::set<DataCentreId> evacuated;
 
         bool hasPart(PartState) const;
+        /// @return whether the result of a part isn't known yet.
+        bool isAwaitingParts() const { return hasPart(PartState::Open) || hasPart(PartState::Choosing); }
     };
 
     /// The result of a job for its callers.
@@ -126,6 +149,12 @@
     /// Applies an owner's result of one part.
     /// @return the result of the job, if it is known.
     std::optional<Outcome> applyResult(OpenJob&, Part&, const JobResult&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// @return what is wanted of another cell for a part; unset if the rejection stands.
+    std::optional<RejectedPart> wantedAfter(const OpenJob&, const Part&, const JobResult&) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// Offers a rejected part to the chosen cell, or applies the rejection if there is none.
+    /// @return what is wanted of yet another cell, if the chosen one can't be used any more.
+    std::optional<RejectedPart> applyChoice(const JobResult& rejection, const std::optional<CellGrant>& choice);
+    void offerAgain(OpenJob&, Part&, const CellGrant&, const JobResult& rejection) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void logIgnored(const DaemonId& from, const JobResult&, const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Cancels the parts that are still open and answers the callers.
     /// @param decidingOffer the number of the offer whose result decided the outcome; 0 if no result did.
@@ -139,6 +168,7 @@
     std::optional<OwnerStamp> stampOf(const DaemonId& owner) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     JobCoordinatorPorts ports_;
+    const SecondChoices secondChoices_;
     mutable absl::Mutex mutex_;
     EffectQueue effects_;
     uint64_t lastOfferNumber_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -181,6 +181,20 @@
     GivenUp,
 };
 
+/// Why the owner of a cell rejected a job.
+enum class RejectionReason {
+    /// The owner is of an earlier version, or the result isn't a rejection.
+    Unstated,
+    /// The wait that the owner expected at the job's arrival was too long.
+    ExpectedWait,
+    /// The job waited until it couldn't end in time any more.
+    OutOfTime,
+    /// The cell's data centre is evacuated.
+    Evacuated,
+    /// The daemon that was offered the job doesn't own the cell.
+    NoGrant,
+};
+
 /// The final message of a cell's owner about a job.
 struct JobResult {
     JobKey job;
@@ -190,6 +204,8 @@
     absl::Duration retryAfter;
     /// For the log: the time from the job's arrival to the start of its first task.
     absl::Duration queued;
+    /// Only for Rejected.
+    RejectionReason reason = RejectionReason::Unstated;
 
     friend bool operator==(const JobResult&, const JobResult&) = default;
 };
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -47,6 +47,8 @@
     double evacuationMs = 0;
     /// The data centres of the fleet, which operators may evacuate.
     std::vector<DataCentreId> dataCentres;
+    /// Maximum number of further cells that an entry offers a rejected part of a job to.
+    uint32_t secondChoices = 0;
 
     friend bool operator==(const FleetSettings&, const FleetSettings&) = default;
 };
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -122,7 +122,7 @@
     /// Sends the result of an offer that isn't taken up.
     void endUnopened(const JobOffer&, const DaemonId& entry, std::string event, JobEnd);
     void adoptRuns(CellJob&, absl::Time now);
-    void finish(CellJob&, JobEnd, absl::Time now, absl::Duration retryAfter = absl::ZeroDuration());
+    void finish(CellJob&, JobEnd, absl::Time now, absl::Duration retryAfter = absl::ZeroDuration(), RejectionReason = RejectionReason::Unstated);
     void sweepJobs(absl::Time now);
     void stopUnclaimedJobs(absl::Time now);
     /// Ends the jobs that lack starts which the evacuation of the data centre doesn't allow.
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -109,7 +109,7 @@
     if (!offer.isTakeover && wait > absl::ZeroDuration() && cannotEndInTime(*job, now + wait)) {
         ++totals_.rejectedJobs;
         logEvent("job_turned_down", offer.job, {}, absl::StrCat("reason=expected_wait wait_ms=", absl::ToInt64Milliseconds(wait), " estimate_ms=", absl::ToInt64Milliseconds(offer.estimate), " queued_jobs=", jobs_.size()));
-        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(wait));
+        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(wait), RejectionReason::ExpectedWait);
         return;
     }
     place(now);
@@ -139,7 +139,7 @@
     place(now);
 }
 
-void CellDispatcher::finish(CellJob& job, JobEnd end, absl::Time now, absl::Duration retryAfter)
+void CellDispatcher::finish(CellJob& job, JobEnd end, absl::Time now, absl::Duration retryAfter, RejectionReason reason)
 {
     const CellJobPtr keep(&job);
     job.isResultSent = true;
@@ -147,7 +147,7 @@
     jobs_.erase(JobList::s_iterator_to(job));
     intrusive_ptr_release(&job);
     const absl::Duration queued = std::min(job.firstStart, now) - job.offeredAt();
-    outbox_.messages.push_back({ job.entry(), JobResult { job.offer().job, job.offer().offerNumber, end, retryAfter, queued } });
+    outbox_.messages.push_back({ job.entry(), JobResult { job.offer().job, job.offer().offerNumber, end, retryAfter, queued, end == JobEnd::Rejected ? reason : RejectionReason::Unstated } });
     if (!job.hasStarted)
         return;
     for (const auto& [id, minion] : minions_) {
@@ -216,7 +216,7 @@
         const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
         totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
         logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=out_of_time age_ms=", absl::ToInt64Milliseconds(now - job->offeredAt()), " queued_tasks=", job->queuedCount()));
-        finish(*job, end, now, retryAfter(absl::ZeroDuration()));
+        finish(*job, end, now, retryAfter(absl::ZeroDuration()), RejectionReason::OutOfTime);
     }
 }
 
@@ -268,7 +268,7 @@
         const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
         totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
         logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=evacuated queued_tasks=", job->queuedCount()));
-        finish(*job, end, now, retryAfter(absl::ZeroDuration()));
+        finish(*job, end, now, retryAfter(absl::ZeroDuration()), RejectionReason::Evacuated);
     }
 }
 
--- a/Source/Placement/PendingOffers.cpp
+++ b/Source/Placement/PendingOffers.cpp
@@ -18,7 +18,7 @@
     // An earlier owner may have started tasks of a takeover. An entry of an earlier version offers a job again under the same
     // number, and would take a rejection of the first offer for one of the second.
     const bool mayHaveRun = offer.isTakeover || offer.epoch == OwnerEpoch(0);
-    return { offer.job, offer.offerNumber, mayHaveRun ? JobEnd::GivenUp : JobEnd::Rejected, {}, now - receivedAt };
+    return { offer.job, offer.offerNumber, mayHaveRun ? JobEnd::GivenUp : JobEnd::Rejected, {}, now - receivedAt, mayHaveRun ? RejectionReason::Unstated : RejectionReason::NoGrant };
 }
 
 template <typename Predicate>
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -147,3 +147,28 @@
     load("home", 1, 50000, 0);
     STRCMP_EQUAL("far", choose().c_str());
 }
+
+// Guards against jobs that are lost with a data centre that is cut off, in the time until its owners count as silent.
+TEST(CellChooser, NewJobsGoElsewhereAsSoonAsReportsStop)
+{
+    CellChooser weighing(DataCentreId("home"), CellChooser::lateReportCost);
+    const auto report = [&](const std::string& dataCentre, uint64_t epoch, int64_t free, double rate) {
+        const CellGrant grant { cell(dataCentre), { DaemonId("1"), Incarnation(1) }, OwnerEpoch(epoch) };
+        weighing.granted(grant);
+        weighing.loadReceived({ grant, 1000000, free, {}, rate, now }, now);
+    };
+    const auto choice = [&] { return weighing.choose(service, { 10000, 0, 0 }, 1, 0, now).front().grant.cell.dataCentre.value(); };
+    report("home", 1, 1000000, 20);
+    report("far", 2, 1000000, 20);
+    now += absl::Milliseconds(295);
+    STRCMP_EQUAL("home", choice().c_str());
+    // An owner that is only late is still better than a queue.
+    now += absl::Milliseconds(15);
+    report("far", 2, 0, 10);
+    STRCMP_EQUAL("home", choice().c_str());
+    report("far", 2, 1000000, 10);
+    STRCMP_EQUAL("far", choice().c_str());
+    now += absl::Milliseconds(90);
+    report("far", 2, 0, 10);
+    STRCMP_EQUAL("far", choice().c_str());
+}
