--- a/Tests/Placement/AdmissionTest.cpp
+++ b/Tests/Placement/AdmissionTest.cpp
@@ -33,10 +33,23 @@
     CHECK(ended.size() >= 10);
     for (const JobResult& each : ended) {
         CHECK(each.end == JobEnd::Rejected);
+        CHECK(each.reason == RejectionReason::ExpectedWait);
         CHECK(each.retryAfter >= absl::Seconds(1));
     }
 }
 
+// An entry that hasn't learned of the evacuation offers the job to another data centre.
+TEST(CellAdmission, ARejectionSaysThatTheDataCentreIsEvacuated)
+{
+    fixture.cell().setEvacuated(true, true, fixture.now());
+    fixture.offer("job", 2);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    const std::vector<JobResult> ended = fixture.takeResults();
+    LONGS_EQUAL(1, ended.size());
+    CHECK(ended.front().end == JobEnd::Rejected);
+    CHECK(ended.front().reason == RejectionReason::Evacuated);
+}
+
 // A large job waits at the head of the queue while enough is free for small ones.
 TEST(CellAdmission, ASmallJobOvertakesALargeOneThatDoesNotFit)
 {
@@ -76,6 +89,7 @@
     LONGS_EQUAL(1, ended.size());
     CHECK(ended.front().job == JobKey("second"));
     CHECK(ended.front().end == JobEnd::Rejected);
+    CHECK(ended.front().reason == RejectionReason::OutOfTime);
 }
 
 TEST(CellAdmission, AJobThatFitsNoMinionIsRejectedAtOnce)
--- a/Tests/Placement/PendingOffersTest.cpp
+++ b/Tests/Placement/PendingOffersTest.cpp
@@ -62,6 +62,7 @@
     const JobResult result = cancelled.front().rejection(start + absl::Milliseconds(7));
     LONGS_EQUAL(1, result.offerNumber);
     CHECK(result.end == JobEnd::Rejected);
+    CHECK(result.reason == RejectionReason::NoGrant);
     CHECK(result.queued == absl::Milliseconds(7));
     LONGS_EQUAL(0, takeGranted(8).size());
 }
