--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -107,9 +107,9 @@
     , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions })
     , readiness_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions })
     , metricsPage_(loop_, metrics)
-    , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
+    , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value(), { this, settings.secondChoices })
     , view_(seedDaemons(settings))
-    , chooser_(settings.dataCentre)
+    , chooser_(settings.dataCentre, settings.secondChoices > 0 ? CellChooser::lateReportCost : CellChooser::noAgeCost)
     , startedAt_(link_.clock().now())
     , gate_(startedAt_)
 {
@@ -228,6 +228,12 @@
     jobs_.abandoned(ticket);
 }
 
+std::optional<CellGrant> FleetEntry::chooseAgain(const RejectedPart& part)
+{
+    MutexLock lock(viewMutex_);
+    return chooser_.chooseAgain(part, link_.clock().now());
+}
+
 // Peers.
 
 void FleetEntry::messageReceived(const DaemonId& from, PeerMessage message)
@@ -515,7 +521,9 @@
     }
     const bool isIdle = !isStarting_ && jobs_.openCount() == 0 && std::all_of(cells.begin(), cells.end(), [](const CellPtr& cell) { return cell->isIdle(); });
     isIdle_ = isIdle;
-    pumpDue_ = isIdle ? heartbeatDue_ : std::min(now + pumpInterval, heartbeatDue_);
+    // Other entries take a late load report for a sign that this one is cut off, if they weigh the age of reports.
+    const absl::Time idleUntil = settings_.secondChoices > 0 ? std::min(heartbeatDue_, loadsDue_) : heartbeatDue_;
+    pumpDue_ = isIdle ? idleUntil : std::min(now + pumpInterval, heartbeatDue_);
     return pumpDue_;
 }
 
@@ -599,6 +607,7 @@
 void FleetEntry::sendLoads(absl::Time now)
 {
     const std::vector<CellPtr> cells = allCells();
+    loadsDue_ = absl::InfiniteFuture();
     if (cells.empty())
         return;
     std::vector<DaemonId> local { link_.self().daemon };
@@ -618,6 +627,7 @@
             link_.peers().broadcast(local, load);
         if (isLoadDue(sent.remote, load, minRemoteLoadInterval, now))
             link_.peers().broadcast(remote, load);
+        loadsDue_ = std::min(loadsDue_, std::min(sent.local.at, sent.remote.at) + maxLoadInterval);
     }
 }
 
--- a/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
+++ b/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
@@ -58,3 +58,18 @@
     checkHolds("evacuation_ms: soon\ndata_centres: [bole]\n", "evacuation_ms");
     checkHolds("evacuation_ms: 3\ndata_centres: [bole]\n", "evacuation_ms");
 }
+
+// Guards against second choices in a fleet whose settings don't ask for them.
+TEST(FleetSettingsLoader, SecondChoicesAreOffUnlessSet)
+{
+    LONGS_EQUAL(0, valueOf(parseFleetSettings(keeperSettings, "fleet.yaml"))->secondChoices);
+    LONGS_EQUAL(2, valueOf(parseFleetSettings(keeperSettings + "second_choices: 2\n", "fleet.yaml"))->secondChoices);
+}
+
+TEST(FleetSettingsLoader, TooManySecondChoicesAreRefusedWithTheirLine)
+{
+    const Result<FleetSettings> refused = parseFleetSettings(keeperSettings + "second_choices: 4\n", "fleet.yaml");
+    CHECK(errorOf(refused));
+    STRCMP_CONTAINS("fleet.yaml:8", errorOf(refused)->message.c_str());
+    STRCMP_CONTAINS("second_choices", errorOf(refused)->message.c_str());
+}
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -24,6 +24,8 @@
     void setCores(double cores) { cores_ = cores; }
     /// Lets operators evacuate both data centres. Call this before startAll().
     void offerEvacuations() { offersEvacuations_ = true; }
+    /// Sets the number of further cells that rejected jobs are offered to. Call this before startAll().
+    void setSecondChoices(int count) { secondChoices_ = count; }
     /// Adds minions, alternately to both data centres. Call this before startAll().
     void addMinions(int count);
     void startAll();
@@ -68,6 +70,7 @@
     int minionCount_ = 0;
     double cores_ = 1;
     bool offersEvacuations_ = false;
+    int secondChoices_ = 0;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -89,6 +89,35 @@
             absl::SleepFor(pause);
         }
     }
+
+    /// Kills the owner of a cell and starts it again while other entries offer it jobs.
+    void restartOwner()
+    {
+        const std::string owner = fleet.ownerOf("bole");
+        std::vector<std::string> others;
+        for (const std::string& entry : Fleet::entries()) {
+            if (entry != owner)
+                others.push_back(entry);
+        }
+        submit(others, 20, absl::Milliseconds(5));
+        fleet.node(owner).kill();
+        submit(others, 60, absl::Milliseconds(5));
+        fleet.startNode(owner, false);
+        submit(others, 150, absl::Milliseconds(5));
+    }
+
+    /// Checks that all callers got an answer, that no task ran twice, and that none ran of a job that was called not run.
+    void checkAnswers()
+    {
+        CHECK(statuses.awaitAll());
+        LONGS_EQUAL(0, statuses.count(0));
+        LONGS_EQUAL(0, fleet.minions().totals().duplicateStarts);
+        size_t ran = 0;
+        for (const std::string& job : statuses.rejected())
+            ran += fleet.minions().hasStarted(job) ? 1 : 0;
+        LONGS_EQUAL(0, ran);
+        CHECK_TEXT(fleet.awaitService(Fleet::entries()), "all entries serve");
+    }
 };
 
 TEST(FleetSystem, JobsAtAllEntriesComplete)
@@ -127,28 +156,23 @@
 // back, while other entries offer it jobs.
 TEST(FleetSystem, WhatWasRejectedNeverRunsHoweverOftenItsOwnerRestarts)
 {
+    begin();
+    for (int kill = 0; kill < 6; ++kill)
+        restartOwner();
+    checkAnswers();
+}
+
+// The same where entries offer rejected jobs to the cell of the other data centre. Each owner has answered its own callers
+// before it is killed, as they get no answer otherwise.
+TEST(FleetSystem, WhatIsOfferedAgainRunsOnceHoweverOftenItsOwnerRestarts)
+{
+    fleet.setSecondChoices(1);
     begin();
     for (int kill = 0; kill < 6; ++kill) {
-        const std::string owner = fleet.ownerOf("bole");
-        std::vector<std::string> others;
-        for (const std::string& entry : Fleet::entries()) {
-            if (entry != owner)
-                others.push_back(entry);
-        }
-        submit(others, 20, absl::Milliseconds(5));
-        fleet.node(owner).kill();
-        submit(others, 60, absl::Milliseconds(5));
-        fleet.startNode(owner, false);
-        submit(others, 150, absl::Milliseconds(5));
+        restartOwner();
+        CHECK(statuses.awaitAll());
     }
-    CHECK(statuses.awaitAll());
-    LONGS_EQUAL(0, statuses.count(0));
-    LONGS_EQUAL(0, fleet.minions().totals().duplicateStarts);
-    size_t ran = 0;
-    for (const std::string& job : statuses.rejected())
-        ran += fleet.minions().hasStarted(job) ? 1 : 0;
-    LONGS_EQUAL(0, ran);
-    CHECK_TEXT(fleet.awaitService(Fleet::entries()), "all entries serve");
+    checkAnswers();
 }
 
 // A data centre may have far more minions than one entry can manage. Its pool is then divided into cells while callers
