Add tests of clients that don't keep to the protocol

Cause: clients outside our control brought a process down by trailers without end. The tests start a fleet with 96 MB for each process, or 200 descriptors, load an entry or a keeper from one process, and check that it is alive, that its peak memory and its descriptors stay within the bounds, and that an ordinary client that connects afterwards is answered. They check no times.

--- a/Tests/Fleet/Fleet.cpp
+++ b/Tests/Fleet/Fleet.cpp
@@ -106,6 +106,11 @@
     return { addressOf(entry), callersPort };
 }
 
+Endpoint Fleet::readiness(const std::string& entry) const
+{
+    return { addressOf(entry), readinessPort };
+}
+
 Endpoint Fleet::control(const std::string& keeper) const
 {
     return { addressOf(keeper), controlPort };
@@ -130,7 +135,7 @@
     const std::string settings = absl::StrCat(folder_, "/", name, ".yaml");
     std::ofstream file(settings);
     file << "node: " << name << "\naddress: " << addressOf(name) << "\ndata_centre: " << row.dataCentre << "\npeer_port: " << peerPort
-         << "\nfounding: " << (isFounding ? "true" : "false") << "\nlost_disks: 1\ncores: " << cores_ << "\nseeds: [";
+         << "\nfounding: " << (isFounding ? "true" : "false") << "\nlost_disks: 1\ncores: " << cores_ << "\nmemory_mb: " << memory_ << "\nseeds: [";
     for (const std::string& keeper : keepers())
         file << (keeper == keepers().front() ? "" : ", ") << '"' << addressOf(keeper) << ':' << controlPort << '"';
     file << "]\n";
@@ -140,7 +145,10 @@
         file << "callers: \"" << addressOf(name) << ':' << callersPort << "\"\nreadiness: \"" << addressOf(name) << ':' << readinessPort << "\"\n";
     file.close();
     std::filesystem::create_directories(absl::StrCat(folder_, "/", name));
-    processes_[name] = std::make_unique<ChildProcess>(std::vector<std::string> { TREFOILWING_DAEMON, "--fleet", settings }, absl::StrCat(folder_, "/", name, ".log"));
+    std::vector<std::string> command { TREFOILWING_DAEMON, "--fleet", settings };
+    if (descriptors_ > 0)
+        command = { "/bin/sh", "-c", absl::StrCat("ulimit -n ", descriptors_, " && exec ", TREFOILWING_DAEMON, " --fleet ", settings) };
+    processes_[name] = std::make_unique<ChildProcess>(command, absl::StrCat(folder_, "/", name, ".log"));
 }
 
 void Fleet::deleteDataFolder(const std::string& keeper)
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -22,6 +22,10 @@
 
     /// Sets the number of cores in the settings of each process. Call this before startAll().
     void setCores(double cores) { cores_ = cores; }
+    /// Sets the memory, in megabytes, in the settings of each process. Call this before startAll().
+    void setMemory(int megabytes) { memory_ = megabytes; }
+    /// Sets the maximum number of open descriptors of each process. Call this before startAll().
+    void setDescriptors(int descriptors) { descriptors_ = descriptors; }
     /// Adds minions, alternately to both data centres. Call this before startAll().
     void addMinions(int count);
     void startAll();
@@ -31,6 +35,7 @@
     std::string logOf(const std::string& name) const;
 
     Endpoint callers(const std::string& entry) const;
+    Endpoint readiness(const std::string& entry) const;
     Endpoint control(const std::string& keeper) const;
     static const std::vector<std::string>& entries();
     static const std::vector<std::string>& keepers();
@@ -59,6 +64,9 @@
     std::unique_ptr<FleetMinions> minions_;
     int minionCount_ = 0;
     double cores_ = 1;
+    int memory_ = 256;
+    /// 0 leaves the limit that the processes inherit.
+    int descriptors_ = 0;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
--- a/Tests/System/ChildProcess.h
+++ b/Tests/System/ChildProcess.h
@@ -20,6 +20,8 @@
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
 
+    pid_t id() const { return id_; }
+
     void signal(int number) const;
 
     /// Waits until the process ends, or the time is over.
