Bound what clients can make a process hold

Cause: a client that sent trailers without end brought a process down. The parser needs all trailers, or the extensions of a chunk, in its buffer at once, and the buffer had no maximum size. Of the same class: unfinished bodies, answers that aren't read, silent and slow connections, a listener that tried to accept again at once when it had no descriptor left, and JSON of millions of tiny values.

Change: each buffer is bounded, and ConnectionBudget decides which connections are closed so that all together stay within a quarter of memory_mb and half of max_descriptors (new), and none waits for its peer without end. ConnectionGuard applies it to all listeners of a process. Answers of minions have bounds too.

--- a/Source/Adapters/Beast/HttpClient.cpp
+++ b/Source/Adapters/Beast/HttpClient.cpp
@@ -1,5 +1,7 @@
 #include "Adapters/Beast/HttpClient.h"
 
+#include "Adapters/Beast/MessageReading.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -102,6 +104,7 @@
 
     void close()
     {
+        setHeld(0);
         error_code ignored;
         socket_.close(ignored);
     }
@@ -145,17 +148,63 @@
     void read()
     {
         parser_.emplace();
-        http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, size_t) {
-            // Between calls the server may only close the connection; data without a call is a protocol error.
-            if (error || !self->call_)
-                self->fail();
-            else
-                self->succeed();
-        });
+        parser_->header_limit(maxHeaderBytes);
+        parser_->body_limit(client_.options_.maxBody.value());
+        parser_->eager(true);
+        receive();
+    }
+
+    void receive()
+    {
+        const size_t size = boost::beast::read_size(buffer_, maxReadBytes);
+        if (size == 0) {
+            refuse();
+            return;
+        }
+        socket_.async_read_some(buffer_.prepare(size), [self = shared_from_this()](error_code error, size_t bytes) { self->received(error, bytes); });
+    }
+
+    void received(error_code error, size_t bytes)
+    {
+        buffer_.commit(bytes);
+        if (error == asio::error::eof)
+            error = parseEnd(*parser_);
+        // Between calls the server may only close the connection; data without a call is a protocol error.
+        if (error || !call_) {
+            fail();
+            return;
+        }
+        if (parseReceived(buffer_, *parser_)) {
+            refuse();
+            return;
+        }
+        if (parser_->is_done()) {
+            succeed();
+            return;
+        }
+        setHeld(buffer_.capacity() + parser_->get().body().size());
+        if (client_.held_ > client_.options_.maxHeld.value())
+            refuse();
+        else
+            receive();
+    }
+
+    void refuse()
+    {
+        ++client_.refused_;
+        fail();
+    }
+
+    /// Records the number of bytes of the response that is being received.
+    void setHeld(uint64_t bytes)
+    {
+        client_.held_ += bytes - held_;
+        held_ = bytes;
     }
 
     void succeed()
     {
+        setHeld(0);
         auto message = parser_->release();
         WebResponse response;
         response.status = message.result_int();
@@ -175,10 +224,11 @@
     tcp::socket socket_;
     std::shared_ptr<Call> call_;
     bool isSent_ = false;
+    uint64_t held_ = 0;
     Clock::time_point idleSince_;
     std::string output_;
     std::optional<http::response_parser<http::string_body>> parser_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_ { maxUnparsedBytes };
 };
 
 HttpClient::HttpClient(HttpLoop& loop, HttpClientOptions options)
@@ -285,7 +335,7 @@
 
 HttpClientTotals HttpClient::takeTotals()
 {
-    return { connects_, unanswered_, unread_, absl::Nanoseconds(worstLatenessNs_.exchange(0)) };
+    return { connects_, unanswered_, unread_, refused_, absl::Nanoseconds(worstLatenessNs_.exchange(0)) };
 }
 
 } // namespace trefoilwing
--- a/Source/Adapters/Beast/HttpClient.h
+++ b/Source/Adapters/Beast/HttpClient.h
@@ -4,6 +4,7 @@
 #include "Adapters/Beast/WebMessage.h"
 #include "Base/StallFreeTime.h"
 #include "Model/MinionMessages.h"
+#include "Model/Units.h"
 
 #include <absl/time/time.h>
 #include <boost/asio/steady_timer.hpp>
@@ -34,6 +35,10 @@
     size_t maxIdle = 3;
     /// Idle connections older than this aren't reused, since the server may have dropped them silently.
     absl::Duration idleTimeout = absl::Seconds(10);
+    /// Maximum size of a response's body.
+    Bytes maxBody { 8U << 20U };
+    /// Maximum number of bytes of all responses that are being received together. A call whose response exceeds it fails.
+    Bytes maxHeld { 1U << 30U };
 };
 
 /// Totals of a client, for logs and metrics.
@@ -43,6 +48,8 @@
     uint64_t unanswered = 0;
     /// Calls found past their deadline whose response had arrived but wasn't read yet; they aren't failed.
     uint64_t unread = 0;
+    /// Calls whose response was malformed or exceeded a limit.
+    uint64_t refused = 0;
     /// Greatest delay of the loop's timer since the totals were last taken.
     absl::Duration worstLateness;
 };
@@ -87,9 +94,12 @@
     std::unique_ptr<boost::asio::steady_timer> sweepTimer_;
     StallFreeTime stallFreeTime_;
     bool isSweeping_ = false;
+    /// Number of bytes of all responses that are being received.
+    uint64_t held_ = 0;
     std::atomic<uint64_t> connects_ { 0 };
     std::atomic<uint64_t> unanswered_ { 0 };
     std::atomic<uint64_t> unread_ { 0 };
+    std::atomic<uint64_t> refused_ { 0 };
     std::atomic<int64_t> worstLatenessNs_ { 0 };
 };
 
--- a/Source/Adapters/Beast/HttpListener.cpp
+++ b/Source/Adapters/Beast/HttpListener.cpp
@@ -1,5 +1,7 @@
 #include "Adapters/Beast/HttpListener.h"
 
+#include "Adapters/Beast/MessageReading.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -7,8 +9,12 @@
 
 #include <boost/intrusive/list.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
+#include <chrono>
 #include <optional>
+#include <string_view>
 #include <sys/socket.h>
 
 namespace trefoilwing {
@@ -20,7 +26,13 @@
 
 namespace {
 
-    constexpr uint32_t maxHeaderBytes = 16384;
+    /// A buffer larger than this isn't kept for the next request.
+    constexpr size_t maxIdleBufferBytes = 4096;
+    /// Estimated memory of a connection itself, and of each header field beside its text.
+    constexpr size_t sessionBytes = 2048;
+    constexpr size_t fieldBytes = 160;
+    /// Time after which accepting is tried again, after it failed for lack of descriptors or memory.
+    constexpr std::chrono::milliseconds acceptRetryInterval { 20 };
     /// Maximum number of connections waiting to be accepted, since clients connect in bursts.
     constexpr int backlog = 256;
 
@@ -37,6 +49,15 @@
         return request;
     }
 
+    /// @return an estimate of the memory that a message holds without its body.
+    size_t headerBytes(const http::request<http::string_body>& message)
+    {
+        size_t bytes = message.target().size();
+        for (const auto& field : message)
+            bytes += fieldBytes + 2 * (field.name_string().size() + field.value().size());
+        return bytes;
+    }
+
     /// @return whether the peer has closed or reset a connection, although the close hasn't been read yet.
     bool hasPeerClosed(int descriptor)
     {
@@ -60,15 +81,18 @@
     Shared(HttpLoop& httpLoop, Handler requestHandler, HttpListenerOptions listenerOptions)
         : loop(httpLoop)
         , handler(std::move(requestHandler))
-        , options(listenerOptions)
+        , options(std::move(listenerOptions))
+        , guard(options.guard ? options.guard : std::make_shared<ConnectionGuard>(httpLoop, ConnectionLimits {}, ConnectionReports {}))
+        , listener(guard->addListener(options.name, options.maxSessions))
     {
     }
 
     HttpLoop& loop;
     Handler handler;
     HttpListenerOptions options;
+    std::shared_ptr<ConnectionGuard> guard;
+    ListenerId listener;
     std::atomic<bool> isDraining { false };
-    size_t sessions = 0;
     /// Used on the loop's thread only.
     boost::intrusive::list<ListedSession, boost::intrusive::constant_time_size<false>> openSessions;
 };
@@ -76,24 +100,28 @@
 /// One connection: passes one request at a time to the handler and writes its response.
 ///
 /// A read is always pending, so that a close by the peer is detected while a request waits for its response.
-class HttpSession : public std::enable_shared_from_this<HttpSession>, private ListedSession {
+class HttpSession : public std::enable_shared_from_this<HttpSession>, private ListedSession, private GuardedConnection {
 public:
     HttpSession(tcp::socket socket, std::shared_ptr<HttpListener::Shared> shared)
         : socket_(std::move(socket))
         , shared_(std::move(shared))
+        , id_(shared_->guard->open(shared_->listener, *this))
     {
-        ++shared_->sessions;
         shared_->openSessions.push_back(*this);
     }
 
-    ~HttpSession() override { --shared_->sessions; }
+    ~HttpSession() override { shared_->guard->remove(id_); }
 
     void read()
     {
+        if (buffer_.size() == 0 && buffer_.capacity() > maxIdleBufferBytes)
+            buffer_.shrink_to_fit();
         parser_.emplace();
         parser_->body_limit(shared_->options.maxBody.value());
         parser_->header_limit(maxHeaderBytes);
-        http::async_read(socket_, buffer_, *parser_, [self = shared_from_this()](error_code error, size_t) { self->readDone(error); });
+        parser_->eager(true);
+        headerBytes_ = 0;
+        parse();
     }
 
     void answer(const WebResponse& response)
@@ -102,20 +130,23 @@
         if (isClosed_)
             return;
         const bool keepsAlive = keepsAlive_ && !shared_->isDraining;
-        output_ = absl::StrCat("HTTP/1.1 ", response.status, " ", absl::string_view(http::obsolete_reason(http::int_to_status(response.status)).data()), "\r\nContent-Length: ", response.body.size(), "\r\n");
+        sharedBody_ = response.sharedBody;
+        const std::string_view sharedText = sharedBody_ ? std::string_view(*sharedBody_) : std::string_view();
+        const size_t bodyBytes = response.body.size() + sharedText.size();
+        output_ = absl::StrCat("HTTP/1.1 ", response.status, " ", absl::string_view(http::obsolete_reason(http::int_to_status(response.status)).data()), "\r\nContent-Length: ", bodyBytes, "\r\n");
         const bool hasType = findHeader(response.headers, "Content-Type") != nullptr;
-        if (!response.body.empty() && !hasType)
+        if (bodyBytes > 0 && !hasType)
             absl::StrAppend(&output_, "Content-Type: application/json\r\n");
         for (const auto& [name, value] : response.headers)
             absl::StrAppend(&output_, name, ": ", value, "\r\n");
         absl::StrAppend(&output_, keepsAlive ? "\r\n" : "Connection: close\r\n\r\n", response.body);
-        asio::async_write(socket_, asio::buffer(output_), [self = shared_from_this(), keepsAlive](error_code error, size_t) {
-            self->isBusy_ = false;
-            if (error || !keepsAlive)
-                self->close();
-            else
-                self->serveNext();
-        });
+        servedBytes_ = 0;
+        isSending_ = true;
+        report();
+        if (isClosed_)
+            return;
+        const std::array<asio::const_buffer, 2> buffers { asio::buffer(output_), asio::buffer(sharedText) };
+        asio::async_write(socket_, buffers, [self = shared_from_this(), keepsAlive](error_code error, size_t) { self->answerSent(error, keepsAlive); });
     }
 
     void setAbandonHandler(std::function<void()> abandoned)
@@ -125,6 +156,44 @@
     }
 
 private:
+    void receive()
+    {
+        const size_t size = boost::beast::read_size(buffer_, maxReadBytes);
+        if (size == 0) {
+            readDone(http::error::buffer_overflow);
+            return;
+        }
+        socket_.async_read_some(buffer_.prepare(size), [self = shared_from_this()](error_code error, size_t bytes) { self->received(error, bytes); });
+    }
+
+    void received(error_code error, size_t bytes)
+    {
+        if (isClosed_)
+            return;
+        buffer_.commit(bytes);
+        if (error == asio::error::eof)
+            error = parseEnd(*parser_);
+        if (error)
+            readDone(error);
+        else
+            parse();
+    }
+
+    /// Parses what was received, until the message is whole or needs more.
+    void parse()
+    {
+        const error_code error = parseReceived(buffer_, *parser_);
+        if (headerBytes_ == 0 && parser_->is_header_done())
+            headerBytes_ = headerBytes(parser_->get());
+        report();
+        if (isClosed_)
+            return;
+        if (error || parser_->is_done())
+            readDone(error);
+        else
+            receive();
+    }
+
     void readDone(error_code error)
     {
         if (error) {
@@ -134,9 +203,30 @@
                 abandon();
             return;
         }
+        // The trailers are fields of the message too.
+        nextBytes_ = headerBytes(parser_->get()) + parser_->get().body().size();
         next_ = parser_->release();
+        headerBytes_ = 0;
+        isReading_ = false;
         if (!isBusy_)
             serveNext();
+        else
+            report();
+    }
+
+    void answerSent(error_code error, bool keepsAlive)
+    {
+        isBusy_ = false;
+        isSending_ = false;
+        output_ = {};
+        sharedBody_ = nullptr;
+        if (error || !keepsAlive) {
+            close();
+            return;
+        }
+        report();
+        if (!isClosed_)
+            serveNext();
     }
 
     void checkPeer() override
@@ -156,11 +246,14 @@
         }
         http::request<http::string_body> message = std::move(*next_);
         next_.reset();
+        servedBytes_ = std::exchange(nextBytes_, 0);
         keepsAlive_ = message.keep_alive();
         isBusy_ = true;
         const HttpExchangePtr exchange(new HttpExchange(shared_->loop, shared_from_this(), toRequest(std::move(message))));
+        isReading_ = true;
         read();
-        shared_->handler(exchange);
+        if (!isClosed_)
+            shared_->handler(exchange);
     }
 
     void reject(error_code error)
@@ -179,21 +272,57 @@
 
     void close()
     {
+        shared_->guard->remove(id_);
         isClosed_ = true;
         error_code ignored;
         socket_.shutdown(tcp::socket::shutdown_both, ignored);
         socket_.close(ignored);
     }
 
+    /// Closes the connection for the guard. Its buffers are released when the pending operations end, which is at once.
+    void closeNow() override
+    {
+        // The abandoned request's handler may release the last reference to this.
+        const std::shared_ptr<HttpSession> self = shared_from_this();
+        abandon();
+    }
+
+    /// Reports to the guard, which may close this connection.
+    void report()
+    {
+        const size_t unfinished = isReading_ ? headerBytes_ + parser_->get().body().size() : 0;
+        const size_t unsent = output_.size() + (sharedBody_ ? sharedBody_->size() : 0);
+        shared_->guard->update(id_, phase(), Bytes(sessionBytes + buffer_.capacity() + unfinished + nextBytes_ + servedBytes_ + unsent));
+    }
+
+    ConnectionPhase phase() const
+    {
+        if (isSending_)
+            return ConnectionPhase::Sending;
+        if (isBusy_ || next_)
+            return ConnectionPhase::Serving;
+        if (buffer_.size() == 0 && !parser_->got_some())
+            return ConnectionPhase::Idle;
+        return parser_->is_header_done() ? ConnectionPhase::Body : ConnectionPhase::Header;
+    }
+
     tcp::socket socket_;
     std::shared_ptr<HttpListener::Shared> shared_;
-    boost::beast::flat_buffer buffer_;
+    const ConnectionId id_;
+    boost::beast::flat_buffer buffer_ { maxUnparsedBytes };
     std::optional<http::request_parser<http::string_body>> parser_;
     /// A pipelined request, received before the previous one was answered. No more are read until it is served.
     std::optional<http::request<http::string_body>> next_;
     std::string output_;
+    std::shared_ptr<const std::string> sharedBody_;
+    /// Estimated sizes of the header that is being received, of the next request, and of the one being served.
+    size_t headerBytes_ = 0;
+    size_t nextBytes_ = 0;
+    size_t servedBytes_ = 0;
+    bool isReading_ = true;
     bool keepsAlive_ = true;
     bool isBusy_ = false;
+    bool isSending_ = false;
     bool isClosed_ = false;
     std::function<void()> abandoned_;
 };
@@ -221,7 +350,8 @@
 
 HttpListener::HttpListener(HttpLoop& loop, Handler handler, HttpListenerOptions options)
     : acceptor_(loop.context())
-    , shared_(std::make_shared<Shared>(loop, std::move(handler), options))
+    , retryTimer_(loop.context())
+    , shared_(std::make_shared<Shared>(loop, std::move(handler), std::move(options)))
 {
 }
 
@@ -250,7 +380,13 @@
     acceptor_.async_accept([this](error_code error, tcp::socket socket) {
         if (error == asio::error::operation_aborted)
             return;
-        if (!error && shared_->sessions < shared_->options.maxSessions) {
+        if (error) {
+            // Accepting at once would fail again and again, as the connection still waits.
+            shared_->guard->releaseDescriptor();
+            retryAccept();
+            return;
+        }
+        if (shared_->guard->admit(shared_->listener)) {
             error_code ignored;
             socket.set_option(tcp::no_delay(true), ignored);
             std::make_shared<HttpSession>(std::move(socket), shared_)->read();
@@ -259,6 +395,15 @@
     });
 }
 
+void HttpListener::retryAccept()
+{
+    retryTimer_.expires_after(acceptRetryInterval);
+    retryTimer_.async_wait([this](error_code error) {
+        if (!error)
+            accept();
+    });
+}
+
 void HttpListener::drain()
 {
     shared_->isDraining = true;
--- a/Source/Adapters/Beast/HttpListener.h
+++ b/Source/Adapters/Beast/HttpListener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Adapters/Beast/ConnectionGuard.h"
 #include "Adapters/Beast/HttpLoop.h"
 #include "Adapters/Beast/WebMessage.h"
 #include "Base/Error.h"
@@ -7,12 +8,14 @@
 #include "Model/Units.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace trefoilwing {
 
@@ -46,8 +49,12 @@
 
 struct HttpListenerOptions {
     Bytes maxBody { 1U << 20U };
-    /// Maximum number of open connections; further ones are closed at once.
+    /// Maximum number of open connections; beyond it, the guard closes the least useful one.
     size_t maxSessions = 1000;
+    /// The guard of all listeners of the process; if null, the listener has one of its own with the default limits.
+    std::shared_ptr<ConnectionGuard> guard = nullptr;
+    /// Name of the listener in log lines.
+    std::string name = "http";
 };
 
 /// Accepts HTTP/1.1 connections at one address. Passes the requests of each to a handler, one at a time.
@@ -80,8 +87,11 @@
     struct Shared;
 
     void accept();
+    /// Accepts again a little later, since accepting failed.
+    void retryAccept();
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retryTimer_;
     std::shared_ptr<Shared> shared_;
 };
 
--- a/Source/Adapters/Beast/WebMessage.h
+++ b/Source/Adapters/Beast/WebMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <memory>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,8 @@
     unsigned status = 200;
     WebHeaders headers;
     std::string body;
+    /// A large body that many responses share, so that peers that don't read can't multiply it. It is sent after body.
+    std::shared_ptr<const std::string> sharedBody = nullptr;
 };
 
 } // namespace trefoilwing
--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -17,6 +17,8 @@
     constexpr double maxEvacuationMs = 3600.0 * 1000;
     constexpr double minCores = 0.001;
     constexpr double maxCores = 1024;
+    constexpr uint32_t minDescriptors = 64;
+    constexpr uint32_t maxDescriptors = 1U << 20U;
     constexpr uint32_t minMemoryMb = 16;
     constexpr uint32_t maxMemoryMb = 1U << 24U;
 
@@ -72,6 +74,7 @@
             optionalKey("control", &FleetSettings::control, optionalEndpointValue()),
             optionalKey("cores", &FleetSettings::cores, fractionValue(minCores, maxCores)),
             optionalKey("memory_mb", &FleetSettings::memoryMb, numberValue(minMemoryMb, maxMemoryMb)),
+            optionalKey("max_descriptors", &FleetSettings::maxDescriptors, numberValue(minDescriptors, maxDescriptors)),
             optionalKey("metrics_port", &FleetSettings::metricsPort, numberValue(0, maxPort)),
             optionalKey("data_folder", &FleetSettings::dataFolder, textValue()),
             optionalKey("founding", &FleetSettings::isFounding, flagValue()),
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -1,5 +1,7 @@
 #include "Daemon/FleetEntry.h"
 
+#include "Daemon/IncomingLimits.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -101,11 +103,12 @@
     , metrics_(metrics)
     , link_(settings, *this, log)
     , policy_(policyFor(settings))
+    , guard_(std::make_shared<ConnectionGuard>(loop_, incomingLimits(settings, Bytes(maxCallerBody)), ConnectionReports { &log, &metrics }))
     , callerHandler_(log)
-    , gateway_(loop_, *this)
-    , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions })
-    , readiness_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions })
-    , metricsPage_(loop_, metrics)
+    , gateway_(loop_, *this, maxMinionAnswers(settings))
+    , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions, guard_, "callers" })
+    , readiness_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions, guard_, "readiness" })
+    , metricsPage_(loop_, metrics, guard_)
     , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value())
     , view_(seedDaemons(settings))
     , chooser_(settings.dataCentre)
@@ -666,6 +669,11 @@
     metrics_.set("minion_connections_opened", {}, static_cast<double>(orders.connects));
     metrics_.set("orders_unanswered", {}, static_cast<double>(orders.unanswered));
     metrics_.set("orders_unread", {}, static_cast<double>(orders.unread));
+    metrics_.set("minion_answers_refused", {}, static_cast<double>(orders.refused));
+    if (orders.refused > loggedRefusedAnswers_) {
+        log_.write(Severity::Warning, "minion_answers_refused", { { "refused", orders.refused - loggedRefusedAnswers_ }, { "reason", std::string("malformed or too long") } });
+        loggedRefusedAnswers_ = orders.refused;
+    }
     if (std::max(pumpLateness, orders.worstLateness) < minLoggedLateness)
         return;
     uint64_t minions = 0;
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -125,6 +125,8 @@
     const DispatchPolicy policy_;
     PriorityFirst order_;
     HttpLoop loop_;
+    /// Of all listeners, whose connections share one budget.
+    const std::shared_ptr<ConnectionGuard> guard_;
     platform::CallerHandler callerHandler_;
     platform::MinionGateway gateway_;
     HttpListener callers_;
@@ -167,6 +169,8 @@
     const absl::Time startedAt_;
     StartupGate gate_;
     std::map<CellId, SentLoads> sentLoads_;
+    /// The number of refused answers of minions that was last logged.
+    uint64_t loggedRefusedAnswers_ = 0;
     WorkSignal signal_;
     std::unique_ptr<PumpThread> thread_;
 };
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/FleetKeeper.h"
 
 #include "Control/MemberChanges.h"
+#include "Daemon/IncomingLimits.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
@@ -74,9 +75,10 @@
     , metrics_(metrics)
     , link_(settings, *this, log)
     , logRandom_(SeededRandom::freshSeed())
+    , guard_(std::make_shared<ConnectionGuard>(loop_, incomingLimits(settings, Bytes(maxControlBody)), ConnectionReports { &log, &metrics }))
     , controlHandler_(reader, log, evacuationCentres(settings))
-    , control_(loop_, [this](const HttpExchangePtr& exchange) { controlHandler_.handle(exchange); }, { Bytes(maxControlBody), maxControlSessions })
-    , metricsPage_(loop_, metrics)
+    , control_(loop_, [this](const HttpExchangePtr& exchange) { controlHandler_.handle(exchange); }, { Bytes(maxControlBody), maxControlSessions, guard_, "control" })
+    , metricsPage_(loop_, metrics, guard_)
     , registry_(link_.self())
     , peerView_(seedDaemons(settings))
 {
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -73,6 +73,8 @@
     FleetLink link_;
     SeededRandom logRandom_;
     HttpLoop loop_;
+    /// Of all listeners, whose connections share one budget.
+    const std::shared_ptr<ConnectionGuard> guard_;
     platform::ControlHandler controlHandler_;
     HttpListener control_;
     MetricsPage metricsPage_;
--- a/Source/Daemon/MetricsPage.cpp
+++ b/Source/Daemon/MetricsPage.cpp
@@ -2,6 +2,8 @@
 
 #include "Adapters/Histogram/PrometheusText.h"
 
+#include <utility>
+
 namespace trefoilwing {
 
 namespace {
@@ -13,9 +15,9 @@
 
 } // namespace
 
-MetricsPage::MetricsPage(HttpLoop& loop, HistogramMetrics& metrics)
+MetricsPage::MetricsPage(HttpLoop& loop, HistogramMetrics& metrics, std::shared_ptr<ConnectionGuard> guard)
     : listener_(
-        loop, [&metrics](const HttpExchangePtr& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain" } }, prometheusText(metrics.snapshot()) }); }, { Bytes(maxBody), maxSessions })
+        loop, [&metrics](const HttpExchangePtr& exchange) { exchange->respond({ 200, { { "Content-Type", "text/plain" } }, prometheusText(metrics.snapshot()) }); }, { Bytes(maxBody), maxSessions, std::move(guard), "metrics" })
 {
 }
 
--- a/Source/Daemon/MetricsPage.h
+++ b/Source/Daemon/MetricsPage.h
@@ -10,7 +10,7 @@
 class MetricsPage {
 public:
     /// @param loop, metrics must outlive the page.
-    MetricsPage(HttpLoop& loop, HistogramMetrics& metrics);
+    MetricsPage(HttpLoop& loop, HistogramMetrics& metrics, std::shared_ptr<ConnectionGuard>);
 
     /// Starts listening at the metrics port of the settings, if they name one.
     Result<Done> listen(const FleetSettings&);
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -29,6 +29,8 @@
     double cores = 1;
     /// The memory that the process may use, in megabytes.
     uint32_t memoryMb = 256;
+    /// Maximum number of descriptors that the process may have open; 0 if only the system limits it.
+    uint32_t maxDescriptors = 0;
     /// The port on which metrics are served; 0 disables it.
     uint32_t metricsPort = 0;
     /// The folder of the stored data. Only keepers have one.
