Bound connections at the port of daemons, and answer Expect: 100-continue

Cause: connections that had not said which daemon they are were bounded at 512, more than a process with few descriptors has; when accepting failed for that, it was not tried again until another connection came. Clients that wait for 100 Continue got it never.

Change: at most a sixth of the descriptors for such connections, and accepting goes on when one is closed. A listener asks for the body when its header is accepted. HttpListenerTest's client returns what it received.

--- a/Source/Adapters/Beast/HttpListener.cpp
+++ b/Source/Adapters/Beast/HttpListener.cpp
@@ -183,17 +183,34 @@
     void parse()
     {
         const error_code error = parseReceived(buffer_, *parser_);
-        if (headerBytes_ == 0 && parser_->is_header_done())
+        const bool isHeaderNew = headerBytes_ == 0 && parser_->is_header_done();
+        if (isHeaderNew)
             headerBytes_ = headerBytes(parser_->get());
         report();
         if (isClosed_)
             return;
         if (error || parser_->is_done())
             readDone(error);
+        else if (isHeaderNew && !isBusy_ && boost::beast::iequals(parser_->get()[http::field::expect], "100-continue"))
+            askForBody();
         else
             receive();
     }
 
+    /// Tells a client that waits for it that its header was accepted.
+    void askForBody()
+    {
+        static constexpr std::string_view text = "HTTP/1.1 100 Continue\r\n\r\n";
+        asio::async_write(socket_, asio::buffer(text), [self = shared_from_this()](error_code error, size_t) {
+            if (self->isClosed_)
+                return;
+            if (error)
+                self->close();
+            else
+                self->receive();
+        });
+    }
+
     void readDone(error_code error)
     {
         if (error) {
--- a/Source/Adapters/Wire/TcpPeerLink.cpp
+++ b/Source/Adapters/Wire/TcpPeerLink.cpp
@@ -209,11 +209,16 @@
 void TcpPeerLink::removeClosed()
 {
     // Closed connections are kept until here, since events of the same wait may still refer to them.
+    bool isRemoved = false;
     incoming_.remove_and_dispose_if([](const IncomingConnection& connection) { return connection.isClosed(); },
-        [this](IncomingConnection* connection) {
+        [&](IncomingConnection* connection) {
+            isRemoved = true;
             unidentified_ -= connection->peer() ? 0 : 1;
             delete connection;
         });
+    // The listener may have run out of descriptors before, and isn't reported as ready again for the same connections.
+    if (isRemoved && listener_.isOpen())
+        acceptPending(clock_.now());
 }
 
 void TcpPeerLink::closeAll()
@@ -227,6 +232,11 @@
 }
 
 void TcpPeerLink::ready(Readiness, absl::Time now)
+{
+    acceptPending(now);
+}
+
+void TcpPeerLink::acceptPending(absl::Time now)
 {
     while (std::optional<Socket> socket = listener_.accept()) {
         // Connections beyond the limit are closed at once, so that unknown peers can't exhaust the memory.
--- a/Source/Adapters/Wire/TcpPeerLink.h
+++ b/Source/Adapters/Wire/TcpPeerLink.h
@@ -74,6 +74,7 @@
     /// Drops frames of the peers with the most queued bytes until the process is within its budget.
     void shedQueues();
     void wakeThread();
+    void acceptPending(absl::Time now);
     void removeClosed();
     void closeAll();
 
--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -1,6 +1,7 @@
 #include "Daemon/FleetLink.h"
 
 #include "Adapters/Clock/SystemClock.h"
+#include "Daemon/IncomingLimits.h"
 
 #include <algorithm>
 
@@ -13,6 +14,8 @@
 
     /// All daemons of a fleet of hundreds may connect at the same moment, after a loss of power.
     constexpr size_t maxUnidentifiedPeers = 512;
+    /// Connections whose daemon isn't known yet may use the descriptors of the process divided by this.
+    constexpr size_t unidentifiedDivisor = 6;
 
     /// Timeouts for daemons that send heartbeats several times a second: a silent connection must be closed well before
     /// its daemon is presumed dead.
@@ -20,7 +23,7 @@
     {
         WireOptions options;
         options.maxQueuedForAll = Bytes((uint64_t { settings.memoryMb } << 20U) / queueMemoryDivisor);
-        options.maxUnidentified = maxUnidentifiedPeers;
+        options.maxUnidentified = std::min(maxUnidentifiedPeers, maxDescriptors(settings) / unidentifiedDivisor);
         options.maxQueueAge = absl::Seconds(1);
         // The first packet to a VM that is just starting is lost, and the kernel would retransmit it only after 1 s.
         options.handshakeTimeout = absl::Milliseconds(200);
--- a/Tests/Adapters/Beast/HttpListenerTest.cpp
+++ b/Tests/Adapters/Beast/HttpListenerTest.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
 #include <chrono>
@@ -27,13 +26,17 @@
         socket_.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
     }
 
-    void send(const std::string& target) { boost::asio::write(socket_, boost::asio::buffer("GET " + target + " HTTP/1.1\r\nHost: listener\r\n\r\n")); }
+    void send(const std::string& target) { sendText("GET " + target + " HTTP/1.1\r\nHost: listener\r\n\r\n"); }
+
+    void sendText(const std::string& text) { boost::asio::write(socket_, boost::asio::buffer(text)); }
 
     /// Blocks until the head of a response has arrived.
-    void receive()
+    /// @return the head, with what has arrived of the body.
+    std::string receive()
     {
-        boost::asio::streambuf buffer;
-        boost::asio::read_until(socket_, buffer, "\r\n\r\n");
+        std::string text;
+        boost::asio::read_until(socket_, boost::asio::dynamic_buffer(text), "\r\n\r\n");
+        return text;
     }
 
     void close() { socket_.close(); }
@@ -201,6 +204,12 @@
     STRCMP_CONTAINS("HTTP/1.1 200", answerTo(wide).c_str());
     const std::string first = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
     const std::string both = answerTo(first + first + "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nConnection: close\r\n\r\nabc");
+    // This client sends its body only when it is asked to.
+    Client asking { listener->port() };
+    asking.sendText("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+    STRCMP_CONTAINS("100 Continue", asking.receive().c_str());
+    asking.sendText("abc");
+    STRCMP_CONTAINS("HTTP/1.1 200", asking.receive().c_str());
     CHECK(both.find("\r\n\r\n0") < both.rfind("\r\n\r\n3"));
 }
 
--- a/Tests/Fleet/Fleet.cpp
+++ b/Tests/Fleet/Fleet.cpp
@@ -106,6 +106,11 @@
     return { addressOf(entry), callersPort };
 }
 
+Endpoint Fleet::peerPortOf(const std::string& name) const
+{
+    return { addressOf(name), peerPort };
+}
+
 Endpoint Fleet::readiness(const std::string& entry) const
 {
     return { addressOf(entry), readinessPort };
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -35,6 +35,7 @@
     std::string logOf(const std::string& name) const;
 
     Endpoint callers(const std::string& entry) const;
+    Endpoint peerPortOf(const std::string& name) const;
     Endpoint readiness(const std::string& entry) const;
     Endpoint control(const std::string& keeper) const;
     static const std::vector<std::string>& entries();
--- a/Tests/Fleet/FleetConnectionsTest.cpp
+++ b/Tests/Fleet/FleetConnectionsTest.cpp
@@ -222,6 +222,16 @@
     checkKeeper();
 }
 
+// Guards against connections that claim to be daemons and use up a process's descriptors.
+TEST(FleetConnections, SilentConnectionsToThePortOfDaemons)
+{
+    begin(descriptorLimit);
+    HostileClients clients(fleet.peerPortOf("entry-1"));
+    clients.connect(manyClients);
+    checkDescriptors("entry-1");
+    checkEntry();
+}
+
 TEST(FleetConnections, PipeliningWithoutReadingAtAnEntry)
 {
     begin();
