Bound incomplete messages and the number of daemons at their port

Cause: whoever says that it is a daemon could make a process hold a message of 32 MiB on each connection, and each buffer kept the size of its largest message.

Change: incomplete messages of all connections together are bounded by an eighth of memory_mb, but at least one whole message; the connection with the most is closed. With max_descriptors set, at most a sixth of it may be daemons. Buffers of large messages are released.

--- a/Source/Adapters/Wire/FrameReader.cpp
+++ b/Source/Adapters/Wire/FrameReader.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+    /// Memory up to this size is kept for the next frames.
+    constexpr size_t maxKeptBytes = 16U << 10U;
+
     uint32_t readLength(std::string_view header)
     {
         uint32_t length = 0;
@@ -41,6 +44,14 @@
     bytes_.append(bytes);
 }
 
+void FrameReader::releaseUnused()
+{
+    if (bytes_.capacity() <= maxKeptBytes || bytes_.size() - consumed_ > maxKeptBytes)
+        return;
+    bytes_ = bytes_.substr(consumed_);
+    consumed_ = 0;
+}
+
 std::optional<std::string_view> FrameReader::next()
 {
     const std::string_view rest = std::string_view(bytes_).substr(consumed_);
--- a/Source/Adapters/Wire/FrameReader.h
+++ b/Source/Adapters/Wire/FrameReader.h
@@ -33,6 +33,12 @@
     /// @return whether a frame longer than the maximum was announced; the rest of the stream can't be parsed then.
     bool isBroken() const { return isBroken_; }
 
+    /// Releases the memory of large frames that were taken. Call this when next() has returned nothing.
+    void releaseUnused();
+
+    /// @return the number of bytes of the frame that is incomplete.
+    size_t heldBytes() const { return bytes_.size() - consumed_; }
+
 private:
     uint64_t maxFrame_;
     std::string bytes_;
--- a/Source/Adapters/Wire/IncomingConnection.cpp
+++ b/Source/Adapters/Wire/IncomingConnection.cpp
@@ -37,6 +37,7 @@
     }
     reader_.append(*bytes);
     processFrames();
+    reader_.releaseUnused();
     // The frames just processed may include the hello, so this check comes after them.
     if (peer_)
         deadline_ = now + options_.receiveTimeout;
--- a/Source/Adapters/Wire/IncomingConnection.h
+++ b/Source/Adapters/Wire/IncomingConnection.h
@@ -50,6 +50,9 @@
     void close() { socket_.close(); }
     bool isClosed() const { return !socket_.isOpen(); }
 
+    /// @return the number of bytes of frames that are incomplete.
+    size_t heldBytes() const { return reader_.heldBytes(); }
+
     /// @return the run of the peer, once its hello was accepted.
     const std::optional<DaemonRun>& peer() const { return peer_; }
     void setPeer(DaemonRun peer) { peer_ = std::move(peer); }
--- a/Source/Adapters/Wire/TcpPeerLink.cpp
+++ b/Source/Adapters/Wire/TcpPeerLink.cpp
@@ -51,7 +51,7 @@
     const auto known = peers_.find(daemon);
     if (known != peers_.end())
         return known->second.get();
-    if (!resolver_ || daemon == self_.daemon)
+    if (!resolver_ || daemon == self_.daemon || peers_.size() >= options_.maxIdentified)
         return nullptr;
     const std::optional<Endpoint> endpoint = resolver_->resolve(daemon);
     if (!endpoint)
@@ -173,6 +173,7 @@
         const absl::Time now = clock_.now();
         service(now);
         poller_.wait(due_.time() - now, [this] { return clock_.now(); });
+        closeLargestReceivers();
         removeClosed();
     }
     closeAll();
@@ -206,6 +207,23 @@
     }
 }
 
+void TcpPeerLink::closeLargestReceivers()
+{
+    uint64_t held = 0;
+    for (const IncomingConnection& connection : incoming_)
+        held += connection.isClosed() ? 0 : connection.heldBytes();
+    while (held > options_.maxReceiving.value()) {
+        IncomingConnection* largest = nullptr;
+        for (IncomingConnection& connection : incoming_) {
+            if (!connection.isClosed() && (!largest || connection.heldBytes() > largest->heldBytes()))
+                largest = &connection;
+        }
+        connectionRefused(*largest, "all connections together hold too many bytes of incomplete messages");
+        held -= largest->heldBytes();
+        largest->close();
+    }
+}
+
 void TcpPeerLink::removeClosed()
 {
     // Closed connections are kept until here, since events of the same wait may still refer to them.
@@ -272,11 +290,17 @@
         return Error { ErrorCode::Conflict, absl::StrCat(sender, " uses the unsupported protocol version ", hello.version) };
     if (!peerOf(hello.sender.daemon))
         return Error { ErrorCode::Conflict, absl::StrCat(sender, " is not a known peer") };
+    size_t others = 0;
     for (const IncomingConnection& other : incoming_) {
-        if (!other.isClosed() && other.peer() && other.peer()->daemon == hello.sender.daemon
-            && other.peer()->incarnation > hello.sender.incarnation)
+        if (other.isClosed() || !other.peer())
+            continue;
+        if (other.peer()->daemon != hello.sender.daemon)
+            ++others;
+        else if (other.peer()->incarnation > hello.sender.incarnation)
             return Error { ErrorCode::Conflict, absl::StrCat(sender, " is already connected by a later run") };
     }
+    if (others >= options_.maxIdentified)
+        return Error { ErrorCode::Conflict, absl::StrCat(sender, " is one more than the maximum number of connected daemons") };
     return Done {};
 }
 
--- a/Source/Adapters/Wire/TcpPeerLink.h
+++ b/Source/Adapters/Wire/TcpPeerLink.h
@@ -75,6 +75,8 @@
     void shedQueues();
     void wakeThread();
     void acceptPending(absl::Time now);
+    /// Closes the connections that hold the most until all hold no more than the maximum together.
+    void closeLargestReceivers();
     void removeClosed();
     void closeAll();
 
--- a/Source/Adapters/Wire/WireOptions.h
+++ b/Source/Adapters/Wire/WireOptions.h
@@ -31,6 +31,11 @@
     absl::Duration maxBackoff = absl::Seconds(2);
     /// Maximum number of incoming connections whose hello hasn't been accepted yet.
     size_t maxUnidentified = 64;
+    /// Maximum number of incoming connections whose hello was accepted, and of known daemons.
+    size_t maxIdentified = 4096;
+    /// Maximum total size of the incomplete frames of all incoming connections; beyond it, the connection with the most is
+    /// closed. One frame of the maximum size must fit.
+    Bytes maxReceiving { 256U << 20U };
 };
 
 } // namespace trefoilwing
--- a/Source/Daemon/FleetLink.cpp
+++ b/Source/Daemon/FleetLink.cpp
@@ -16,6 +16,11 @@
     constexpr size_t maxUnidentifiedPeers = 512;
     /// Connections whose daemon isn't known yet may use the descriptors of the process divided by this.
     constexpr size_t unidentifiedDivisor = 6;
+    /// So may connections of daemons, if the settings limit the descriptors.
+    constexpr size_t identifiedDivisor = 6;
+    /// Incomplete messages of all daemons may hold the memory of the process divided by this, or one whole message.
+    constexpr uint64_t receiveMemoryDivisor = 8;
+    constexpr uint64_t receiveBufferBytes = 1U << 20U;
 
     /// Timeouts for daemons that send heartbeats several times a second: a silent connection must be closed well before
     /// its daemon is presumed dead.
@@ -24,6 +29,9 @@
         WireOptions options;
         options.maxQueuedForAll = Bytes((uint64_t { settings.memoryMb } << 20U) / queueMemoryDivisor);
         options.maxUnidentified = std::min(maxUnidentifiedPeers, maxDescriptors(settings) / unidentifiedDivisor);
+        if (settings.maxDescriptors > 0)
+            options.maxIdentified = maxDescriptors(settings) / identifiedDivisor;
+        options.maxReceiving = Bytes(std::max((uint64_t { settings.memoryMb } << 20U) / receiveMemoryDivisor, options.maxFrame.value() + receiveBufferBytes));
         options.maxQueueAge = absl::Seconds(1);
         // The first packet to a VM that is just starting is lost, and the kernel would retransmit it only after 1 s.
         options.handshakeTimeout = absl::Milliseconds(200);
--- a/Tests/Adapters/Wire/TcpPeerLinkTest.cpp
+++ b/Tests/Adapters/Wire/TcpPeerLinkTest.cpp
@@ -324,3 +324,31 @@
     const Result<Done> started = duplicate.link.start(duplicate.events);
     CHECK(errorOf(started) && errorOf(started)->message.find("cannot listen at 127.0.0.1") == 0);
 }
+
+// Guards against daemons, or what claims to be one, that make a process hold incomplete messages.
+TEST(TcpPeerLink, IncompleteMessagesAreBoundedTogether)
+{
+    WireOptions options;
+    options.maxReceiving = Bytes(100000);
+    Node first(settings(0), 1, options);
+    CHECK(first.start());
+    RawPeer raw(peers[0].peerEndpoint);
+    raw.send(hello(1));
+    CHECK(raw.readFrame().has_value());
+    const std::string frame = makeFrame(std::string(200000, 'x'));
+    raw.send(frame.substr(0, 150000));
+    CHECK(!raw.readFrame());
+    CHECK_EQUAL(1, first.log.count("event=peer_connection_refused"));
+}
+
+TEST(TcpPeerLink, TheNumberOfConnectedDaemonsIsBounded)
+{
+    WireOptions options;
+    options.maxIdentified = 0;
+    Node first(settings(0), 1, options);
+    CHECK(first.start());
+    RawPeer raw(peers[0].peerEndpoint);
+    raw.send(hello(1));
+    CHECK(!raw.readFrame());
+    CHECK_EQUAL(1, first.log.count("event=peer_connection_refused"));
+}
