Let all reads of a configuration share one document

Cause: reads that are committed together were each given a copy, before any answer is sent, so the connection budget doesn't see them. FleetConnections.UnreadAnswersOfAKeeper passed once and then failed once on the code before (139 MB of at most 96).

Change: readNewest() gives a shared document, which the answers hold.

--- a/Source/Control/ReplicatedFleet.cpp
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -171,8 +171,14 @@
 
 void ReplicatedFleet::answerReads(const BarrierRecord& barrier)
 {
+    // Many reads may be answered together, and clients may be slow to take the answers, so these share one document.
+    RoutingDocumentPtr document = lastRead_.lock();
+    if (!document || document->version != state_.routing().version) {
+        document = std::make_shared<const RoutingDocument>(state_.routing());
+        lastRead_ = document;
+    }
     completeWhere(
-        reads_, [&](const PendingRead& pending) { return pending.barrier == barrier; }, state_.routing());
+        reads_, [&](const PendingRead& pending) { return pending.barrier == barrier; }, document);
 }
 
 void ReplicatedFleet::notifyListener()
--- a/Source/Control/ReplicatedFleet.h
+++ b/Source/Control/ReplicatedFleet.h
@@ -14,7 +14,7 @@
     using PublishCallback = std::function<void(Result<RoutingVersion>)>;
     /// Receives whether the order is in force, or an error.
     using EvacuationCallback = std::function<void(Result<Done>)>;
-    using ReadCallback = std::function<void(Result<RoutingDocument>)>;
+    using ReadCallback = std::function<void(Result<RoutingDocumentPtr>)>;
     /// Called with the whole state after each change, with no lock held.
     using ChangeListener = std::function<void(const FleetState&)>;
 
@@ -85,6 +85,8 @@
     ChangeListener listener_;
     FleetState state_ ABSL_GUARDED_BY(mutex_);
     std::vector<PendingPublish> publishes_ ABSL_GUARDED_BY(mutex_);
+    /// The document that was last read, as long as a reader holds it.
+    std::weak_ptr<const RoutingDocument> lastRead_ ABSL_GUARDED_BY(mutex_);
     std::vector<PendingRead> reads_ ABSL_GUARDED_BY(mutex_);
     std::vector<PendingEvacuation> evacuations_ ABSL_GUARDED_BY(mutex_);
     uint64_t evacuationOrders_ ABSL_GUARDED_BY(mutex_) = 0;
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -202,7 +202,7 @@
     group_->abandonEvacuation(number);
 }
 
-void FleetKeeper::readNewest(std::function<void(Result<RoutingDocument>)> done)
+void FleetKeeper::readNewest(std::function<void(Result<RoutingDocumentPtr>)> done)
 {
     group_->readNewest(std::move(done));
 }
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -44,7 +44,7 @@
     void publish(RoutingDocument, std::function<void(Result<RoutingVersion>)> done) override;
     EvacuationOrderNumber evacuate(const DataCentreId&, bool isEvacuated, std::function<void(Result<Done>)> done) override;
     void abandonEvacuation(EvacuationOrderNumber) override;
-    void readNewest(std::function<void(Result<RoutingDocument>)> done) override;
+    void readNewest(std::function<void(Result<RoutingDocumentPtr>)> done) override;
 
     void messageReceived(const DaemonId& from, PeerMessage) override;
     void receive(const DaemonId& from, const DaemonHeartbeat&);
--- a/Source/Model/Routing.h
+++ b/Source/Model/Routing.h
@@ -58,4 +58,7 @@
     friend bool operator==(const RoutingDocument&, const RoutingDocument&) = default;
 };
 
+/// A document that many readers share, since it may be large.
+using RoutingDocumentPtr = std::shared_ptr<const RoutingDocument>;
+
 } // namespace trefoilwing
--- a/Source/Ports/FleetOperations.h
+++ b/Source/Ports/FleetOperations.h
@@ -31,7 +31,7 @@
 
     /// @param done receives the newest table, or an error if this keeper can't
     /// confirm that it is the newest; may be called on any thread.
-    virtual void readNewest(std::function<void(Result<RoutingDocument>)> done) = 0;
+    virtual void readNewest(std::function<void(Result<RoutingDocumentPtr>)> done) = 0;
 };
 
 } // namespace trefoilwing
