--- a/Tests/Fleet/HostileClients.cpp
+++ b/Tests/Fleet/HostileClients.cpp
@@ -47,7 +47,7 @@
             return;
         // Little of an answer fits into the client's buffer, so that the server has to hold the rest.
         ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
-        ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        static_cast<void>(::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address));
         senders_.push_back({ descriptor, {}, 0, false });
         absl::SleepFor(absl::Milliseconds(1));
     }
