--- a/Source/Adapters/Wire/TcpPeerLink.h
+++ b/Source/Adapters/Wire/TcpPeerLink.h
@@ -74,6 +74,9 @@
     /// Drops frames of the peers with the most queued bytes until the process is within its budget.
     void shedQueues();
     void wakeThread();
+    void acceptPending(absl::Time now);
+    /// Closes the connections that hold the most until all hold no more than the maximum together.
+    void closeLargestReceivers();
     void removeClosed();
     void closeAll();
 
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -44,7 +44,7 @@
     void publish(RoutingDocument, std::function<void(Result<RoutingVersion>)> done) override;
     EvacuationOrderNumber evacuate(const DataCentreId&, bool isEvacuated, std::function<void(Result<Done>)> done) override;
     void abandonEvacuation(EvacuationOrderNumber) override;
-    void readNewest(std::function<void(Result<RoutingDocument>)> done) override;
+    void readNewest(std::function<void(Result<RoutingDocumentPtr>)> done) override;
 
     void messageReceived(const DaemonId& from, PeerMessage) override;
     void receive(const DaemonId& from, const DaemonHeartbeat&);
@@ -73,6 +73,8 @@
     FleetLink link_;
     SeededRandom logRandom_;
     HttpLoop loop_;
+    /// Of all listeners, whose connections share one budget.
+    const std::shared_ptr<ConnectionGuard> guard_;
     platform::ControlHandler controlHandler_;
     HttpListener control_;
     MetricsPage metricsPage_;
--- a/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
+++ b/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
@@ -73,3 +73,17 @@
     STRCMP_CONTAINS("fleet.yaml:8", errorOf(refused)->message.c_str());
     STRCMP_CONTAINS("second_choices", errorOf(refused)->message.c_str());
 }
+
+// Guards against a limit that is applied although it isn't set, and against one that leaves no connection.
+TEST(FleetSettingsLoader, TheDescriptorLimitIsOptionalAndChecked)
+{
+    const Result<FleetSettings> unset = parseFleetSettings(keeperSettings, "a.yaml");
+    CHECK(valueOf(unset));
+    LONGS_EQUAL(0, valueOf(unset)->maxDescriptors);
+    const Result<FleetSettings> set = parseFleetSettings(keeperSettings + "max_descriptors: 3075\n", "a.yaml");
+    CHECK(valueOf(set));
+    LONGS_EQUAL(3075, valueOf(set)->maxDescriptors);
+    const Result<FleetSettings> low = parseFleetSettings(keeperSettings + "max_descriptors: 63\n", "a.yaml");
+    CHECK(errorOf(low));
+    STRCMP_CONTAINS("a.yaml:8: max_descriptors", errorOf(low)->message.c_str());
+}
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -26,6 +26,10 @@
     void offerEvacuations() { offersEvacuations_ = true; }
     /// Sets the number of further cells that rejected jobs are offered to. Call this before startAll().
     void setSecondChoices(int count) { secondChoices_ = count; }
+    /// Sets the memory, in megabytes, in the settings of each process. Call this before startAll().
+    void setMemory(int megabytes) { memory_ = megabytes; }
+    /// Sets the maximum number of open descriptors of each process. Call this before startAll().
+    void setDescriptors(int descriptors) { descriptors_ = descriptors; }
     /// Adds minions, alternately to both data centres. Call this before startAll().
     void addMinions(int count);
     void startAll();
@@ -35,6 +39,8 @@
     std::string logOf(const std::string& name) const;
 
     Endpoint callers(const std::string& entry) const;
+    Endpoint peerPortOf(const std::string& name) const;
+    Endpoint readiness(const std::string& entry) const;
     Endpoint control(const std::string& keeper) const;
     static const std::vector<std::string>& entries();
     static const std::vector<std::string>& keepers();
@@ -71,6 +77,9 @@
     double cores_ = 1;
     bool offersEvacuations_ = false;
     int secondChoices_ = 0;
+    int memory_ = 256;
+    /// 0 leaves the limit that the processes inherit.
+    int descriptors_ = 0;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
