--- a/Tests/Platform/ControlHandlerTest.cpp
+++ b/Tests/Platform/ControlHandlerTest.cpp
@@ -24,7 +24,7 @@
     void minionReported(const MinionReport&) override { }
     void minionLeft(const MinionId&) override { }
     void publish(RoutingDocument, std::function<void(Result<RoutingVersion>)>) override { }
-    void readNewest(std::function<void(Result<RoutingDocument>)>) override { }
+    void readNewest(std::function<void(Result<RoutingDocumentPtr>)>) override { }
 
     EvacuationOrderNumber evacuate(const DataCentreId& dataCentre, bool isEvacuated, std::function<void(Result<Done>)> done) override
     {
