--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -52,6 +52,19 @@
         };
     }
 
+    YamlParser<AdmissionRule> admissionValue()
+    {
+        return [parse = textValue()](const YAML::Node& node, const std::string& path, YamlFaults& faults) -> std::optional<AdmissionRule> {
+            const std::optional<std::string> name = parse(node, path, faults);
+            if (!name)
+                return std::nullopt;
+            if (*name == "capacity")
+                return AdmissionRule::Capacity;
+            faults.add(node, path, "there is no admission rule of this name", "write capacity, or leave the key out");
+            return std::nullopt;
+        };
+    }
+
     YamlParser<std::optional<Endpoint>> optionalEndpointValue()
     {
         return [parse = endpointValue()](const YAML::Node& node, const std::string& path, YamlFaults& faults) -> std::optional<std::optional<Endpoint>> {
@@ -80,6 +93,7 @@
             optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
             optionalKey("evacuation_ms", &FleetSettings::evacuationMs, fractionValue(minEvacuationMs, maxEvacuationMs)),
             optionalKey("data_centres", &FleetSettings::dataCentres, dataCentresValue()),
+            optionalKey("admission", &FleetSettings::admission, admissionValue()),
         };
         return keys;
     }
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -53,7 +53,7 @@
         uint64_t CellTotals::*total;
     };
 
-    constexpr std::array<TotalRow, 9> totalRows { {
+    constexpr std::array<TotalRow, 13> totalRows { {
         { "cell_starts", &CellTotals::starts },
         { "cell_starts_repeated", &CellTotals::repeatedStarts },
         { "cell_runs_done", &CellTotals::done },
@@ -63,6 +63,10 @@
         { "cell_starts_without_room", &CellTotals::startsWithoutRoom },
         { "cell_holds", &CellTotals::renewals },
         { "cell_jobs_turned_down", &CellTotals::rejectedJobs },
+        { "cell_waits", &CellTotals::waits },
+        { "cell_wait_expected_ms", &CellTotals::expectedWaitMs },
+        { "cell_wait_actual_ms", &CellTotals::actualWaitMs },
+        { "cell_wait_error_ms", &CellTotals::waitErrorMs },
     } };
 
     /// Minimum resubmit delay that can be kept: entries claim their jobs every 250 ms, and a claim may be twice as old.
@@ -72,6 +76,7 @@
     {
         DispatchPolicy policy;
         policy.resubmitDelay = std::max(minResubmitDelay, absl::Milliseconds(settings.resubmitMs));
+        policy.admission = settings.admission;
         return policy;
     }
 
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Model/AdmissionRule.h"
 #include "Model/Identifiers.h"
 #include "Model/MinionMessages.h"
 
@@ -47,6 +48,8 @@
     double evacuationMs = 0;
     /// The data centres of the fleet, which operators may evacuate.
     std::vector<DataCentreId> dataCentres;
+    /// How an entry decides which jobs its cells accept.
+    AdmissionRule admission = AdmissionRule::AverageWait;
 
     friend bool operator==(const FleetSettings&, const FleetSettings&) = default;
 };
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -38,6 +38,7 @@
     , claimLimit_(policy)
     , ownedSince_(now)
     , chooser_(policy)
+    , admission_(makeAdmissionPolicy(policy, now))
 {
 }
 
@@ -272,6 +273,7 @@
     endEvacuatedJobs(now);
     sweepJobs(now);
     place(now);
+    reviewJobs(false, now);
     if (isSuperseded_)
         return;
     for (const auto& [id, minion] : minions_) {
@@ -296,9 +298,9 @@
     for (const auto& [id, minion] : minions_) {
         if (!minion->isUsable(now))
             continue;
-        load.totalMilliCores += usableMilliCores(minion->report().capacity.milliCores);
+        load.totalMilliCores += admission_->usableMilliCores(minion->report().capacity.milliCores);
         if (minion->allowsStart(now))
-            load.freeMilliCores += usableMilliCores(std::max<int64_t>(0, minion->free().milliCores));
+            load.freeMilliCores += admission_->startableMilliCores(std::max<int64_t>(0, minion->free().milliCores));
         load.completionsPerSecond += minion->completionsPerSecond();
     }
     for (const CellJob& job : jobs_) {
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Model/FleetMessages.h"
+#include "Placement/AdmissionPolicy.h"
 #include "Placement/DispatchPolicy.h"
 #include "Placement/JobOrder.h"
 #include "Placement/MinionChooser.h"
@@ -54,6 +55,12 @@
     uint64_t startsWithoutRoom = 0;
     uint64_t renewals = 0;
     uint64_t rejectedJobs = 0;
+    /// Number of admitted jobs that have started or were rejected later, their expected and actual waits until then, and
+    /// the sum of the differences without their signs, in milliseconds.
+    uint64_t waits = 0;
+    uint64_t expectedWaitMs = 0;
+    uint64_t actualWaitMs = 0;
+    uint64_t waitErrorMs = 0;
 };
 
 /// Schedules the jobs of one cell on behalf of its owner: admits or rejects jobs, decides which task starts on which
@@ -110,8 +117,6 @@
         absl::Time leaseExpiresBy;
     };
 
-    using JobList = boost::intrusive::list<CellJob>;
-
     // Jobs.
     CellJob* findJob(const JobKey&) const;
     /// @return the time of the claim that a message with this stamp makes; infinite past if it makes none.
@@ -133,10 +138,14 @@
     bool fitsAnyMinion(const ResourceVector& need) const;
     /// Whether a job that starts at the given time would end too late to be useful.
     bool cannotEndInTime(const CellJob&, absl::Time start) const;
-    absl::Duration expectedWait(const CellJob&, absl::Time now) const;
-    /// @return how much of the given capacity tasks of average size can use, in thousandths of a core.
-    int64_t usableMilliCores(int64_t milliCores) const;
-    absl::Duration retryAfter(absl::Duration wait);
+    CellState state(absl::Time now) { return { minions_, jobs_, order_, policy_, now }; }
+    /// Ends the jobs that the admission rule doesn't expect to end in time any more.
+    /// @param isUrgent whether more urgent work has arrived than some that is queued.
+    void reviewJobs(bool isUrgent, absl::Time now);
+    /// Ends a job that can't end in time, as not run if that is true.
+    void endLateJob(CellJob&, std::string_view reason, absl::Time now);
+    void recordWait(const CellJob&, absl::Time now);
+    absl::Duration retryAfter(const CellJob& job, absl::Duration wait, absl::Time now) { return admission_->retryAfter(state(now), job, wait, random_); }
 
     // Placement.
     void place(absl::Time now);
@@ -203,7 +212,7 @@
     MinionTable minions_;
     const MinionChooser chooser_;
     /// In order of arrival. The list holds one reference to each job.
-    JobList jobs_;
+    CellJobList jobs_;
     absl::flat_hash_map<JobKey, CellJob*> jobsByKey_;
     absl::flat_hash_map<DaemonId, absl::Time> entryContacts_;
     /// Cancels of offers that aren't known here, by entry and offer number, with the time at which they arrived. Offers
@@ -212,8 +221,7 @@
     /// Ended runs of an earlier owner whose jobs haven't been offered to this owner yet.
     absl::flat_hash_map<JobKey, std::vector<EndedRun>> unclaimedEnds_;
     std::vector<UnlistedStart> unlistedStarts_;
-    /// Moving average of the cores that a task needs, in thousandths of a core; 0 before the first job.
-    double averageMilliCores_ = 0;
+    const std::unique_ptr<AdmissionPolicy> admission_;
     CellTotals totals_;
     CellOutbox outbox_;
 };
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace trefoilwing {
 
@@ -14,8 +15,6 @@
     /// owners; they stay below 2^53, up to which every JSON reader represents integers exactly.
     constexpr uint64_t maxRunsPerEpoch = uint64_t { 1 } << 24U;
 
-    constexpr absl::Duration minRetryAfter = absl::Seconds(1);
-
     /// Maximum age of a claim that is logged; an unknown one is logged as this.
     constexpr absl::Duration maxLoggedAge = absl::Hours(1);
 
@@ -102,17 +101,18 @@
         endEvacuatedJobs(now);
         return;
     }
-    const auto milliCores = static_cast<double>(offer.need.milliCores);
-    averageMilliCores_ += (milliCores - averageMilliCores_) * (averageMilliCores_ > 0 ? policy_.needWeight : 1);
-    const absl::Duration wait = expectedWait(*job, now);
-    // If the job can start at once, its estimate alone is no reason to reject it.
-    if (!offer.isTakeover && wait > absl::ZeroDuration() && cannotEndInTime(*job, now + wait)) {
+    admission_->jobArrived(offer, now);
+    const AdmissionDecision decision = admission_->decide(state(now), *job);
+    job->expectedWait = decision.wait;
+    if (!offer.isTakeover && !decision.isAdmitted) {
         ++totals_.rejectedJobs;
-        logEvent("job_turned_down", offer.job, {}, absl::StrCat("reason=expected_wait wait_ms=", absl::ToInt64Milliseconds(wait), " estimate_ms=", absl::ToInt64Milliseconds(offer.estimate), " queued_jobs=", jobs_.size()));
-        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(wait));
+        logEvent("job_turned_down", offer.job, {}, absl::StrCat("reason=expected_wait wait_ms=", absl::ToInt64Milliseconds(decision.wait), " estimate_ms=", absl::ToInt64Milliseconds(offer.estimate), " queued_jobs=", jobs_.size()));
+        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(*job, decision.wait, now));
         return;
     }
     place(now);
+    if (job->queuedCount() > 0)
+        reviewJobs(true, now);
 }
 
 bool CellDispatcher::isLateOffer(const JobOffer& offer, const CellJob& open, absl::Time claimedAt, absl::Time now) const
@@ -135,7 +135,7 @@
     }
     logEvent("job_cancelled", cancel.job, {}, absl::StrCat("queued_tasks=", job->queuedCount()));
     // If no task has run here, the entry may still be able to report that no part of the job ran.
-    finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(absl::ZeroDuration()));
+    finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(*job, absl::ZeroDuration(), now));
     place(now);
 }
 
@@ -144,7 +144,7 @@
     const CellJobPtr keep(&job);
     job.isResultSent = true;
     jobsByKey_.erase(job.offer().job);
-    jobs_.erase(JobList::s_iterator_to(job));
+    jobs_.erase(CellJobList::s_iterator_to(job));
     intrusive_ptr_release(&job);
     const absl::Duration queued = std::min(job.firstStart, now) - job.offeredAt();
     outbox_.messages.push_back({ job.entry(), JobResult { job.offer().job, job.offer().offerNumber, end, retryAfter, queued } });
@@ -165,59 +165,48 @@
 
 bool CellDispatcher::cannotEndInTime(const CellJob& job, absl::Time start) const
 {
-    return start + policy_.minRemainingFraction * job.offer().estimate > job.usefulUntil();
+    return job.isTooLateToStart(start, policy_.minRemainingFraction);
 }
 
-int64_t CellDispatcher::usableMilliCores(int64_t milliCores) const
+void CellDispatcher::sweepJobs(absl::Time now)
 {
-    const auto average = static_cast<int64_t>(averageMilliCores_);
-    return average > 0 ? milliCores / average * average : milliCores;
+    std::vector<CellJobPtr> ending;
+    for (CellJob& job : jobs_) {
+        const bool isPastUsefulStart = !job.hasStarted && cannotEndInTime(job, now);
+        if (isPastUsefulStart || now >= job.timeoutAt())
+            ending.emplace_back(&job);
+    }
+    for (const CellJobPtr& job : ending)
+        endLateJob(*job, "out_of_time", now);
 }
 
-absl::Duration CellDispatcher::expectedWait(const CellJob& job, absl::Time now) const
+void CellDispatcher::endLateJob(CellJob& job, std::string_view reason, absl::Time now)
 {
-    int64_t totalMilliCores = 0;
-    int64_t fitting = 0;
-    for (const auto& [id, minion] : minions_) {
-        if (!minion->isUsable(now))
-            continue;
-        totalMilliCores += usableMilliCores(minion->report().capacity.milliCores);
-        if (job.offer().need.milliCores > 0 && minion->allowsStart(now))
-            fitting += minion->free().milliCores / job.offer().need.milliCores;
-    }
-    if (totalMilliCores == 0)
-        return policy_.takeoverTimeout;
-    const double rank = order_.rank(job, now);
-    int64_t aheadCoreMs = 0;
-    for (const CellJob& other : jobs_) {
-        if (&other != &job && order_.rank(other, now) <= rank)
-            aheadCoreMs += other.queuedCoreMs();
-    }
-    const int64_t ownCoreMs = aheadCoreMs == 0 && fitting >= static_cast<int64_t>(job.queuedCount()) ? 0 : job.queuedCoreMs();
-    return absl::Milliseconds((aheadCoreMs + ownCoreMs) * 1000 / totalMilliCores);
+    const JobEnd end = job.mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
+    totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
+    logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job.offer().job, {}, absl::StrCat("reason=", std::string(reason), " age_ms=", absl::ToInt64Milliseconds(now - job.offeredAt()), " queued_tasks=", job.queuedCount()));
+    if (!job.hasStarted)
+        recordWait(job, now);
+    finish(job, end, now, retryAfter(job, absl::ZeroDuration(), now));
 }
 
-absl::Duration CellDispatcher::retryAfter(absl::Duration wait)
+void CellDispatcher::reviewJobs(bool isUrgent, absl::Time now)
 {
-    // Random jitter of up to the same duration, so that callers rejected together don't retry together.
-    const absl::Duration base = std::max(wait, minRetryAfter);
-    return base + base * random_.unit();
+    const std::vector<JobWithdrawal> withdrawals = admission_->review(state(now), isUrgent);
+    for (const auto& [job, reason] : withdrawals)
+        endLateJob(*job, reason, now);
+    if (!withdrawals.empty())
+        place(now);
 }
 
-void CellDispatcher::sweepJobs(absl::Time now)
+void CellDispatcher::recordWait(const CellJob& job, absl::Time now)
 {
-    std::vector<CellJobPtr> ending;
-    for (CellJob& job : jobs_) {
-        const bool isPastUsefulStart = !job.hasStarted && cannotEndInTime(job, now);
-        if (isPastUsefulStart || now >= job.timeoutAt())
-            ending.emplace_back(&job);
-    }
-    for (const CellJobPtr& job : ending) {
-        const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
-        totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
-        logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=out_of_time age_ms=", absl::ToInt64Milliseconds(now - job->offeredAt()), " queued_tasks=", job->queuedCount()));
-        finish(*job, end, now, retryAfter(absl::ZeroDuration()));
-    }
+    const int64_t expected = absl::ToInt64Milliseconds(job.expectedWait);
+    const int64_t actual = absl::ToInt64Milliseconds(now - job.offeredAt());
+    ++totals_.waits;
+    totals_.expectedWaitMs += static_cast<uint64_t>(expected);
+    totals_.actualWaitMs += static_cast<uint64_t>(actual);
+    totals_.waitErrorMs += static_cast<uint64_t>(std::abs(expected - actual));
 }
 
 bool CellDispatcher::isClaimOver(const CellJob& job, absl::Time now) const
@@ -268,7 +257,7 @@
         const JobEnd end = job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected;
         totals_.rejectedJobs += end == JobEnd::Rejected ? 1 : 0;
         logEvent(end == JobEnd::GivenUp ? "job_given_up" : "job_turned_down", job->offer().job, {}, absl::StrCat("reason=evacuated queued_tasks=", job->queuedCount()));
-        finish(*job, end, now, retryAfter(absl::ZeroDuration()));
+        finish(*job, end, now, retryAfter(*job, absl::ZeroDuration(), now));
     }
 }
 
@@ -340,6 +329,8 @@
     added.leaseEndMs = minion->renewLease(now);
     sendStart(*minion, added);
     task.state = TaskState::Active;
+    if (!job.hasStarted)
+        recordWait(job, now);
     job.firstStart = std::min(job.firstStart, now);
     job.hasStarted = true;
     ++totals_.starts;
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -51,6 +51,10 @@
     /// Total work of the queued tasks in core-milliseconds, by the caller's estimate.
     int64_t queuedCoreMs() const;
 
+    /// Whether a start at the given time would leave less than a fraction of the estimated run time until the result is
+    /// useless.
+    bool isTooLateToStart(absl::Time start, double minRemainingFraction) const { return start + minRemainingFraction * offer_.estimate > usefulUntil_; }
+
     /// Whether a task may have run, under this owner or an earlier one. The job can't be rejected as not run then.
     bool mayHaveRun() const { return hasStarted || offer_.isTakeover || hasRunBefore; }
 
@@ -59,6 +63,8 @@
     /// Whether a start order for any task may have been sent.
     bool hasStarted = false;
     absl::Time firstStart = absl::InfiniteFuture();
+    /// The time until the first start that was expected at the job's arrival.
+    absl::Duration expectedWait;
     /// Whether runs of an earlier submission or offer of the job may still be in progress; nothing starts until they have ended.
     bool hasEarlierRuns = false;
     /// Whether a task may have run by an earlier submission of the job.
@@ -77,5 +83,6 @@
 };
 
 using CellJobPtr = boost::intrusive_ptr<CellJob>;
+using CellJobList = boost::intrusive::list<CellJob>;
 
 } // namespace trefoilwing
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "Model/AdmissionRule.h"
+
 #include <absl/time/time.h>
 
 #include <cstddef>
@@ -82,6 +84,7 @@
     /// Time for which an owner that learns that its cell's data centre is evacuated still starts the other tasks of jobs that
     /// have begun. It is a small part of the time within which evacuations must be in force.
     absl::Duration evacuationGrace = absl::Milliseconds(500);
+    AdmissionRule admission = AdmissionRule::AverageWait;
     /// Maximum number of jobs considered in one placement round.
     size_t maxJobsPerRound = 64;
 };
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -118,6 +118,16 @@
     return next;
 }
 
+absl::Duration LeasedMinion::minRemainder(const Run& run, absl::Time now) const
+{
+    constexpr uint32_t wholeProgress = 100;
+    if (run.progress > 0) {
+        const absl::Duration remainder = (run.progressAt - run.startedAt) * (wholeProgress - std::min(run.progress, wholeProgress)) / run.progress;
+        return remainder * policy_.minRemainingFraction - (now - run.progressAt);
+    }
+    return run.job ? expectedTime(run.job->offer().estimate) * policy_.minRemainingFraction - (now - run.startedAt) : absl::ZeroDuration();
+}
+
 void LeasedMinion::recordRunTime(absl::Duration estimate, absl::Duration taken)
 {
     if (estimate <= absl::ZeroDuration())
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -87,6 +87,8 @@
     void recordRunTime(absl::Duration estimate, absl::Duration taken);
     /// @return the expected run time of a task on this minion.
     absl::Duration expectedTime(absl::Duration estimate) const { return estimate * slowness_; }
+    /// @return the time that a run lasts still at least, by its progress or else by the expected time; estimates are rough.
+    absl::Duration minRemainder(const Run&, absl::Time now) const;
     /// @return the learned ratio of run times on this minion to the callers' estimates.
     double slowness() const { return slowness_; }
     /// @return the expected number of runs that end per second.
