--- a/Source/Placement/AdmissionPolicy.h
+++ b/Source/Placement/AdmissionPolicy.h
@@ -39,7 +39,7 @@
     /// @param isUrgent whether more urgent work has arrived, so that the queue must be looked at again at once.
     virtual std::vector<JobWithdrawal> review(const CellState&, bool isUrgent) = 0;
     /// @return the time after which the caller of a rejected job may retry.
-    /// @param wait the expected wait if it is known.
+    /// @param wait the wait that the decision on the job expected; zero if it was accepted.
     virtual absl::Duration retryAfter(const CellState&, const CellJob&, absl::Duration wait, Random&) = 0;
 
     /// @return how much of a minion's capacity tasks can use, in thousandths of a core.
--- a/Source/Placement/CapacityAdmission.cpp
+++ b/Source/Placement/CapacityAdmission.cpp
@@ -12,8 +12,8 @@
     constexpr absl::Duration reviewInterval = absl::Milliseconds(20);
     constexpr absl::Duration urgentReviewInterval = absl::Milliseconds(5);
 
-    /// Margin on expected waits, as a fraction, for jobs that wait. In a burst of 2.2 times the capacity it halves the jobs
-    /// that are rejected after waiting, at the same number of jobs in time; twice the margin costs jobs in time.
+    /// Margin on expected waits, as a fraction, at which jobs are accepted under overload. Waits differ from their forecasts
+    /// by about half; a larger margin rejects jobs that would end in time.
     constexpr double waitMargin = 0.25;
 
     /// Ratio of the work that arrives to the work that the cell completes from which jobs are accepted only if they are
@@ -28,6 +28,8 @@
     /// Share of the cell's capacity that is always taken to be left for a priority, so that Retry-After stays finite.
     constexpr double minShareLeft = 0.05;
 
+    constexpr double retryJitter = 0.25;
+
     double coreSeconds(int64_t coreMs)
     {
         return static_cast<double>(coreMs) / 1000;
@@ -144,8 +146,9 @@
 {
     const double rate = rateLeftFor(state, job.offer().priority);
     const absl::Duration work = rate > 0 ? absl::Seconds(coreSeconds(job.queuedCoreMs()) / rate) : absl::ZeroDuration();
-    // The jitter spreads callers of several cells that reserve the same time.
-    return retries_.reserve(job.offer().priority, wait, work, state.now) + absl::Seconds(1) * random.unit();
+    const absl::Duration reserved = retries_.reserve(job.offer().priority, std::max(wait, backlogTime(state, job)), work, state.now);
+    // The jitter spreads callers who get the longest time, and those of several cells that reserve the same time.
+    return reserved + std::max(absl::Seconds(1), reserved * retryJitter) * random.unit();
 }
 
 } // namespace trefoilwing
--- a/Tests/Adapters/Yaml/SettingsLoaderTest.cpp
+++ b/Tests/Adapters/Yaml/SettingsLoaderTest.cpp
@@ -1,3 +1,4 @@
+#include "Adapters/Yaml/FleetSettingsLoader.h"
 #include "Adapters/Yaml/SettingsLoader.h"
 
 #include <CppUTest/TestHarness.h>
@@ -95,3 +96,25 @@
     CHECK_TRUE(errorOf(missing));
     checkHolds(errorOf(missing)->message, "no-such-file.yaml:1: the file can't be opened (No such file or directory)");
 }
+
+TEST_GROUP(FleetAdmissionSetting)
+{
+    const std::string entrySettings = "node: a\naddress: 127.0.0.1\ndata_centre: bole\npeer_port: 7000\nseeds: []\ncallers: 127.0.0.1:8000\n";
+};
+
+// A missing key must not change which jobs an entry accepts.
+TEST(FleetAdmissionSetting, IsTheAverageWaitUnlessCapacityIsNamed)
+{
+    const Result<FleetSettings> missing = parseFleetSettings(entrySettings, "a.yaml");
+    const Result<FleetSettings> named = parseFleetSettings(entrySettings + "admission: capacity\n", "a.yaml");
+    CHECK(std::get<FleetSettings>(missing).admission == AdmissionRule::AverageWait);
+    CHECK(std::get<FleetSettings>(named).admission == AdmissionRule::Capacity);
+}
+
+TEST(FleetAdmissionSetting, AnUnknownRuleIsRefusedWithItsLine)
+{
+    const Result<FleetSettings> result = parseFleetSettings(entrySettings + "admission: best\n", "a.yaml");
+    checkHolds(errorOf(result)->message, "a.yaml:7");
+    checkHolds(errorOf(result)->message, "admission");
+    checkHolds(errorOf(result)->message, "write capacity");
+}
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -8,11 +8,19 @@
     const DaemonRun owner { entry, Incarnation(1) };
     const CellId cellId { ServiceId("service"), DataCentreId("centre") };
 
+    DispatchPolicy policyWith(AdmissionRule rule)
+    {
+        DispatchPolicy policy;
+        policy.admission = rule;
+        return policy;
+    }
+
 } // namespace
 
-CellFixture::CellFixture(uint64_t epoch, absl::Time now)
+CellFixture::CellFixture(uint64_t epoch, absl::Time now, AdmissionRule rule)
     : now_(now)
-    , cell_({ cellId, owner, OwnerEpoch(epoch) }, policy_, order_, random_, now_)
+    , policy_(policyWith(rule))
+    , cell_({ cellId, owner, OwnerEpoch(epoch) }, policy_, rule == AdmissionRule::Capacity ? static_cast<const JobOrder&>(byPriority_) : bySlack_, random_, now_)
 {
     cell_.setMinionsKnown(true);
 }
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -16,7 +16,8 @@
 public:
     /// @param epoch the epoch of the owner.
     /// @param now the time at which it becomes the owner.
-    explicit CellFixture(uint64_t epoch = 5, absl::Time now = absl::FromUnixSeconds(1000));
+    /// @param rule the rule by which it accepts jobs; by the other one than the default, jobs are placed by priority.
+    explicit CellFixture(uint64_t epoch = 5, absl::Time now = absl::FromUnixSeconds(1000), AdmissionRule rule = AdmissionRule::AverageWait);
 
     /// Adds a minion and answers its first lease renewal.
     void addMinion(const std::string& id, int64_t milliCores = 16000);
@@ -70,7 +71,8 @@
     /// When the entry last read a load report; unset if it reads each at once.
     std::optional<absl::Time> lastLoadReadAt_;
     DispatchPolicy policy_;
-    LeastSlackFirst order_;
+    LeastSlackFirst bySlack_;
+    PriorityFirst byPriority_;
     SeededRandom random_ { 1 };
     CellDispatcher cell_;
     /// The offers that the entry's heartbeats claim.
