--- a/Source/Placement/CapacityAdmission.cpp
+++ b/Source/Placement/CapacityAdmission.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    /// Minimum interval of reviews: a forecast of a full queue takes up to some tenths of a millisecond.
+    /// Minimum interval of reviews: a forecast of a full queue takes some tenths of a millisecond.
     constexpr absl::Duration reviewInterval = absl::Milliseconds(20);
     constexpr absl::Duration urgentReviewInterval = absl::Milliseconds(5);
 
--- a/Source/Placement/CapacityModel.cpp
+++ b/Source/Placement/CapacityModel.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     /// Number of sizes that are packed, and the number of queued tasks among which one that fits is looked for. A queue
-    /// at a peak holds more tasks; looking among more than 16 changes the result by less than 1 %.
+    /// at a peak holds more tasks; looking among twice as many adds about 1 %.
     constexpr size_t sampleCount = 64;
     constexpr size_t queueLookahead = 16;
     /// The sizes are ordered anew by this stride, which has no common divisor with their number, so that tasks of one
--- a/Source/Placement/PlacementForecast.cpp
+++ b/Source/Placement/PlacementForecast.cpp
@@ -9,9 +9,9 @@
     /// Maximum number of steps, which bounds the time that a forecast takes. What is open by then counts as too late.
     constexpr size_t maxSteps = 4000;
 
-    /// Time that a run is expected to last still if it has lasted longer than expected, as a fraction of the expected
-    /// time.
-    constexpr double overdueFraction = 0.1;
+    /// Minimum time that a run is expected to last still, as a fraction of the expected time. A run that is overdue is
+    /// expected to last still as long as it is overdue, since its minion may hang.
+    constexpr double minRemainder = 0.1;
 
     /// Time for which a run whose job isn't known, or that is being stopped, is expected to last still.
     constexpr absl::Duration unknownRemainder = absl::Milliseconds(60);
@@ -21,7 +21,8 @@
         if (!run.job || run.state == RunState::Stopping)
             return now + unknownRemainder;
         const absl::Duration expected = minion.expectedTime(run.job->offer().estimate);
-        return std::max(run.startedAt + expected, now + expected * overdueFraction);
+        const absl::Time end = run.startedAt + expected;
+        return now + std::max({ end - now, now - end, expected * minRemainder });
     }
 
 } // namespace
