--- a/Source/Placement/PlacementForecast.cpp
+++ b/Source/Placement/PlacementForecast.cpp
@@ -41,11 +41,11 @@
     }
 }
 
-void PlacementForecast::insert(Waiting waiting)
+void PlacementForecast::insert(const Waiting& waiting)
 {
     minMilliCores_ = minMilliCores_ == 0 ? waiting.need.milliCores : std::min(minMilliCores_, waiting.need.milliCores);
     const auto position = std::upper_bound(waiting_.begin(), waiting_.end(), waiting.rank, [](double rank, const Waiting& other) { return rank < other.rank; });
-    waiting_.insert(position, std::move(waiting));
+    waiting_.insert(position, waiting);
 }
 
 void PlacementForecast::add(CellJob& job, double rank, absl::Time limit)
--- a/Source/Placement/PlacementForecast.h
+++ b/Source/Placement/PlacementForecast.h
@@ -65,7 +65,7 @@
     void fillAll(absl::Time at);
     void arrive(Stream&);
     bool waitsForFaster(const Waiting&, const Place&, absl::Time at) const;
-    void insert(Waiting);
+    void insert(const Waiting&);
     void drop(const Waiting&);
     /// Records that an added job is placed completely or dropped.
     void settle(size_t forecast);
