--- a/Tests/Placement/BurstLoad.cpp
+++ b/Tests/Placement/BurstLoad.cpp
@@ -1,5 +1,6 @@
 #include "Placement/BurstLoad.h"
 
+#include <algorithm>
 #include <array>
 
 namespace trefoilwing {
@@ -89,7 +90,7 @@
 {
     int64_t room = 0;
     for (const auto& [id, minion] : minions_)
-        room += minion.free / milliCores;
+        room += std::min(minion.free, minion.freeBefore) / milliCores;
     return room >= tasks;
 }
 
@@ -206,8 +207,10 @@
         cell_.tick(now_);
         collect();
     }
-    for (auto& [id, minion] : minions_)
+    for (auto& [id, minion] : minions_) {
+        minion.freeBefore = minion.free;
         advanceMinion(id, minion);
+    }
 }
 
 } // namespace trefoilwing
--- a/Tests/Placement/BurstLoad.h
+++ b/Tests/Placement/BurstLoad.h
@@ -47,6 +47,8 @@
         int64_t milliCores = 0;
         double speed = 1;
         int64_t free = 0;
+        /// What was free before the last step: the owner learns of ended runs one step later.
+        int64_t freeBefore = 0;
         std::map<RunId, FakeRun> runs;
         std::vector<EndedRun> ended;
         uint64_t lastEnd = 0;
