Don't stop runs for their estimates alone

Cause: a job with an estimate longer than its caller waits was accepted with cores free, started and given up at the next review, though estimates are rough. Change: only the reported progress counts. The test fails without the rule that accepts a job that can start at once.

--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -121,11 +121,10 @@
 absl::Duration LeasedMinion::minRemainder(const Run& run, absl::Time now) const
 {
     constexpr uint32_t wholeProgress = 100;
-    if (run.progress > 0) {
-        const absl::Duration remainder = (run.progressAt - run.startedAt) * (wholeProgress - std::min(run.progress, wholeProgress)) / run.progress;
-        return remainder * policy_.minRemainingFraction - (now - run.progressAt);
-    }
-    return run.job ? expectedTime(run.job->offer().estimate) * policy_.minRemainingFraction - (now - run.startedAt) : absl::ZeroDuration();
+    if (run.progress == 0)
+        return absl::ZeroDuration();
+    const absl::Duration remainder = (run.progressAt - run.startedAt) * (wholeProgress - std::min(run.progress, wholeProgress)) / run.progress;
+    return remainder * policy_.minRemainingFraction - (now - run.progressAt);
 }
 
 void LeasedMinion::recordRunTime(absl::Duration estimate, absl::Duration taken)
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -87,7 +87,8 @@
     void recordRunTime(absl::Duration estimate, absl::Duration taken);
     /// @return the expected run time of a task on this minion.
     absl::Duration expectedTime(absl::Duration estimate) const { return estimate * slowness_; }
-    /// @return the time that a run lasts still at least, by its progress or else by the expected time; estimates are rough.
+    /// @return the time that a run lasts still at least, by its progress; zero if it has reported none, as estimates alone are
+    /// too rough to stop a run.
     absl::Duration minRemainder(const Run&, absl::Time now) const;
     /// @return the learned ratio of run times on this minion to the callers' estimates.
     double slowness() const { return slowness_; }
--- a/Tests/Placement/CapacityAdmissionTest.cpp
+++ b/Tests/Placement/CapacityAdmissionTest.cpp
@@ -128,6 +128,15 @@
     }
 };
 
+// Estimates are rough: they alone are no reason to reject a job, or to stop its runs, while cores are free.
+TEST(CapacityAdmission, AJobWithALongEstimateStartsIfResourcesAreFree)
+{
+    offer("job", offerOf(8000, absl::Seconds(5), 1));
+    LONGS_EQUAL(2, fixture.takeStarts().size());
+    fixture.advance(absl::Milliseconds(40));
+    CHECK(fixture.takeResults().empty());
+}
+
 TEST(CapacityAdmission, AJobThatCanWaitForItsCoresIsAccepted)
 {
     offer("running", offerOf(8000, absl::Milliseconds(60), 0));
