Check the memory bound of hostile clients in the plain build only

AddressSanitizer's shadow memory and quarantine are part of the peak that the tests measure: three of them held 115, 132 and 164 MB of at most 96 in the sanitized build, and pass in the plain one. There the bound is checked as before; the sanitized build still checks that the processes live, their descriptors and the ordinary request.

--- a/Tests/Fleet/FleetConnectionsTest.cpp
+++ b/Tests/Fleet/FleetConnectionsTest.cpp
@@ -17,6 +17,13 @@
 
 /// The memory in the settings of each process, and the bound of what it may ever hold.
 constexpr int memoryMegabytes = 96;
+#if defined(__SANITIZE_ADDRESS__)
+/// With AddressSanitizer the measured memory includes its shadow memory and its quarantine of freed blocks, so only the
+/// plain build checks the bound.
+constexpr bool measuresMemory = false;
+#else
+constexpr bool measuresMemory = true;
+#endif
 /// The limit of each process's descriptors, and the bound of those that it may have open under an attack: some must be
 /// left for its own connections and files.
 constexpr int descriptorLimit = 200;
@@ -78,7 +85,7 @@
         absl::SleepFor(settlingTime);
         CHECK_TEXT(!fleet.node(name).await(absl::ZeroDuration()), "the process is alive");
         const uint64_t peak = peakMegabytes(fleet.node(name));
-        CHECK_TEXT(peak > 0 && peak <= memoryMegabytes, absl::StrCat(name, " held ", peak, " MB").c_str());
+        CHECK_TEXT(peak > 0 && (!measuresMemory || peak <= memoryMegabytes), absl::StrCat(name, " held ", peak, " MB").c_str());
     }
 
     void checkEntry()
