--- a/Source/Control/ReplicatedFleet.cpp
+++ b/Source/Control/ReplicatedFleet.cpp
@@ -79,7 +79,7 @@
         return;
     const Evacuation inForce = state_.evacuationOf(record.dataCentre);
     const bool isDone = inForce.isEvacuated == record.isEvacuated;
-    // The order is repeated even if its state is in force already: without a revision of its own it wouldn't fend off an
+    // The order is repeated even if its state is in force already: without a revision of its own it wouldn't rule out an
     // opposite order that is still on its way.
     if (!isApplied && !pending->isRepeated && now() < pending->deadline) {
         pending->isRepeated = true;
