--- a/Tests/Adapters/Msgpack/CodecTest.cpp
+++ b/Tests/Adapters/Msgpack/CodecTest.cpp
@@ -40,6 +40,26 @@
     visit(value.address, value.port, value.name);
 }
 
+/// A keeper's update and snapshot as the version before evacuations encodes them.
+struct EarlierUpdate {
+    FleetUpdate update;
+};
+
+void visitFields(auto&& visit, Fields<EarlierUpdate> auto& value)
+{
+    auto& update = value.update;
+    visit(update.keeper, update.isLeading, update.number, update.since, update.routing, update.grants, update.minions, update.gone, update.daemons, update.changedDaemons, update.lostDaemons, update.newestGrant, update.table);
+}
+
+struct EarlierChunk {
+    FleetChunk chunk;
+};
+
+void visitFields(auto&& visit, Fields<EarlierChunk> auto& value)
+{
+    visit(value.chunk.routing, value.chunk.grants, value.chunk.minions, value.chunk.departed);
+}
+
 } // namespace
 
 TEST_GROUP(Codec) {};
@@ -135,6 +155,30 @@
     CHECK(valueOf(decoded) && valueOf(decoded)->port == 80 && !valueOf(decoded)->name);
 }
 
+TEST(Codec, EvacuationsSurvive)
+{
+    const DaemonRun run { DaemonId("10.0.0.1"), Incarnation(5) };
+    const Evacuation evacuation { DataCentreId("bole"), EvacuationRevision(7), true };
+    FleetUpdate update;
+    update.evacuations = { evacuation };
+    CHECK(survives(PeerMessage(update)));
+    CHECK(survives(LogEntry { LogIndex(8), Term(2), EvacuationRecord { DataCentreId("bole"), true, EvacuationRevision(7), run, 3 } }));
+    CHECK(survives(SnapshotChunk(FleetChunk { {}, {}, {}, {}, { evacuation } })));
+}
+
+// Guards against a fleet that can't be upgraded while it runs, and against keepers that can't read their disks afterwards.
+TEST(Codec, MessagesAndSnapshotsFromBeforeEvacuationsAreRead)
+{
+    const DaemonRun run { DaemonId("10.0.0.1"), Incarnation(5) };
+    const CellGrant grant { { ServiceId("quotes"), DataCentreId("bole"), { 2, 5 } }, run, OwnerEpoch(7) };
+    const FleetUpdate update { Incarnation(5), true, 8, 2, std::nullopt, { grant }, {}, {}, std::nullopt, {}, { run.daemon }, OwnerEpoch(9), std::nullopt, {} };
+    const Result<FleetUpdate> decodedUpdate = decode<FleetUpdate>(encode(EarlierUpdate { update }));
+    CHECK(valueOf(decodedUpdate) && *valueOf(decodedUpdate) == update);
+    const FleetChunk chunk { RoutingDocument { RoutingVersion(4), "{}" }, { grant }, {}, { { MinionId("m-1"), MinionStartTime(3) } }, {} };
+    const Result<FleetChunk> decodedChunk = decode<FleetChunk>(encode(EarlierChunk { chunk }));
+    CHECK(valueOf(decodedChunk) && *valueOf(decodedChunk) == chunk);
+}
+
 TEST(Codec, RefusesWhatIsNoMessage)
 {
     CHECK(isRefused<PeerMessage>(""));
--- /dev/null
+++ b/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
@@ -0,0 +1,60 @@
+#include "Adapters/Yaml/FleetSettingsLoader.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace trefoilwing;
+
+namespace {
+
+const std::string keeperSettings = "node: keeper-1\n"
+                                   "address: 10.0.0.1\n"
+                                   "data_centre: bole\n"
+                                   "peer_port: 7720\n"
+                                   "seeds: ['10.0.0.1:8166']\n"
+                                   "control: 10.0.0.1:8166\n"
+                                   "data_folder: data\n";
+
+std::string faultsOf(const std::string& added)
+{
+    const Result<FleetSettings> result = parseFleetSettings(keeperSettings + added, "a.yaml");
+    const Error* error = errorOf(result);
+    return error ? error->message : "";
+}
+
+void checkHolds(const std::string& added, const std::string& part)
+{
+    STRCMP_CONTAINS(part.c_str(), faultsOf(added).c_str());
+}
+
+} // namespace
+
+TEST_GROUP(FleetSettingsLoader) {};
+
+TEST(FleetSettingsLoader, WithoutTheSettingOperatorsCantEvacuate)
+{
+    const Result<FleetSettings> settings = parseFleetSettings(keeperSettings, "a.yaml");
+    CHECK(valueOf(settings));
+    DOUBLES_EQUAL(0, valueOf(settings)->evacuationMs, 0);
+    CHECK(valueOf(settings)->dataCentres.empty());
+}
+
+TEST(FleetSettingsLoader, TheDataCentresThatMayBeEvacuatedAreRead)
+{
+    const Result<FleetSettings> settings = parseFleetSettings(keeperSettings + "evacuation_ms: 5000\ndata_centres: [\"bole\",\"merkato\"]\n", "a.yaml");
+    CHECK(valueOf(settings));
+    DOUBLES_EQUAL(5000, valueOf(settings)->evacuationMs, 0);
+    CHECK(valueOf(settings)->dataCentres == (std::vector<DataCentreId> { DataCentreId("bole"), DataCentreId("merkato") }));
+}
+
+// Guards against settings with which every order is refused although operators rely on them.
+TEST(FleetSettingsLoader, FaultsOfEvacuationNameFileLineKeyAndRemedy)
+{
+    checkHolds("evacuation_ms: 5000\n", "data_centres");
+    checkHolds("evacuation_ms: 5000\n", "list all data centres");
+    checkHolds("evacuation_ms: 5000\ndata_centres: []\n", "data_centres");
+    checkHolds("evacuation_ms: 5000\ndata_centres: bole\n", "a.yaml:9");
+    checkHolds("evacuation_ms: 5000\ndata_centres: bole\n", "write [NAME, ...]");
+    checkHolds("evacuation_ms: 5000\ndata_centres: [bole, '']\n", "a.yaml:9");
+    checkHolds("evacuation_ms: soon\ndata_centres: [bole]\n", "evacuation_ms");
+    checkHolds("evacuation_ms: 3\ndata_centres: [bole]\n", "evacuation_ms");
+}
--- a/Tests/Control/FleetRegistryTest.cpp
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -355,3 +355,38 @@
     setLogged({ 5, 6 });
     LONGS_EQUAL(3, registry.minionCount());
 }
+
+// Guards against a keeper that takes an order back because it applies an earlier state late.
+TEST(FleetRegistry, AnOrderToEvacuateIsSentAtOnceAndNoOlderOneReplacesIt)
+{
+    const DataCentreId away("away");
+    const Evacuation newer { away, EvacuationRevision(7), true };
+    addEntry(1);
+    settle();
+    registry.setEvacuations({ { away, newer } });
+    CHECK(take()[entryId(1)].evacuations == std::vector<Evacuation> { newer });
+    registry.setEvacuations({ { away, { away, EvacuationRevision(5), false } } });
+    CHECK_FALSE(take().contains(entryId(1)));
+    addEntry(2);
+    CHECK(take()[entryId(2)].evacuations == std::vector<Evacuation> { newer });
+}
+
+// Guards against an order that isn't in force at an entry because one message to it was lost.
+TEST(FleetRegistry, AnOrderToEvacuateThatIsntConfirmedIsSentAgainAndGrantsBringIt)
+{
+    const DataCentreId away("away");
+    addEntry(1);
+    settle();
+    registry.setEvacuations({ { away, { away, EvacuationRevision(7), true } } });
+    LONGS_EQUAL(1, take()[entryId(1)].evacuations.size());
+    const CellId cell { ServiceId("service"), away };
+    registry.setGrants({ { cell, { cell, { entryId(1), Incarnation(3) }, OwnerEpoch(9) } } });
+    const FleetUpdate withGrant = take()[entryId(1)];
+    LONGS_EQUAL(1, withGrant.grants.size());
+    LONGS_EQUAL(1, withGrant.evacuations.size());
+    for (int round = 0; round < 3; ++round) {
+        now += beat;
+        sendHeartbeats();
+    }
+    LONGS_EQUAL(1, take()[entryId(1)].evacuations.size());
+}
--- a/Tests/Fleet/Fleet.cpp
+++ b/Tests/Fleet/Fleet.cpp
@@ -134,6 +134,8 @@
     for (const std::string& keeper : keepers())
         file << (keeper == keepers().front() ? "" : ", ") << '"' << addressOf(keeper) << ':' << controlPort << '"';
     file << "]\n";
+    if (offersEvacuations_)
+        file << "evacuation_ms: 5000\ndata_centres: [bole, merkato]\n";
     if (row.isKeeper)
         file << "control: \"" << addressOf(name) << ':' << controlPort << "\"\ndata_folder: " << folder_ << "/" << name << "\n";
     else
@@ -169,6 +171,29 @@
     return false;
 }
 
+bool Fleet::evacuate(const std::string& dataCentre, bool isEvacuated)
+{
+    const absl::Time end = absl::Now() + serviceTimeout;
+    while (absl::Now() < end) {
+        for (const std::string& keeper : keepers()) {
+            if (caller_.call(control(keeper), isEvacuated ? "POST" : "DELETE", "/evacuations/" + dataCentre).status == 200)
+                return true;
+        }
+        absl::SleepFor(pollInterval);
+    }
+    return false;
+}
+
+bool Fleet::awaitEvacuation(const std::string& dataCentre, bool isEvacuated) const
+{
+    const std::string line = absl::StrCat("event=evacuation_in_force data_centre=", dataCentre, " evacuated=", isEvacuated ? "yes" : "no");
+    const auto isInForce = [&](const std::string& entry) { return absl::StrContains(logOf(entry), line); };
+    const absl::Time end = absl::Now() + serviceTimeout;
+    while (!std::all_of(entries().begin(), entries().end(), isInForce) && absl::Now() < end)
+        absl::SleepFor(pollInterval);
+    return std::all_of(entries().begin(), entries().end(), isInForce);
+}
+
 bool Fleet::awaitService(const std::vector<std::string>& entries)
 {
     const absl::Time end = absl::Now() + serviceTimeout;
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -22,6 +22,8 @@
 
     /// Sets the number of cores in the settings of each process. Call this before startAll().
     void setCores(double cores) { cores_ = cores; }
+    /// Lets operators evacuate both data centres. Call this before startAll().
+    void offerEvacuations() { offersEvacuations_ = true; }
     /// Adds minions, alternately to both data centres. Call this before startAll().
     void addMinions(int count);
     void startAll();
@@ -41,6 +43,12 @@
     /// Publishes a version of the configuration, at each keeper in turn until one acknowledges it.
     /// @return whether one did within a minute.
     bool publish(int version);
+    /// Orders the evacuation of a data centre, or its withdrawal, at each keeper in turn until one acknowledges it.
+    /// @return whether one did within a minute.
+    bool evacuate(const std::string& dataCentre, bool isEvacuated);
+    /// Waits until the log of each entry says that the evacuation of the data centre, or its end, is in force there.
+    /// @return whether that was so within a minute.
+    bool awaitEvacuation(const std::string& dataCentre, bool isEvacuated) const;
     /// Waits until a job has completed at each of these entries.
     /// @return whether that was so within a minute.
     bool awaitService(const std::vector<std::string>& entries);
@@ -59,6 +67,7 @@
     std::unique_ptr<FleetMinions> minions_;
     int minionCount_ = 0;
     double cores_ = 1;
+    bool offersEvacuations_ = false;
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
--- a/Tests/Fleet/FleetMinions.cpp
+++ b/Tests/Fleet/FleetMinions.cpp
@@ -79,6 +79,13 @@
     return totals_;
 }
 
+size_t FleetMinions::startsIn(const std::string& dataCentre) const
+{
+    MutexLock lock(mutex_);
+    const auto starts = startsByDataCentre_.find(dataCentre);
+    return starts == startsByDataCentre_.end() ? 0 : starts->second;
+}
+
 bool FleetMinions::hasStarted(const std::string& job) const
 {
     MutexLock lock(mutex_);
@@ -129,6 +136,7 @@
     {
         MutexLock lock(mutex_);
         ++totals_.starts;
+        ++startsByDataCentre_[minion.dataCentre];
         // The name of a task begins with the id of its job.
         startedJobs_.insert(task.substr(0, task.find('.')));
         if (++running_[task] > 1)
--- a/Tests/Fleet/FleetMinions.h
+++ b/Tests/Fleet/FleetMinions.h
@@ -41,6 +41,8 @@
     void start();
 
     MinionTotals totals() const;
+    /// @return how many tasks were started on the minions of a data centre.
+    size_t startsIn(const std::string& dataCentre) const;
     /// @return whether any task of a job was started.
     bool hasStarted(const std::string& job) const;
 
@@ -72,6 +74,7 @@
     mutable absl::Mutex mutex_;
     MinionTotals totals_ ABSL_GUARDED_BY(mutex_);
     std::set<std::string> startedJobs_ ABSL_GUARDED_BY(mutex_);
+    std::map<std::string, size_t> startsByDataCentre_ ABSL_GUARDED_BY(mutex_);
 };
 
 } // namespace trefoilwing
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -234,6 +234,56 @@
     STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), atOther.body.c_str());
 }
 
+// Guards against tasks that start in an evacuated data centre: by owners that knew the order, after all keepers have
+// restarted, and by an entry that has restarted and owns a cell anew.
+TEST(FleetSystem, AnEvacuatedDataCentreStartsNothingUntilTheOrderIsWithdrawn)
+{
+    fleet.offerEvacuations();
+    begin();
+    submit(Fleet::entries(), 40, absl::Milliseconds(20));
+    CHECK(fleet.evacuate("bole", true));
+    submit(Fleet::entries(), 20, absl::Milliseconds(20));
+    CHECK(fleet.awaitEvacuation("bole", true));
+    // Jobs in progress may start their other tasks for 0.5 s after an owner has learned of the order.
+    absl::SleepFor(absl::Milliseconds(1500));
+    CHECK(statuses.awaitAll());
+    const size_t starts = fleet.minions().startsIn("bole");
+    CHECK(starts > 0);
+
+    const size_t servedBefore = statuses.count(200);
+    submit(Fleet::entries(), 60, absl::Milliseconds(20));
+    CHECK(statuses.awaitAll());
+    CHECK_TEXT(statuses.count(200) >= servedBefore + 48, "most callers, also those of the evacuated data centre, are served");
+    LONGS_EQUAL(starts, fleet.minions().startsIn("bole"));
+
+    for (const std::string& keeper : Fleet::keepers())
+        fleet.node(keeper).kill();
+    for (const std::string& keeper : Fleet::keepers())
+        fleet.startNode(keeper, false);
+    const std::string owner = fleet.ownerOf("bole");
+    fleet.node(owner).kill();
+    fleet.startNode(owner, false);
+    CHECK_TEXT(fleet.publish(2), "the keepers have a leader again");
+    CHECK_TEXT(fleet.awaitService(Fleet::entries()), "all entries serve");
+    submit(Fleet::entries(), 60, absl::Milliseconds(20));
+    CHECK(statuses.awaitAll());
+    LONGS_EQUAL(starts, fleet.minions().startsIn("bole"));
+
+    CHECK(fleet.evacuate("bole", false));
+    CHECK(fleet.awaitEvacuation("bole", false));
+    const absl::Time end = absl::Now() + absl::Seconds(30);
+    while (fleet.minions().startsIn("bole") == starts && absl::Now() < end)
+        submit({ "entry-1", "entry-2" }, 10, absl::Milliseconds(20));
+    CHECK_TEXT(fleet.minions().startsIn("bole") > starts, "the data centre is used again");
+    CHECK(statuses.awaitAll());
+    LONGS_EQUAL(0, statuses.count(0));
+    LONGS_EQUAL(0, fleet.minions().totals().duplicateStarts);
+    size_t ran = 0;
+    for (const std::string& job : statuses.rejected())
+        ran += fleet.minions().hasStarted(job) ? 1 : 0;
+    LONGS_EQUAL(0, ran);
+}
+
 TEST(FleetSystem, BadInputIsRefusedAndLosesNothing)
 {
     begin();
@@ -245,6 +295,8 @@
     LONGS_EQUAL(400, caller.call(control, "PUT", "/config", std::string(20000, '[')).status);
     LONGS_EQUAL(400, caller.call(control, "PUT", "/instances/x", R"({"service":7})").status);
     LONGS_EQUAL(404, caller.call(control, "GET", "/nothing").status);
+    LONGS_EQUAL(404, caller.call(control, "POST", "/evacuations/bole").status);
+    LONGS_EQUAL(404, caller.call(control, "DELETE", "/evacuations/bole").status);
     LONGS_EQUAL(400, caller.call(entry, "POST", "/work/0123456789abcdef", "{").status);
     LONGS_EQUAL(400, caller.call(entry, "POST", "/work/short", "{}").status);
     LONGS_EQUAL(404, caller.call(entry, "POST", "/other/0123456789abcdef", "{}").status);
--- a/Tests/Intake/CellChooserTest.cpp
+++ b/Tests/Intake/CellChooserTest.cpp
@@ -147,3 +147,20 @@
     load("home", 1, 50000, 0);
     STRCMP_EQUAL("far", choose().c_str());
 }
+
+// Guards against new jobs in an evacuated data centre, and against callers of that data centre that are turned away although
+// others have room.
+TEST(CellChooser, AnEvacuatedDataCentreGetsNoJobsUntilTheOrderIsWithdrawn)
+{
+    load("home", 1, 100000, 0);
+    load("far", 2, 100000, 0);
+    chooser.setEvacuated(DataCentreId("home"), true);
+    STRCMP_EQUAL("far", choose().c_str());
+    chooser.granted({ cell("home"), { DaemonId("3"), Incarnation(1) }, OwnerEpoch(9) });
+    load("home", 9, 100000, 0);
+    STRCMP_EQUAL("far", choose().c_str());
+    chooser.setEvacuated(DataCentreId("far"), true);
+    STRCMP_EQUAL("none", choose().c_str());
+    chooser.setEvacuated(DataCentreId("home"), false);
+    STRCMP_EQUAL("home", choose().c_str());
+}
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -143,3 +143,33 @@
     CHECK_FALSE(view.receive(keeperId, update, now).table.has_value());
     LONGS_EQUAL(7, view.routingVersion().value());
 }
+
+// Guards against a data centre that is in use again because a keeper that is behind sends the state before the evacuation.
+TEST(FleetView, AnOlderRevisionOfAnEvacuationNeverReplacesANewerOne)
+{
+    const DataCentreId centre("centre");
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.evacuations = { { centre, EvacuationRevision(7), true } };
+    LONGS_EQUAL(1, view.receive(keeperId, update, now).evacuations.size());
+    update.evacuations = { { centre, EvacuationRevision(5), false } };
+    LONGS_EQUAL(0, view.receive(DaemonId("10.0.0.2"), update, now).evacuations.size());
+    update.evacuations = { { centre, EvacuationRevision(7), true } };
+    LONGS_EQUAL(0, view.receive(DaemonId("10.0.0.2"), update, now).evacuations.size());
+    CHECK(view.evacuationOf(centre).isEvacuated);
+    update.evacuations = { { centre, EvacuationRevision(9), false } };
+    LONGS_EQUAL(1, view.receive(DaemonId("10.0.0.2"), update, now).evacuations.size());
+    CHECK_FALSE(view.evacuationOf(centre).isEvacuated);
+    LONGS_EQUAL(0, view.evacuationOf(DataCentreId("other")).revision.value());
+}
+
+TEST(FleetView, ANewEntryGetsTheEvacuations)
+{
+    const DataCentreId centre("centre");
+    registry.setEvacuations({ { centre, { centre, EvacuationRevision(7), true } } });
+    exchange(view, 1);
+    CHECK(view.evacuationOf(centre).isEvacuated);
+    FleetView restarted { { keeperId } };
+    exchange(restarted, 2);
+    CHECK(restarted.evacuationOf(centre).isEvacuated);
+}
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -75,6 +75,12 @@
     collect();
 }
 
+void CellFixture::setEvacuated(bool isEvacuated, bool mayFinishJobs)
+{
+    cell_.setEvacuated(isEvacuated, mayFinishJobs, now_);
+    collect();
+}
+
 void CellFixture::heartbeat()
 {
     const OwnerStamp stamp { owner.incarnation, lastLoadReadAt_.value_or(now_) };
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -28,6 +28,9 @@
     JobOffer makeOffer(const std::string& job, uint32_t tasks) const;
     void offer(const JobOffer&);
 
+    /// Orders or withdraws the evacuation of the cell's data centre.
+    void setEvacuated(bool isEvacuated, bool mayFinishJobs = true);
+
     /// Advances the clock in steps of 20 ms, with a tick and a heartbeat of the entry at each.
     void advance(absl::Duration);
 
