--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -78,6 +78,7 @@
             optionalKey("resubmit_ms", &FleetSettings::resubmitMs, fractionValue(minResubmitMs, maxResubmitMs)),
             optionalKey("catch_up_s", &FleetSettings::catchUpSeconds, fractionValue(minCatchUpSeconds, maxCatchUpSeconds)),
             optionalKey("lost_disks", &FleetSettings::lostDisks, numberValue(0, maxLostDisks)),
+            optionalKey("interference", &FleetSettings::avoidsInterference, flagValue()),
             optionalKey("evacuation_ms", &FleetSettings::evacuationMs, fractionValue(minEvacuationMs, maxEvacuationMs)),
             optionalKey("data_centres", &FleetSettings::dataCentres, dataCentresValue()),
         };
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -71,6 +71,7 @@
     DispatchPolicy policyFor(const FleetSettings& settings)
     {
         DispatchPolicy policy;
+        policy.avoidsInterference = settings.avoidsInterference;
         policy.resubmitDelay = std::max(minResubmitDelay, absl::Milliseconds(settings.resubmitMs));
         return policy;
     }
@@ -640,6 +641,11 @@
         metrics_.set("cell_jobs", labels, static_cast<double>(cell->jobCount()));
         for (const TotalRow& row : totalRows)
             metrics_.set(row.metric, labels, static_cast<double>(totals.*row.total));
+        for (const InterferingPair& pair : cell->interferingPairs()) {
+            const MetricLabels pairLabels { cell->cell().service, {}, TaskKindId(absl::StrCat(nameOf(cell->cell()), ":", pair.slowed.value(), "|", pair.beside.value())) };
+            metrics_.set("interference_slowdown", pairLabels, pair.slowdown);
+            metrics_.set("interference_observations", pairLabels, pair.observations);
+        }
     }
     metrics_.set("log_lines_dropped", {}, static_cast<double>(log_.dropped()));
     metrics_.set("peers_connected", {}, static_cast<double>(link_.connectedPeers()));
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -42,6 +42,8 @@
     double catchUpSeconds = 4;
     /// Maximum number of keepers' disks that may be lost at the same time without loss of data.
     uint32_t lostDisks = 1;
+    /// Whether owners keep tasks apart that slow each other down on one minion.
+    bool avoidsInterference = false;
     /// Time, in milliseconds, within which the evacuation of a data centre must be in force everywhere; 0 if operators can't
     /// order evacuations.
     double evacuationMs = 0;
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -37,7 +37,8 @@
     , random_(random)
     , claimLimit_(policy)
     , ownedSince_(now)
-    , chooser_(policy)
+    , interference_(makeInterferenceModel(policy.avoidsInterference))
+    , chooser_(policy, *interference_)
 {
 }
 
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -93,6 +93,8 @@
 
     CellLoad load(absl::Time now) const;
     const CellTotals& totals() const { return totals_; }
+    /// @return the kinds of tasks that are known to slow each other down, the strongest first.
+    std::vector<InterferingPair> interferingPairs() const { return interference_->pairs(); }
     size_t minionCount() const { return minions_.size(); }
     size_t jobCount() const { return jobs_.size(); }
     /// Whether no job is open, no run is in progress, and all ended runs are acknowledged.
@@ -201,6 +203,7 @@
     absl::Time finishJobsUntil_ = absl::InfinitePast();
     uint64_t runCounter_ = 0;
     MinionTable minions_;
+    const std::unique_ptr<InterferenceModel> interference_;
     const MinionChooser chooser_;
     /// In order of arrival. The list holds one reference to each job.
     JobList jobs_;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -335,6 +335,8 @@
     run.job = &job;
     run.need = job.offer().need;
     run.startedAt = run.progressAt = now;
+    if (policy_.avoidsInterference)
+        minion->recordCompany(now);
     Run& added = minion->addRun(std::move(run));
     // The claim of this job limits the lease too.
     added.leaseEndMs = minion->renewLease(now);
--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -98,6 +98,11 @@
     const CellJobPtr job = run->job;
     const absl::Duration taken = now - run->startedAt;
     const bool wasStalled = run->state == RunState::Stopping;
+    if (policy_.avoidsInterference) {
+        minion.recordCompany(now);
+        if (job && end == RunEnd::Done && !wasStalled)
+            interference_->runEnded(minion, *run, minion.expectedTime(job->offer().estimate), taken, now);
+    }
     minion.removeRun(id);
     switch (end) {
     case RunEnd::Done:
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -121,6 +121,12 @@
     return dispatcher_.jobCount();
 }
 
+std::vector<InterferingPair> CellShard::interferingPairs() const
+{
+    MutexLock lock(mutex_);
+    return dispatcher_.interferingPairs();
+}
+
 size_t CellShard::minionCount() const
 {
     MutexLock lock(mutex_);
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -46,6 +46,7 @@
     bool isIdle() const;
     size_t jobCount() const;
     size_t minionCount() const;
+    std::vector<InterferingPair> interferingPairs() const;
     const CellId& cell() const { return grant_.cell; }
     OwnerEpoch epoch() const { return grant_.epoch; }
 
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -82,6 +82,8 @@
     /// Time for which an owner that learns that its cell's data centre is evacuated still starts the other tasks of jobs that
     /// have begun. It is a small part of the time within which evacuations must be in force.
     absl::Duration evacuationGrace = absl::Milliseconds(500);
+    /// Whether tasks are kept apart that slow each other down on one minion.
+    bool avoidsInterference = false;
     /// Maximum number of jobs considered in one placement round.
     size_t maxJobsPerRound = 64;
 };
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <utility>
 
 namespace trefoilwing {
 
@@ -98,6 +99,24 @@
     refreshClaims();
 }
 
+void LeasedMinion::recordCompany(absl::Time now)
+{
+    const absl::Time since = std::exchange(companyRecordedAt_, now);
+    for (auto& [id, run] : runs_) {
+        const absl::Duration elapsed = now - std::max(since, run.startedAt);
+        for (const auto& [otherId, other] : runs_) {
+            if (otherId == id || !other.job)
+                continue;
+            const RouteName& route = other.job->offer().route;
+            const auto known = std::find_if(run.company.begin(), run.company.end(), [&](const RunCompany& company) { return company.route == route; });
+            if (known == run.company.end())
+                run.company.push_back({ route, elapsed });
+            else
+                known->duration += elapsed;
+        }
+    }
+}
+
 double LeasedMinion::completionsPerSecond() const
 {
     double sum = 0;
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -8,6 +8,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <optional>
+#include <vector>
 
 namespace trefoilwing {
 
@@ -21,6 +22,12 @@
     Stopping,
 };
 
+/// How long a run has run beside runs of a route on its minion.
+struct RunCompany {
+    RouteName route;
+    absl::Duration duration;
+};
+
 /// One run as known to the owner of its cell.
 struct Run {
     RunId id;
@@ -45,6 +52,8 @@
     absl::Time stopSentAt = absl::InfinitePast();
     /// Whether an earlier owner started the run; its entry may still offer the job to this owner.
     bool isInherited = false;
+    /// The company that the run has had so far; kept only if LeasedMinion::recordCompany() is called.
+    std::vector<RunCompany> company;
 };
 
 /// A minion of the cell, with its runs, its lease and its learned speed.
@@ -80,6 +89,8 @@
     Run* findRun(const RunId&);
     /// Removes a run and frees its resources.
     void removeRun(const RunId&);
+    /// Adds the time since the last call to the company of all runs. Call it before a run is added or removed.
+    void recordCompany(absl::Time now);
     absl::flat_hash_map<RunId, Run>& runs() { return runs_; }
     const absl::flat_hash_map<RunId, Run>& runs() const { return runs_; }
 
@@ -117,6 +128,7 @@
     absl::flat_hash_map<RunId, Run> runs_;
     /// Time by which some run of the minion must have ended by the rule of ClaimLimit.
     absl::Time claimsEndAt_ = absl::InfiniteFuture();
+    absl::Time companyRecordedAt_ = absl::InfinitePast();
     int64_t clockMs_ = 0;
     absl::Time clockAt_;
     absl::Time leasesExpireBy_ = absl::InfinitePast();
--- a/Source/Placement/MinionChooser.cpp
+++ b/Source/Placement/MinionChooser.cpp
@@ -4,6 +4,14 @@
 
 namespace trefoilwing {
 
+namespace {
+
+    /// Slowdowns by interference that differ by less count as equal, so that noise doesn't take fast minions from the tasks
+    /// that need them.
+    constexpr double slowdownStep = 0.1;
+
+} // namespace
+
 absl::Time MinionChooser::endWithMargin(const LeasedMinion& minion, const CellJob& job, absl::Time start) const
 {
     return start + minion.expectedTime(job.offer().estimate) * (1 + policy_.speedMargin);
@@ -35,7 +43,9 @@
 LeasedMinion* MinionChooser::choose(const MinionTable& minions, const CellJob& job, const CellTask& task, absl::Time now) const
 {
     LeasedMinion* fastest = nullptr;
+    double leastRunTime = 0;
     LeasedMinion* slowestInTime = nullptr;
+    double leastSlowdown = 0;
     LeasedMinion* avoided = nullptr;
     int64_t totalMilliCores = 0;
     int64_t freeMilliCores = 0;
@@ -52,10 +62,20 @@
             avoided = minion.get();
             continue;
         }
-        if (!fastest || minion->slowness() < fastest->slowness())
+        const double slowdown = interference_.slowdown(job, *minion);
+        const double runTime = minion->slowness() * (1 + slowdown);
+        if (!fastest || runTime < leastRunTime) {
             fastest = minion.get();
-        if (endWithMargin(*minion, job, now) <= job.lateAt() && (!slowestInTime || minion->slowness() > slowestInTime->slowness()))
+            leastRunTime = runTime;
+        }
+        if (endWithMargin(*minion, job, now) > job.lateAt())
+            continue;
+        const bool isLessHarmful = slowdown < leastSlowdown - slowdownStep;
+        const bool isAsHarmful = slowdown <= leastSlowdown + slowdownStep;
+        if (!slowestInTime || isLessHarmful || (isAsHarmful && minion->slowness() > slowestInTime->slowness())) {
             slowestInTime = minion.get();
+            leastSlowdown = slowdown;
+        }
     }
     if (!fastest)
         return avoided;
--- a/Source/Placement/MinionChooser.h
+++ b/Source/Placement/MinionChooser.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Placement/LeasedMinion.h"
+#include "Placement/InterferenceModel.h"
 
 #include <map>
 #include <memory>
@@ -15,10 +15,15 @@
 /// Minions differ in speed: a long task can't end in time on a slow minion, while a short one can. When few cores are
 /// free, a task therefore gets the slowest minion that ends it in time. If no free minion does, the task waits for a
 /// faster one that is expected to become free soon enough.
+///
+/// Among the minions that would do, one where the task slows others down, or is slowed down by them, counts as slower.
+/// That never makes a task wait.
 class MinionChooser {
 public:
-    explicit MinionChooser(const DispatchPolicy& policy)
+    /// @param interference must outlive the chooser.
+    MinionChooser(const DispatchPolicy& policy, const InterferenceModel& interference)
         : policy_(policy)
+        , interference_(interference)
     {
     }
 
@@ -35,6 +40,7 @@
     absl::Time endWithMargin(const LeasedMinion&, const CellJob&, absl::Time start) const;
 
     const DispatchPolicy& policy_;
+    const InterferenceModel& interference_;
 };
 
 } // namespace trefoilwing
--- a/Tests/Bench/FleetBenchmark.cpp
+++ b/Tests/Bench/FleetBenchmark.cpp
@@ -142,7 +142,46 @@
         benchmark::DoNotOptimize(chooser.choose(cellId.service, { 8000, 64, 0 }, tasksPerJob, 1, now));
 }
 
+/// The choice of a minion for a task, where each minion runs a task of another route.
+/// @param isLearned whether interference between routes is learned and taken into account.
+void choiceOfAMinion(benchmark::State& state, bool isLearned)
+{
+    constexpr size_t routes = 8;
+    constexpr size_t observations = 200;
+    const absl::Time now = absl::FromUnixSeconds(1000);
+    const DispatchPolicy policy;
+    const std::unique_ptr<InterferenceModel> interference = makeInterferenceModel(isLearned);
+    const MinionChooser chooser(policy, *interference);
+    MinionTable minions;
+    std::vector<CellJobPtr> jobs;
+    for (size_t i = 0; i < routes; ++i) {
+        JobOffer offer = CellFixture().makeOffer("job-" + std::to_string(i), 1);
+        offer.route = RouteName("route-" + std::to_string(i));
+        jobs.emplace_back(new CellJob(offer, DaemonId("entry"), now, policy.lateTolerance));
+        jobs.back()->claimedAt = now;
+    }
+    for (int64_t i = 0; i < state.range(0); ++i) {
+        const std::string id = "minion-" + std::to_string(i);
+        auto minion = std::make_unique<LeasedMinion>(MinionReport { { MinionId(id), MinionStartTime(1) }, 1, cellId.pool(), { id, 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving }, policy);
+        minion->isFenced = true;
+        Run resident;
+        resident.job = jobs[static_cast<size_t>(i) % routes];
+        resident.id = { resident.job->offer().job, TaskIndex(0), RunNumber(static_cast<uint64_t>(i) + 1) };
+        resident.need = resident.job->offer().need;
+        resident.startedAt = now;
+        resident.company.push_back({ RouteName("route-" + std::to_string((static_cast<size_t>(i) + 1) % routes)), absl::Milliseconds(100) });
+        minion->addRun(resident);
+        for (size_t observation = 0; observation < observations; ++observation)
+            interference->runEnded(*minion, resident, absl::Milliseconds(100), absl::Milliseconds(120), now);
+        minions[MinionId(id)] = std::move(minion);
+    }
+    for (auto _ : state)
+        benchmark::DoNotOptimize(chooser.choose(minions, *jobs.front(), CellTask {}, now));
+}
+
 BENCHMARK(decisionsOfATask)->ArgNames({ "minions", "queued_jobs" })->Args({ 16, 0 })->Args({ 58, 0 })->Args({ 117, 0 })->Args({ 16, 20 })->Args({ 58, 20 })->Args({ 117, 20 })->Args({ 200, 20 });
+BENCHMARK_CAPTURE(choiceOfAMinion, without_interference, false)->ArgName("minions")->Arg(16)->Arg(117)->Arg(350);
+BENCHMARK_CAPTURE(choiceOfAMinion, with_interference, true)->ArgName("minions")->Arg(16)->Arg(117)->Arg(350);
 BENCHMARK(startAsJson);
 BENCHMARK(lookAsJson);
 BENCHMARK(offerBetweenEntries);
--- a/Tests/Placement/MinionChooserTest.cpp
+++ b/Tests/Placement/MinionChooserTest.cpp
@@ -10,7 +10,8 @@
     const absl::Time now = absl::FromUnixSeconds(1000);
     DispatchPolicy policy;
     MinionTable minions;
-    MinionChooser chooser { policy };
+    NoInterference interference;
+    MinionChooser chooser { policy, interference };
     CellTask task;
     uint64_t runs = 0;
 
