--- a/Tests/Adapters/Yaml/SettingsLoaderTest.cpp
+++ b/Tests/Adapters/Yaml/SettingsLoaderTest.cpp
@@ -1,5 +1,5 @@
-#include "Adapters/Yaml/FleetSettingsLoader.h"
 #include "Adapters/Yaml/SettingsLoader.h"
+#include "Adapters/Yaml/FleetSettingsLoader.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/Tests/Bench/FleetBenchmark.cpp
+++ b/Tests/Bench/FleetBenchmark.cpp
@@ -4,6 +4,7 @@
 #include "Adapters/Msgpack/Codec.h"
 #include "Intake/CellChooser.h"
 #include "Model/PeerMessage.h"
+#include "Placement/BurstLoad.h"
 #include "Placement/CellFixture.h"
 #include "platform/MinionCodec.h"
 
@@ -79,6 +80,18 @@
         cell.endOneRun();
 }
 
+/// The processor time of a cell in a burst of 2.2 times its capacity, with its simulated minions. The difference between
+/// the rules is the cost of admission.
+void burst(benchmark::State& state)
+{
+    BurstLoad load(state.range(1) != 0 ? AdmissionRule::Capacity : AdmissionRule::AverageWait, static_cast<int>(state.range(0)), 1);
+    load.offerFor(absl::Seconds(1), 2.2);
+    const int before = load.offered();
+    for (auto _ : state)
+        load.offerFor(absl::Milliseconds(20), 2.2);
+    state.counters["us_per_job"] = benchmark::Counter(static_cast<double>(load.offered() - before) / 1e6, benchmark::Counter::kIsRate | benchmark::Counter::kInvert);
+}
+
 const CellId cellId { ServiceId("followup"), DataCentreId("bole"), { 1, 2 } };
 const OrderHeader header { { MinionId("i-7f3a91c2"), MinionStartTime(1) }, { "10.128.0.9", 8080 }, OwnerEpoch(7) };
 const RunId run { JobKey("5c0e7a21d94b36f8"), TaskIndex(3), RunNumber(117440513) };
@@ -143,6 +156,7 @@
 }
 
 BENCHMARK(decisionsOfATask)->ArgNames({ "minions", "queued_jobs" })->Args({ 16, 0 })->Args({ 58, 0 })->Args({ 117, 0 })->Args({ 16, 20 })->Args({ 58, 20 })->Args({ 117, 20 })->Args({ 200, 20 });
+BENCHMARK(burst)->ArgNames({ "minions", "by_capacity" })->Args({ 16, 0 })->Args({ 16, 1 })->Args({ 39, 0 })->Args({ 39, 1 })->Args({ 117, 0 })->Args({ 117, 1 });
 BENCHMARK(startAsJson);
 BENCHMARK(lookAsJson);
 BENCHMARK(offerBetweenEntries);
--- a/Tests/Placement/BurstLoad.h
+++ b/Tests/Placement/BurstLoad.h
@@ -33,6 +33,7 @@
 
     /// Offers jobs at a rate, as a multiple of the capacity, for some time.
     void offerFor(absl::Duration, double load);
+    int offered() const { return outcome_.offered; }
     /// Lets the open jobs end.
     BurstOutcome finish();
 
