--- a/review/standin-2/fleet.sh
+++ b/review/standin-2/fleet.sh
@@ -45,7 +45,7 @@
 peer_port: $peers
 seeds: [$seeds]
 cores: 0.5
-memory_mb: 256
+memory_mb: ${memory_mb:-256}
 max_descriptors: 1000
 founding: $5
 catch_up_s: 4
