Log why an entry drops a minion

Change: minion_removed names the keeper, the reason (left or replaced) and the minion that replaced it. No decision changes.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -268,10 +268,8 @@
         applyTable(*std::move(change.table));
     if (change.routing)
         applyRouting(*change.routing);
-    for (const MinionReport& report : change.removed) {
-        if (const CellPtr cell = findCellOf(report))
-            cell->minionLeft(report.instance);
-    }
+    for (const RemovedMinion& removed : change.removed)
+        applyRemoval(from, removed);
     for (const MinionReport& report : change.minions) {
         if (const CellPtr cell = findCellOf(report))
             cell->minionReported(report);
@@ -284,6 +282,14 @@
     }
 }
 
+void FleetEntry::applyRemoval(const DaemonId& keeper, const RemovedMinion& removed)
+{
+    const MinionInstance& instance = removed.report.instance;
+    log_.write(Severity::Info, "minion_removed", { { "minion", instance.minion.value() }, { "birth", instance.startTime.value() }, { "service", removed.report.pool.service.value() }, { "data_centre", removed.report.pool.dataCentre.value() }, { "keeper", keeper.value() }, { "reason", std::string(removed.replacedBy ? "replaced" : "left") }, { "replaced_by", removed.replacedBy ? removed.replacedBy->value() : std::string() } });
+    if (const CellPtr cell = findCellOf(removed.report))
+        cell->minionLeft(instance);
+}
+
 bool FleetEntry::areMinionsKnown(const CellId& cell, OwnerEpoch epoch) const
 {
     // Keepers send the minions of another data centre only to the owners of its cells.
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -94,6 +94,8 @@
     bool areMinionsKnown(const CellId&, OwnerEpoch) const;
     void applyGrant(const CellGrant&);
     void applyEvacuation(const Evacuation&);
+    /// @param keeper the keeper whose update removed the minion.
+    void applyRemoval(const DaemonId& keeper, const RemovedMinion&);
     Evacuation evacuationOf(const DataCentreId&) const;
     void sendHeartbeats();
     /// Sends heartbeats to the owners of this entry's jobs, which claim these.
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -55,7 +55,7 @@
     if (areDaemonsChanged || currentKeepers_ != std::count_if(keeperStates_.begin(), keeperStates_.end(), [&](const auto& entry) { return isCurrent(entry.second); }))
         deriveLists();
     for (const MinionInstance& instance : update.gone)
-        removeMinion(instance, change);
+        removeMinion(instance, std::nullopt, change);
     for (const MinionReport& report : update.minions)
         applyReport(report, change);
     for (const Evacuation& evacuation : update.evacuations)
@@ -126,20 +126,20 @@
         }
     }
     for (const MinionInstance& instance : replaced)
-        removeMinion(instance, change);
+        removeMinion(instance, report.instance.minion, change);
     minions_[report.instance.minion] = report;
     change.minions.push_back(report);
     return true;
 }
 
-void FleetView::removeMinion(const MinionInstance& instance, FleetChange& change)
+void FleetView::removeMinion(const MinionInstance& instance, std::optional<MinionId> replacedBy, FleetChange& change)
 {
     MinionStartTime& departed = departed_[instance.minion];
     departed = std::max(departed, instance.startTime);
     const auto known = minions_.find(instance.minion);
     if (known == minions_.end() || known->second.instance != instance)
         return;
-    change.removed.push_back(known->second);
+    change.removed.push_back({ known->second, std::move(replacedBy) });
     minions_.erase(known);
 }
 
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -16,13 +16,20 @@
 /// after which a daemon is presumed dead.
 inline constexpr absl::Duration heartbeatInterval = absl::Milliseconds(250);
 
+/// A minion that a FleetView no longer holds.
+struct RemovedMinion {
+    MinionReport report;
+    /// The minion that reported from the same address; unset if a keeper said that the removed one has left.
+    std::optional<MinionId> replacedBy;
+};
+
 /// What a keeper's update changed in a FleetView.
 struct FleetChange {
     /// A newer routing table, decoded or, from a keeper of an earlier version, as a document.
     std::optional<RoutingTable> table;
     std::optional<RoutingDocument> routing;
     std::vector<MinionReport> minions;
-    std::vector<MinionReport> removed;
+    std::vector<RemovedMinion> removed;
     /// Evacuations that have begun or ended.
     std::vector<Evacuation> evacuations;
 };
@@ -86,7 +93,7 @@
     void deriveLists();
     bool isCurrent(const KeeperState&) const;
     bool applyReport(const MinionReport&, FleetChange&);
-    void removeMinion(const MinionInstance&, FleetChange&);
+    void removeMinion(const MinionInstance&, std::optional<MinionId> replacedBy, FleetChange&);
     void applyEvacuation(const Evacuation&, FleetChange&);
 
     std::vector<DaemonId> seeds_;
