Take a minion's report only if the configuration names its service

Cause: a keeper took every report that it could decode. Whether the service exists was asked only when owners of cells are assigned. A report for a service that no configuration names, with the address of a minion at work, had replaced that minion by then: first in FleetView at the entries, some milliseconds later in FleetState, the keepers' log.

The second path is shown by a test of FleetState.

Change: FleetRegistry takes a report if the routing table names its service or if it is of a known instance. Others are acknowledged and held, and are taken when a table names their service. A report replaces minions of its own service only, in the log and at the daemons; the keeper that takes it removes those of other named services. Minions of unknown services in a log of an earlier version are left out.

Why it works: a report that is proposed for the log comes after the record of the table that names its service, so no keeper of this version puts another into the log or into an update.

The fixtures of FleetRegistry, FleetView and LargePool name their service now; their checks are unchanged. The stand-in minion reports cold_remaining_ms, as the users' page has it.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -38,7 +38,41 @@
 
 } // namespace
 
-bool FleetRegistry::minionReported(const MinionReport& report)
+ReportOutcome FleetRegistry::minionReported(const MinionReport& report, absl::Time now)
+{
+    if (!mayTake(report))
+        return heldReports_.add(report, now) ? ReportOutcome::Held : ReportOutcome::StillHeld;
+    return takeReport(report) ? ReportOutcome::Changed : ReportOutcome::Unchanged;
+}
+
+std::vector<MinionReport> FleetRegistry::setServices(std::set<ServiceId> services, absl::Time now)
+{
+    services_ = std::move(services);
+    std::vector<MinionReport> taken = heldReports_.take(services_, now);
+    std::erase_if(taken, [&](const MinionReport& report) { return !takeReport(report); });
+    return taken;
+}
+
+bool FleetRegistry::mayTake(const MinionReport& report) const
+{
+    if (services_.contains(report.pool.service))
+        return true;
+    const auto known = minions_.find(report.instance.minion);
+    return known != minions_.end() && known->second.report.instance == report.instance && known->second.report.pool == report.pool;
+}
+
+std::vector<MinionInstance> FleetRegistry::replacedInOtherServices(const MinionReport& report) const
+{
+    std::vector<MinionInstance> replaced;
+    for (const auto& [id, entry] : minions_) {
+        const MinionReport& other = entry.report;
+        if (other.endpoint == report.endpoint && other.pool.service != report.pool.service && other.instance.startTime < report.instance.startTime)
+            replaced.push_back(other.instance);
+    }
+    return replaced;
+}
+
+bool FleetRegistry::takeReport(const MinionReport& report)
 {
     if (!minions_.contains(report.instance.minion) && hasLeft(report.instance))
         return false;
@@ -58,6 +92,7 @@
 
 std::optional<MinionInstance> FleetRegistry::minionLeft(const MinionId& minion)
 {
+    heldReports_.remove(minion);
     const auto found = minions_.find(minion);
     if (found == minions_.end() || found->second.report.state != MinionState::Leaving)
         return std::nullopt;
@@ -94,7 +129,8 @@
     loggedMinions_.clear();
     for (const auto& [id, report] : minions) {
         loggedMinions_.emplace_hint(loggedMinions_.end(), id, report.instance.startTime);
-        minionReported(report);
+        if (mayTake(report))
+            takeReport(report);
     }
 }
 
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Control/HeldReports.h"
 #include "Model/FleetMessages.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -8,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace trefoilwing {
@@ -18,6 +20,17 @@
 /// Assumed processor capacity of a daemon that doesn't report it, in thousandths of a core.
 inline constexpr uint32_t defaultMilliCores = 1000;
 
+/// What a minion's report led to.
+enum class ReportOutcome {
+    /// It says something that other daemons need to know.
+    Changed,
+    Unchanged,
+    /// The routing table doesn't name its service, so it is held until one does.
+    Held,
+    /// As Held, but not for the first time.
+    StillHeld,
+};
+
 /// A keeper's record of a daemon that sends it heartbeats.
 struct TrackedDaemon {
     DaemonInfo info;
@@ -55,13 +68,21 @@
     {
     }
 
-    /// @return whether the report changes anything that other daemons need to know.
-    bool minionReported(const MinionReport&);
+    /// Takes a report of a service that the routing table names, or of an instance that is known already. Any other one is
+    /// held, and changes nothing.
+    ReportOutcome minionReported(const MinionReport&, absl::Time now);
+    /// Sets the services that the routing table names.
+    /// @return the held reports that are taken therefore, as far as other daemons need to know them.
+    std::vector<MinionReport> setServices(std::set<ServiceId>, absl::Time now);
+    /// @return the minions of other services that reported from the report's address and started earlier, so that they must
+    /// have ended.
+    std::vector<MinionInstance> replacedInOtherServices(const MinionReport&) const;
     /// Handles a minion's message that it leaves. The message names no instance, but a minion reports that it is leaving
     /// before it sends it: from one that is known to serve, it is a late message of an earlier instance.
     /// @return the instance that left; unset if none did.
     std::optional<MinionInstance> minionLeft(const MinionId&);
-    /// Sets the minions of the replicated log. Those that are no longer in it have left, whichever keeper they told.
+    /// Sets the minions of the replicated log. Those that are no longer in it have left, whichever keeper they told. Those of
+    /// services that the routing table doesn't name are ignored.
     void setLoggedMinions(const std::map<MinionId, MinionReport>&);
     /// @return whether the daemon is new or its attributes have changed.
     bool heartbeatReceived(const DaemonHeartbeat&, absl::Time now);
@@ -84,6 +105,7 @@
     const std::map<PoolId, size_t>& pools() const { return pools_; }
     RoutingVersion routingVersion() const { return routing_.version; }
     size_t minionCount() const { return minions_.size(); }
+    size_t heldReportCount() const { return heldReports_.size(); }
 
 private:
     struct Entry {
@@ -108,6 +130,10 @@
         uint64_t number = 0;
     };
 
+    /// @return whether the report is of a service that the routing table names, or of a known instance.
+    bool mayTake(const MinionReport&) const;
+    /// @return whether the report says something that other daemons need to know.
+    bool takeReport(const MinionReport&);
     void removeMinion(const MinionInstance&);
     /// @return whether this instance of a minion has left. Minions that don't report their start time may return.
     bool hasLeft(const MinionInstance&) const;
@@ -132,6 +158,8 @@
     /// Number of the latest change that is sent without delay.
     uint64_t urgentNumber_ = 0;
     bool isLeading_ = false;
+    std::set<ServiceId> services_;
+    HeldReports heldReports_;
     absl::flat_hash_map<MinionId, Entry> minions_;
     /// The instances of the minions in the replicated log.
     std::map<MinionId, MinionStartTime> loggedMinions_;
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -49,11 +49,8 @@
     if (!isLater(record.report, known))
         return false;
     known = record.report;
-    // Of several minions that reported from one address, only the most recently started one is kept.
-    std::erase_if(minions_, [&](const auto& entry) {
-        const MinionReport& other = entry.second;
-        return other.endpoint == record.report.endpoint && other.instance.minion != record.report.instance.minion && other.instance.startTime <= record.report.instance.startTime;
-    });
+    // Of several minions of a service that reported from one address, only the most recently started one is kept.
+    std::erase_if(minions_, [&](const auto& entry) { return shareAddress(record.report, entry.second) && entry.second.instance.startTime <= record.report.instance.startTime; });
     return true;
 }
 
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -159,16 +159,30 @@
 
 void FleetKeeper::minionReported(const MinionReport& report)
 {
-    bool isChange = false;
+    ReportOutcome outcome {};
     {
         MutexLock lock(mutex_);
-        isChange = registry_.minionReported(report);
+        outcome = registry_.minionReported(report, link_.clock().now());
     }
-    if (!isChange)
+    if (outcome == ReportOutcome::Held)
+        log_.write(Severity::Warning, "report_held", { { "minion", report.instance.minion.value() }, { "birth", report.instance.startTime.value() }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "reason", std::string("the configuration doesn't name its service") } });
+    if (outcome != ReportOutcome::Changed)
         return;
-    log_.write(Severity::Info, "minion_reported", { { "minion", report.instance.minion.value() }, { "birth", report.instance.startTime.value() }, { "sequence", report.sequence }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
+    reportTaken(report);
     sendUpdates();
+}
+
+void FleetKeeper::reportTaken(const MinionReport& report)
+{
+    std::vector<MinionInstance> replaced;
+    {
+        MutexLock lock(mutex_);
+        replaced = registry_.replacedInOtherServices(report);
+    }
+    log_.write(Severity::Info, "minion_reported", { { "minion", report.instance.minion.value() }, { "birth", report.instance.startTime.value() }, { "sequence", report.sequence }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
     group_->remember(report);
+    for (const MinionInstance& instance : replaced)
+        group_->forget(instance);
 }
 
 void FleetKeeper::minionLeft(const MinionId& minion)
@@ -213,6 +227,12 @@
     {
         MutexLock lock(mutex_);
         isNewRouting = state.routing().version > registry_.routingVersion();
+    }
+    // The routing table comes first, since it decides which minions are taken.
+    if (isNewRouting)
+        applyRouting(state.routing());
+    {
+        MutexLock lock(mutex_);
         if (state.grants() != grants_) {
             grants_ = state.grants();
             for (const auto& [cell, grant] : grants_)
@@ -222,8 +242,6 @@
         registry_.setEvacuations(state.evacuations());
         registry_.setLoggedMinions(state.minions());
     }
-    if (isNewRouting)
-        applyRouting(state.routing());
     publishEvacuations(state);
     sendUpdates();
 }
@@ -243,9 +261,17 @@
     }
     RoutingTable& table = std::get<RoutingTable>(read);
     log_.write(Severity::Info, "configuration_in_force", { { "version", table.version.value() }, { "routes", uint64_t { table.routes.size() } } });
-    MutexLock lock(mutex_);
-    assigner_.setServices({ table.services.begin(), table.services.end() });
-    registry_.setRouting(std::move(table), link_.clock().now());
+    const std::set<ServiceId> services(table.services.begin(), table.services.end());
+    std::vector<MinionReport> taken;
+    {
+        MutexLock lock(mutex_);
+        const absl::Time now = link_.clock().now();
+        assigner_.setServices(services);
+        registry_.setRouting(std::move(table), now);
+        taken = registry_.setServices(services, now);
+    }
+    for (const MinionReport& report : taken)
+        reportTaken(report);
 }
 
 // Peers.
@@ -412,6 +438,7 @@
     MutexLock lock(mutex_);
     metrics_.set("configuration_version", {}, static_cast<double>(registry_.routingVersion().value()));
     metrics_.set("minions_reporting", {}, static_cast<double>(registry_.minionCount()));
+    metrics_.set("minion_reports_held", {}, static_cast<double>(registry_.heldReportCount()));
     metrics_.set("daemons_heard", {}, static_cast<double>(registry_.daemons().size()));
 }
 
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -41,6 +41,8 @@
 
     void minionReported(const MinionReport&) override;
     void minionLeft(const MinionId&) override;
+    /// Has the group remember a report that the registry has taken.
+    void reportTaken(const MinionReport&);
     void publish(RoutingDocument, std::function<void(Result<RoutingVersion>)> done) override;
     EvacuationOrderNumber evacuate(const DataCentreId&, bool isEvacuated, std::function<void(Result<Done>)> done) override;
     void abandonEvacuation(EvacuationOrderNumber) override;
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -116,10 +116,9 @@
     const auto known = minions_.find(report.instance.minion);
     if (known != minions_.end() && !isLater(report, known->second))
         return false;
-    // At one address, only the newest instance can be alive.
     std::vector<MinionInstance> replaced;
     for (const auto& [id, other] : minions_) {
-        if (id != report.instance.minion && other.endpoint == report.endpoint) {
+        if (shareAddress(report, other)) {
             if (other.instance.startTime > report.instance.startTime)
                 return false;
             replaced.push_back(other.instance);
--- a/Source/Model/Runs.cpp
+++ b/Source/Model/Runs.cpp
@@ -16,4 +16,9 @@
     return report.pool == cell.pool() && (cell.part.count <= 1 || stableHash(report.instance.minion.value()) % cell.part.count == cell.part.index);
 }
 
+bool shareAddress(const MinionReport& a, const MinionReport& b)
+{
+    return a.endpoint == b.endpoint && a.pool.service == b.pool.service && a.instance.minion != b.instance.minion;
+}
+
 } // namespace trefoilwing
--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -122,6 +122,10 @@
     return report.instance.startTime != known.instance.startTime ? report.instance.startTime > known.instance.startTime : report.sequence > known.sequence;
 }
 
+/// @return whether two minions reported from one address for one service, so that only the one that started later can be
+/// alive. A report says nothing about minions of other services.
+bool shareAddress(const MinionReport&, const MinionReport&);
+
 /// The common header of all orders to a minion.
 struct OrderHeader {
     MinionInstance instance;
--- a/Tests/Control/FleetRegistryTest.cpp
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -29,6 +29,7 @@
     void setup() override
     {
         addKeeper(self, "home");
+        registry.setServices({ ServiceId("service") }, now);
     }
 
     void addKeeper(const DaemonId& id, const std::string& dataCentre)
@@ -58,7 +59,17 @@
 
     void reportMinion(const std::string& dataCentre = "home")
     {
-        registry.minionReported(minion(++minions, dataCentre));
+        registry.minionReported(minion(++minions, dataCentre), now);
+    }
+
+    /// @return a report under another id, for a service that no routing table names, with the address of minion 1 and a
+    /// later start.
+    static MinionReport foreign()
+    {
+        MinionReport report = minion(1);
+        report.instance = { MinionId("foreign"), MinionStartTime(2) };
+        report.pool.service = ServiceId("billing");
+        return report;
     }
 
     void setLogged(const std::vector<uint64_t>& numbers)
@@ -323,13 +334,13 @@
     MinionReport leaving = minion(1);
     leaving.sequence = 2;
     leaving.state = MinionState::Leaving;
-    CHECK_TRUE(registry.minionReported(leaving));
+    CHECK(registry.minionReported(leaving, now) == ReportOutcome::Changed);
     CHECK(registry.minionLeft(leaving.instance.minion) == leaving.instance);
-    CHECK_FALSE(registry.minionReported(minion(1)));
+    CHECK(registry.minionReported(minion(1), now) == ReportOutcome::Unchanged);
     LONGS_EQUAL(0, registry.minionCount());
     MinionReport restarted = minion(1);
     restarted.instance.startTime = MinionStartTime(2);
-    CHECK_TRUE(registry.minionReported(restarted));
+    CHECK(registry.minionReported(restarted, now) == ReportOutcome::Changed);
 }
 
 // Guards against tasks that run twice: the message of a minion's earlier instance that it leaves was held up, and removed the
@@ -340,10 +351,10 @@
     MinionReport leaving = minion(1);
     leaving.sequence = 2;
     leaving.state = MinionState::Leaving;
-    registry.minionReported(leaving);
+    registry.minionReported(leaving, now);
     MinionReport restarted = minion(1);
     restarted.instance.startTime = MinionStartTime(2);
-    registry.minionReported(restarted);
+    registry.minionReported(restarted, now);
     CHECK_FALSE(registry.minionLeft(restarted.instance.minion).has_value());
     LONGS_EQUAL(1, registry.minionCount());
 }
@@ -390,3 +401,118 @@
     }
     LONGS_EQUAL(1, take()[entryId(1)].evacuations.size());
 }
+
+// Guards against tasks that run twice: a report of another writer, for a service that no configuration names, removed the
+// minion at its address while that ran tasks (review/9).
+TEST(FleetRegistry, AReportOfAnUnknownServiceChangesNothing)
+{
+    reportMinion();
+    addEntry(1);
+    settle();
+    CHECK(registry.minionReported(foreign(), now) == ReportOutcome::Held);
+    CHECK(registry.minionReported(foreign(), now) == ReportOutcome::StillHeld);
+    now += beat;
+    sendHeartbeats();
+    const FleetUpdate update = take()[entryId(1)];
+    CHECK(update.minions.empty());
+    CHECK(update.gone.empty());
+    LONGS_EQUAL(1, registry.minionCount());
+    LONGS_EQUAL(1, registry.heldReportCount());
+    LONGS_EQUAL(1, registry.pools().size());
+}
+
+// The same under the id of the minion: as a later instance, and as a later report of the same one, which says that it leaves.
+TEST(FleetRegistry, AReportOfAnUnknownServiceDoesntReplaceTheMinionWithItsId)
+{
+    reportMinion();
+    MinionReport later = foreign();
+    later.instance.minion = minion(1).instance.minion;
+    MinionReport same = later;
+    same.instance = minion(1).instance;
+    same.sequence = 9;
+    same.state = MinionState::Leaving;
+    for (const MinionReport& odd : { later, same }) {
+        CHECK(registry.minionReported(odd, now) == ReportOutcome::Held);
+        CHECK_FALSE(registry.minionLeft(odd.instance.minion).has_value());
+    }
+    MinionReport next = minion(1);
+    next.sequence = 2;
+    next.state = MinionState::Leaving;
+    CHECK(registry.minionReported(next, now) == ReportOutcome::Changed);
+}
+
+TEST(FleetRegistry, AMinionOfTheLogWhoseServiceIsUnknownIsIgnored)
+{
+    reportMinion();
+    registry.setLoggedMinions({ { minion(1).instance.minion, minion(1) }, { foreign().instance.minion, foreign() } });
+    addEntry(1);
+    const FleetUpdate update = take()[entryId(1)];
+    LONGS_EQUAL(1, update.minions.size());
+    CHECK(update.minions.front() == minion(1));
+    registry.setServices({ ServiceId("service"), ServiceId("billing") }, now);
+    registry.setLoggedMinions({ { minion(1).instance.minion, minion(1) }, { foreign().instance.minion, foreign() } });
+    LONGS_EQUAL(2, registry.minionCount());
+}
+
+// Minions report before operators publish the first configuration, and before one that adds their service.
+TEST(FleetRegistry, MinionsThatReportedBeforeTheirServiceWasNamedAreTaken)
+{
+    MinionReport added = minion(7);
+    added.pool.service = ServiceId("added");
+    CHECK(registry.minionReported(added, now) == ReportOutcome::Held);
+    now += beat;
+    ++added.sequence;
+    CHECK(registry.minionReported(added, now) == ReportOutcome::StillHeld);
+    CHECK(registry.setServices({ ServiceId("service") }, now).empty());
+    CHECK(registry.setServices({ ServiceId("service"), ServiceId("added") }, now) == std::vector<MinionReport> { added });
+    LONGS_EQUAL(0, registry.heldReportCount());
+    LONGS_EQUAL(1, registry.pools().at(added.pool));
+    addEntry(1);
+    CHECK(take()[entryId(1)].minions == std::vector<MinionReport> { added });
+}
+
+TEST(FleetRegistry, AMinionThatWasOnlyHeardLongBeforeItsServiceWasNamedIsNotTaken)
+{
+    registry.minionReported(foreign(), now);
+    now += absl::Seconds(30);
+    CHECK(registry.setServices({ ServiceId("billing") }, now).empty());
+    LONGS_EQUAL(0, registry.minionCount());
+}
+
+TEST(FleetRegistry, AMinionIsTakenFurtherWhoseServiceIsNoLongerNamed)
+{
+    reportMinion();
+    registry.setServices({ ServiceId("other") }, now);
+    MinionReport leaving = minion(1);
+    leaving.sequence = 2;
+    leaving.state = MinionState::Leaving;
+    CHECK(registry.minionReported(leaving, now) == ReportOutcome::Changed);
+    MinionReport restarted = minion(1);
+    restarted.instance.startTime = MinionStartTime(2);
+    CHECK(registry.minionReported(restarted, now) == ReportOutcome::Held);
+}
+
+// Guards against a keeper that runs out of memory by reports under ever new ids.
+TEST(FleetRegistry, HeldReportsAreBounded)
+{
+    MinionReport report = foreign();
+    for (int number = 0; number < 20000; ++number) {
+        report.instance.minion = MinionId("foreign-" + std::to_string(number));
+        registry.minionReported(report, now);
+    }
+    LONGS_EQUAL(5000, registry.heldReportCount());
+    now += absl::Seconds(30);
+    CHECK(registry.minionReported(report, now) == ReportOutcome::Held);
+    LONGS_EQUAL(1, registry.heldReportCount());
+}
+
+// A VM may run minions of several services one after the other. The log replaces minions of the report's service only.
+TEST(FleetRegistry, AMinionOfANamedServiceReplacesEarlierOnesOfOthersAtItsAddress)
+{
+    reportMinion();
+    reportMinion();
+    registry.setServices({ ServiceId("service"), ServiceId("billing") }, now);
+    CHECK(registry.minionReported(foreign(), now) == ReportOutcome::Changed);
+    CHECK(registry.replacedInOtherServices(foreign()) == std::vector<MinionInstance> { minion(1).instance });
+    CHECK(registry.replacedInOtherServices(minion(1)).empty());
+}
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -72,6 +72,20 @@
     LONGS_EQUAL(0, state.minions().size());
 }
 
+// Guards against a minion at work that the log drops because of a report for another service with its address (review/9).
+// Keepers of earlier versions put such reports into the log.
+TEST(FleetState, AReportForAnotherServiceRemovesNoMinionAtItsAddress)
+{
+    MinionRecord other = minion("b", 2, 1, "10.0.0.1");
+    other.report.pool.service = ServiceId("billing");
+    CHECK(state.apply(minion("a", 1, 1, "10.0.0.1")));
+    CHECK(state.apply(other));
+    CHECK(state.minions().contains(MinionId("a")));
+    FleetState restored;
+    restored.restore(state.snapshot());
+    CHECK(restored.apply(minion("a", 1, 2, "10.0.0.1")));
+}
+
 TEST(FleetState, ASnapshotHoldsTheWholeState)
 {
     state.apply(routing(5, "five"));
--- a/Tests/Control/LargePoolTest.cpp
+++ b/Tests/Control/LargePoolTest.cpp
@@ -21,13 +21,14 @@
     void setup() override
     {
         assigner.startedLeading(now);
+        registry.setServices({ pool.service }, now);
     }
 
     void reportMinions(uint64_t count)
     {
         for (uint64_t i = 0; i < count; ++i) {
             minions.push_back({ { MinionId("minion-" + std::to_string(i)), MinionStartTime(1) }, 1, pool, { "10.1.0." + std::to_string(i), 80 }, { 16000, 65536, 0 }, {}, MinionState::Serving });
-            registry.minionReported(minions.back());
+            registry.minionReported(minions.back(), now);
         }
     }
 
--- a/Tests/Fleet/FleetMinions.cpp
+++ b/Tests/Fleet/FleetMinions.cpp
@@ -73,6 +73,14 @@
     loop_.start();
 }
 
+std::vector<Endpoint> FleetMinions::endpoints() const
+{
+    std::vector<Endpoint> endpoints;
+    for (const auto& minion : minions_)
+        endpoints.push_back(minion->endpoint);
+    return endpoints;
+}
+
 MinionTotals FleetMinions::totals() const
 {
     MutexLock lock(mutex_);
@@ -225,7 +233,7 @@
 {
     minion.reportDue = absl::Now() + reportInterval;
     const json body { { "service", "work" }, { "address", absl::StrCat(minion.endpoint.address, ":", minion.endpoint.port) }, { "zone", minion.dataCentre },
-        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "capacity", { { "cpu", minionMilliCores }, { "mem_mb", 65536 }, { "gpu", 0 } } },
+        { "version", "v1" }, { "slots", 8 }, { "state", "ready" }, { "cold_remaining_ms", 0 }, { "capacity", { { "cpu", minionMilliCores }, { "mem_mb", 65536 }, { "gpu", 0 } } },
         { "labels", { "a", "r1" } }, { "clock_ms", minion.clockMs() }, { "sequence", ++minion.sequence }, { "born", absl::ToUnixMillis(minion.born) } };
     const Endpoint& keeper = keepers_[minion.keeper % keepers_.size()];
     client_.call(keeper, { "PUT", "/instances/" + minion.id, "keeper", {}, body.dump() }, reportTimeout, [&minion](const HttpResult& result) {
--- a/Tests/Fleet/FleetMinions.h
+++ b/Tests/Fleet/FleetMinions.h
@@ -40,6 +40,8 @@
     void add(const std::string& id, const Endpoint&, const std::string& dataCentre);
     void start();
 
+    /// @return the addresses of all minions.
+    std::vector<Endpoint> endpoints() const;
     MinionTotals totals() const;
     /// @return how many tasks were started on the minions of a data centre.
     size_t startsIn(const std::string& dataCentre) const;
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -1,5 +1,6 @@
 #include "Fleet/Fleet.h"
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 
@@ -258,6 +259,27 @@
     STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), atOther.body.c_str());
 }
 
+// Guards against tasks that run twice, and minions that are never used again: reports of another writer, for a service that no
+// configuration names, carry the addresses of minions at work (review/9).
+TEST(FleetSystem, ReportsOfAnUnknownServiceRemoveNoMinion)
+{
+    begin();
+    submit(Fleet::entries(), 40, absl::Milliseconds(5));
+    int number = 0;
+    for (const Endpoint& endpoint : fleet.minions().endpoints()) {
+        const std::string id = absl::StrCat("foreign-", ++number);
+        const std::string report = absl::StrCat(R"({"service":"billing","address":")", endpoint.address, ":", endpoint.port, R"(","zone":"bole","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,)",
+            R"("capacity":{"cpu":16000,"mem_mb":65536,"gpu":0},"labels":["a","r1"],"clock_ms":1,"sequence":1,"born":)", absl::ToUnixMillis(absl::Now()), "}");
+        LONGS_EQUAL(200, fleet.caller().call(fleet.control("keeper-1"), "PUT", "/instances/" + id, report).status);
+        submit(Fleet::entries(), 20, absl::Milliseconds(5));
+    }
+    CHECK(statuses.awaitAll());
+    LONGS_EQUAL(160, statuses.count(200));
+    checkAnswers();
+    CHECK(absl::StrContains(fleet.logOf("keeper-1"), "event=report_held"));
+    CHECK_FALSE(absl::StrContains(fleet.logOf("entry-1"), "event=minion_removed"));
+}
+
 // Guards against tasks that start in an evacuated data centre: by owners that knew the order, after all keepers have
 // restarted, and by an entry that has restarted and owns a cell anew.
 TEST(FleetSystem, AnEvacuatedDataCentreStartsNothingUntilTheOrderIsWithdrawn)
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -23,6 +23,11 @@
     FleetRegistry registry { { keeperId, Incarnation(3) } };
     FleetView view { { keeperId } };
 
+    void setup() override
+    {
+        registry.setServices({ cell.service }, now);
+    }
+
     /// Sends the entry's heartbeat to the keeper, and the keeper's update to the entry.
     void exchange(FleetView & receiver, uint64_t incarnation)
     {
@@ -44,8 +49,8 @@
 
 TEST(FleetView, ANewEntryGetsAllMinions)
 {
-    registry.minionReported(minion("a"));
-    registry.minionReported(minion("b"));
+    registry.minionReported(minion("a"), now);
+    registry.minionReported(minion("b"), now);
     exchange(view, 1);
     LONGS_EQUAL(2, view.minionsOf(cell).size());
     CHECK(view.isComplete(now));
@@ -55,10 +60,10 @@
 // one, which then acknowledged it to the keepers as if it had all earlier updates too.
 TEST(FleetView, AnUpdateForAnEarlierIncarnationDoesntHideWhatTheNewOneLacks)
 {
-    registry.minionReported(minion("a"));
+    registry.minionReported(minion("a"), now);
     exchange(view, 1);
     exchange(view, 1);
-    registry.minionReported(minion("b"));
+    registry.minionReported(minion("b"), now);
     now += absl::Milliseconds(100);
     registry.heartbeatReceived(heartbeatOf(view, 1), now);
     const auto forEarlierRun = registry.takeUpdates(now);
@@ -76,12 +81,12 @@
 // Minions are replaced while a network partition cuts off their data centre, and then its cell gets another owner.
 TEST(FleetView, AViewIsIncompleteWhileAKeeperIsSilent)
 {
-    registry.minionReported(minion("a"));
+    registry.minionReported(minion("a"), now);
     exchange(view, 1);
     CHECK(view.isComplete(now));
     now += absl::Seconds(5);
     CHECK_FALSE(view.isComplete(now));
-    registry.minionReported(minion("b"));
+    registry.minionReported(minion("b"), now);
     exchange(view, 1);
     CHECK(view.isComplete(now));
     LONGS_EQUAL(2, view.minionsOf(cell).size());
@@ -173,3 +178,36 @@
     exchange(restarted, 2);
     CHECK(restarted.evacuationOf(centre).isEvacuated);
 }
+
+// Guards against tasks that run twice: the entry took a minion at work for replaced, because of a report for another service
+// with its address (review/9). Keepers of earlier versions pass such reports on.
+TEST(FleetView, AReportForAnotherServiceRemovesNoMinionAtItsAddress)
+{
+    MinionReport other = minion("b", 1, 2);
+    other.endpoint = minion("a").endpoint;
+    other.pool.service = ServiceId("billing");
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.number = 1;
+    update.minions = { minion("a"), other };
+    CHECK(view.receive(keeperId, update, now).removed.empty());
+    CHECK(view.minionsOf(cell) == std::vector<MinionReport> { minion("a") });
+    update.minions = { minion("a", 2) };
+    LONGS_EQUAL(1, view.receive(keeperId, update, now).minions.size());
+}
+
+TEST(FleetView, ALaterMinionOfTheSameServiceReplacesTheOneAtItsAddress)
+{
+    MinionReport next = minion("b", 1, 2);
+    next.endpoint = minion("a").endpoint;
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.minions = { minion("a") };
+    view.receive(keeperId, update, now);
+    update.minions = { next };
+    const FleetChange change = view.receive(keeperId, update, now);
+    LONGS_EQUAL(1, change.removed.size());
+    CHECK(change.removed.front().report == minion("a"));
+    CHECK(change.removed.front().replacedBy == next.instance.minion);
+    CHECK(view.minionsOf(cell) == std::vector<MinionReport> { next });
+}
