Check each field of a minion's report, also those that aren't used

What could happen: a copy of a minion's report in which another writer had left out a field or given it another type was taken as the minion's own, if the product doesn't use that field.

Cause: the codec read what the product uses and looked at nothing else.

--- a/Source/Adapters/Json/JsonFields.cpp
+++ b/Source/Adapters/Json/JsonFields.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace trefoilwing {
@@ -140,6 +141,17 @@
     return counts;
 }
 
+std::vector<std::string> JsonFields::texts(const char* name, size_t maxCount) const
+{
+    const nlohmann::json* value = find(name);
+    const auto isText = [](const nlohmann::json& item) { return item.is_string() && item.get_ref<const std::string&>().size() <= maxIdBytes; };
+    if (!value || !value->is_array() || value->size() > maxCount || !std::all_of(value->begin(), value->end(), isText)) {
+        fail(name, absl::StrCat("a list of at most ", maxCount, " strings of at most ", maxIdBytes, " bytes"));
+        return {};
+    }
+    return value->get<std::vector<std::string>>();
+}
+
 JsonFields JsonFields::object(const char* name) const
 {
     const nlohmann::json* value = find(name);
--- a/Source/Adapters/Json/JsonFields.h
+++ b/Source/Adapters/Json/JsonFields.h
@@ -42,6 +42,8 @@
     std::string anyText(const char* name, size_t maxLength) const;
     /// @return the flag, or false if it is absent.
     bool optionalFlag(const char* name) const;
+    /// @return the strings in the list, each at most 256 bytes long.
+    std::vector<std::string> texts(const char* name, size_t maxCount) const;
     /// @return the numbers by name; empty if the field is absent.
     std::map<std::string, uint32_t> optionalCounts(const char* name) const;
     /// @return a reader of the nested object.
--- a/Tests/Platform/MinionReportCodecTest.cpp
+++ b/Tests/Platform/MinionReportCodecTest.cpp
@@ -1,5 +1,7 @@
 #include "platform/MinionReportCodec.h"
 
+#include <nlohmann/json.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace trefoilwing;
@@ -60,3 +62,52 @@
              with("huvo11a", std::string(100000, 'x')) })
         CHECK(errorOf(platform::decodeMinionReport("i", odd)));
 }
+
+// Guards against a copy of a minion's report that another writer has sent with a field missing or of another type, and that
+// changed the minion since the product doesn't use the field.
+TEST(MinionReportCodec, EachFieldOfAReportIsCheckedAlsoThoseThatArentUsed)
+{
+    using nlohmann::json;
+    const json whole = json::parse(reportBody);
+    for (const char* name : { "service", "address", "zone", "version", "slots", "state", "cold_remaining_ms", "capacity", "labels", "sequence" }) {
+        json odd = whole;
+        odd.erase(name);
+        CHECK_TEXT(errorOf(platform::decodeMinionReport("i", odd.dump())), name);
+    }
+    for (const auto& item : whole.items()) {
+        for (const json& other : { json(nullptr), json(true), json::object(), json::array({ 1 }), item.value().is_string() ? json(7) : json("text") }) {
+            json odd = whole;
+            odd[item.key()] = other;
+            CHECK_TEXT(errorOf(platform::decodeMinionReport("i", odd.dump())), (item.key() + " " + other.dump()).c_str());
+        }
+    }
+    for (const char* name : { "cpu", "mem_mb", "gpu" }) {
+        json odd = whole;
+        odd["capacity"][name] = "16000";
+        CHECK_TEXT(errorOf(platform::decodeMinionReport("i", odd.dump())), name);
+    }
+    for (const json& odd : { json::array({ "a", nullptr }), json::array({ "a", json::array() }), json(std::vector<std::string>(1000, "a")), json::array({ std::string(1000, 'a') }) }) {
+        json report = whole;
+        report["labels"] = odd;
+        CHECK_TEXT(errorOf(platform::decodeMinionReport("i", report.dump())), odd.dump().c_str());
+    }
+}
+
+// Minions of the fleet differ in what they add to the fields that all of them report.
+TEST(MinionReportCodec, ReportsOfTheFleetAreTaken)
+{
+    using nlohmann::json;
+    const json whole = json::parse(reportBody);
+    for (const char* name : { "born", "clock_ms" }) {
+        json report = whole;
+        report.erase(name);
+        CHECK_TEXT(valueOf(platform::decodeMinionReport("i", report.dump())), name);
+    }
+    json report = whole;
+    report["capacity"].erase("gpu");
+    report["cold_remaining_ms"] = 812.5;
+    report["labels"] = json::array();
+    report["remaining_ms"] = 2000;
+    report["added_later"] = json::object();
+    CHECK(valueOf(platform::decodeMinionReport("i", report.dump())));
+}
