Ignore a report that contradicts the instance that it names

What could happen: a report with the id and the start time of a minion at work, but with another service, data centre or address, was taken as its newest if its sequence was higher.

Cause: reports of one instance were ordered by their sequence, and whatever they said was believed. But an instance keeps its service, its data centre and its address.

Change: contradicts() says so in one place, and the keepers' registry, their log and the daemons' views ignore such a report; report_ignored logs it. Minions without a start time may still move, as all their instances count as one. A first report without start time and with the sequence 0 no longer leaves a nameless minion in the log: it was compared with an entry that the comparison itself had made.

Result: AReportThatContradicts... of FleetRegistry, FleetState and FleetView and FleetState.AFirstReportWithoutStartTimeAndSequenceIsStored failed before, pass now.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -40,6 +40,8 @@
 
 ReportOutcome FleetRegistry::minionReported(const MinionReport& report, absl::Time now)
 {
+    if (const MinionReport* known = findReport(report.instance.minion); known && contradicts(report, *known))
+        return ReportOutcome::Contradictory;
     if (!mayTake(report))
         return heldReports_.add(report, now) ? ReportOutcome::Held : ReportOutcome::StillHeld;
     return takeReport(report) ? ReportOutcome::Changed : ReportOutcome::Unchanged;
@@ -57,8 +59,14 @@
 {
     if (services_.contains(report.pool.service))
         return true;
-    const auto known = minions_.find(report.instance.minion);
-    return known != minions_.end() && known->second.report.instance == report.instance && known->second.report.pool == report.pool;
+    const MinionReport* known = findReport(report.instance.minion);
+    return known && known->instance == report.instance;
+}
+
+const MinionReport* FleetRegistry::findReport(const MinionId& minion) const
+{
+    const auto found = minions_.find(minion);
+    return found == minions_.end() ? nullptr : &found->second.report;
 }
 
 std::vector<MinionInstance> FleetRegistry::replacedInOtherServices(const MinionReport& report) const
@@ -74,12 +82,11 @@
 
 bool FleetRegistry::takeReport(const MinionReport& report)
 {
-    if (!minions_.contains(report.instance.minion) && hasLeft(report.instance))
+    const MinionReport* known = findReport(report.instance.minion);
+    if (known ? contradicts(report, *known) || !isLater(report, *known) : hasLeft(report.instance))
         return false;
     addPool(report.pool);
     Entry& entry = minions_[report.instance.minion];
-    if (entry.number > 0 && !isLater(report, entry.report))
-        return false;
     if (entry.number > 0)
         --pools_[entry.report.pool];
     ++pools_[report.pool];
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -29,6 +29,8 @@
     Held,
     /// As Held, but not for the first time.
     StillHeld,
+    /// It names a known instance, but can't be of it.
+    Contradictory,
 };
 
 /// A keeper's record of a daemon that sends it heartbeats.
@@ -69,7 +71,7 @@
     }
 
     /// Takes a report of a service that the routing table names, or of an instance that is known already. Any other one is
-    /// held, and changes nothing.
+    /// held, and changes nothing. One that contradicts a known instance is ignored.
     ReportOutcome minionReported(const MinionReport&, absl::Time now);
     /// Sets the services that the routing table names.
     /// @return the held reports that are taken therefore, as far as other daemons need to know them.
@@ -130,6 +132,7 @@
         uint64_t number = 0;
     };
 
+    const MinionReport* findReport(const MinionId&) const;
     /// @return whether the report is of a service that the routing table names, or of a known instance.
     bool mayTake(const MinionReport&) const;
     /// @return whether the report says something that other daemons need to know.
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -43,14 +43,13 @@
 
 bool FleetState::apply(const MinionRecord& record)
 {
-    if (hasLeft(record.report.instance))
+    const MinionReport& report = record.report;
+    const auto known = minions_.find(report.instance.minion);
+    if (hasLeft(report.instance) || (known != minions_.end() && (contradicts(report, known->second) || !isLater(report, known->second))))
         return false;
-    MinionReport& known = minions_[record.report.instance.minion];
-    if (!isLater(record.report, known))
-        return false;
-    known = record.report;
     // Of several minions of a service that reported from one address, only the most recently started one is kept.
-    std::erase_if(minions_, [&](const auto& entry) { return shareAddress(record.report, entry.second) && entry.second.instance.startTime <= record.report.instance.startTime; });
+    std::erase_if(minions_, [&](const auto& entry) { return shareAddress(report, entry.second) && entry.second.instance.startTime <= report.instance.startTime; });
+    minions_[report.instance.minion] = report;
     return true;
 }
 
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -166,6 +166,8 @@
     }
     if (outcome == ReportOutcome::Held)
         log_.write(Severity::Warning, "report_held", { { "minion", report.instance.minion.value() }, { "birth", report.instance.startTime.value() }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "reason", std::string("the configuration doesn't name its service") } });
+    if (outcome == ReportOutcome::Contradictory)
+        log_.write(Severity::Warning, "report_ignored", { { "minion", report.instance.minion.value() }, { "birth", report.instance.startTime.value() }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "reason", std::string("a minion keeps its service, data centre and address while it runs") } });
     if (outcome != ReportOutcome::Changed)
         return;
     reportTaken(report);
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -114,7 +114,7 @@
     if (departed != departed_.end() && report.instance.startTime <= departed->second)
         return false;
     const auto known = minions_.find(report.instance.minion);
-    if (known != minions_.end() && !isLater(report, known->second))
+    if (known != minions_.end() && (contradicts(report, known->second) || !isLater(report, known->second)))
         return false;
     std::vector<MinionInstance> replaced;
     for (const auto& [id, other] : minions_) {
--- a/Source/Model/Runs.cpp
+++ b/Source/Model/Runs.cpp
@@ -21,4 +21,10 @@
     return a.endpoint == b.endpoint && a.pool.service == b.pool.service && a.instance.minion != b.instance.minion;
 }
 
+bool contradicts(const MinionReport& report, const MinionReport& known)
+{
+    const bool hasMoved = report.endpoint != known.endpoint && report.instance.startTime > MinionStartTime(0);
+    return report.instance == known.instance && (report.pool != known.pool || hasMoved);
+}
+
 } // namespace trefoilwing
--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -126,6 +126,11 @@
 /// alive. A report says nothing about minions of other services.
 bool shareAddress(const MinionReport&, const MinionReport&);
 
+/// @return whether a report can't be of the instance that sent the known one, although it names it: an instance keeps its
+/// service, its data centre and its address. All instances of a minion that doesn't report its start time count as one, so
+/// that one may have moved.
+bool contradicts(const MinionReport& report, const MinionReport& known);
+
 /// The common header of all orders to a minion.
 struct OrderHeader {
     MinionInstance instance;
--- a/Tests/Control/FleetRegistryTest.cpp
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -431,10 +431,9 @@
     same.instance = minion(1).instance;
     same.sequence = 9;
     same.state = MinionState::Leaving;
-    for (const MinionReport& odd : { later, same }) {
-        CHECK(registry.minionReported(odd, now) == ReportOutcome::Held);
-        CHECK_FALSE(registry.minionLeft(odd.instance.minion).has_value());
-    }
+    CHECK(registry.minionReported(later, now) == ReportOutcome::Held);
+    CHECK(registry.minionReported(same, now) == ReportOutcome::Contradictory);
+    CHECK_FALSE(registry.minionLeft(same.instance.minion).has_value());
     MinionReport next = minion(1);
     next.sequence = 2;
     next.state = MinionState::Leaving;
@@ -516,3 +515,24 @@
     CHECK(registry.replacedInOtherServices(foreign()) == std::vector<MinionInstance> { minion(1).instance });
     CHECK(registry.replacedInOtherServices(minion(1)).empty());
 }
+
+// Guards against a minion at work that is moved to another address or service by a report that can't be its own: an instance
+// keeps both.
+TEST(FleetRegistry, AReportThatContradictsAKnownInstanceChangesNothing)
+{
+    reportMinion();
+    registry.setServices({ ServiceId("service"), ServiceId("billing") }, now);
+    MinionReport elsewhere = minion(1);
+    elsewhere.endpoint.port = 81;
+    MinionReport otherService = minion(1);
+    otherService.pool.service = ServiceId("billing");
+    MinionReport otherCentre = minion(1, "away");
+    for (MinionReport odd : { elsewhere, otherService, otherCentre }) {
+        odd.sequence = 9;
+        CHECK(registry.minionReported(odd, now) == ReportOutcome::Contradictory);
+    }
+    MinionReport next = minion(1);
+    next.sequence = 2;
+    next.state = MinionState::Leaving;
+    CHECK(registry.minionReported(next, now) == ReportOutcome::Changed);
+}
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -86,6 +86,25 @@
     CHECK(restored.apply(minion("a", 1, 2, "10.0.0.1")));
 }
 
+TEST(FleetState, AReportThatContradictsAKnownInstanceIsIgnored)
+{
+    const MinionRecord known = minion("a", 1, 1, "10.0.0.1");
+    CHECK(state.apply(known));
+    CHECK_FALSE(state.apply(minion("a", 1, 2, "10.0.0.2")));
+    MinionRecord other = minion("a", 1, 3, "10.0.0.1");
+    other.report.pool.service = ServiceId("billing");
+    CHECK_FALSE(state.apply(other));
+    CHECK(state.minions().at(MinionId("a")) == known.report);
+}
+
+// Guards against a nameless minion in the log: a first report without a start time and with the sequence 0 left one.
+TEST(FleetState, AFirstReportWithoutStartTimeAndSequenceIsStored)
+{
+    const MinionRecord first = minion("a", 0, 0, "10.0.0.1");
+    CHECK(state.apply(first));
+    CHECK(state.minions().at(MinionId("a")) == first.report);
+}
+
 TEST(FleetState, ASnapshotHoldsTheWholeState)
 {
     state.apply(routing(5, "five"));
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -211,3 +211,31 @@
     CHECK(change.removed.front().replacedBy == next.instance.minion);
     CHECK(view.minionsOf(cell) == std::vector<MinionReport> { next });
 }
+
+TEST(FleetView, AReportThatContradictsAKnownInstanceChangesNothing)
+{
+    MinionReport elsewhere = minion("a", 2);
+    elsewhere.endpoint.port = 81;
+    MinionReport otherService = minion("a", 3);
+    otherService.pool.service = ServiceId("billing");
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.minions = { minion("a") };
+    view.receive(keeperId, update, now);
+    update.minions = { elsewhere, otherService };
+    CHECK(view.receive(keeperId, update, now).minions.empty());
+    CHECK(view.minionsOf(cell) == std::vector<MinionReport> { minion("a") });
+}
+
+// All instances of a minion that doesn't report its start time count as one, so it may come back at another address.
+TEST(FleetView, AMinionWithoutAStartTimeMayMove)
+{
+    MinionReport moved = minion("a", 2, 0);
+    moved.endpoint.port = 81;
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.minions = { minion("a", 1, 0) };
+    view.receive(keeperId, update, now);
+    update.minions = { moved };
+    LONGS_EQUAL(1, view.receive(keeperId, update, now).minions.size());
+}
