Drop a late report from an address that a later minion uses

What could happen: a minion that had ended was stored and counted for ever. Entries ignored it, but keepers counted it when pools are divided, and their log kept it.

Cause: the log and the keepers' registry let the later of two minions at an address replace the earlier one, but took the earlier one if it came last.

Change: both ask also whether a later one of the service is there already, as the entries do.

Result: ALateReportFromAnAddressThatALaterMinionUsesIsIgnored of FleetState and of FleetRegistry failed before, pass now.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -69,6 +69,14 @@
     return found == minions_.end() ? nullptr : &found->second.report;
 }
 
+bool FleetRegistry::isAddressReused(const MinionReport& report) const
+{
+    return std::any_of(minions_.begin(), minions_.end(), [&](const auto& entry) {
+        const MinionReport& other = entry.second.report;
+        return shareAddress(report, other) && other.instance.startTime > report.instance.startTime;
+    });
+}
+
 std::vector<MinionInstance> FleetRegistry::replacedInOtherServices(const MinionReport& report) const
 {
     std::vector<MinionInstance> replaced;
@@ -83,7 +91,7 @@
 bool FleetRegistry::takeReport(const MinionReport& report)
 {
     const MinionReport* known = findReport(report.instance.minion);
-    if (known ? contradicts(report, *known) || !isLater(report, *known) : hasLeft(report.instance))
+    if (known ? contradicts(report, *known) || !isLater(report, *known) : hasLeft(report.instance) || isAddressReused(report))
         return false;
     addPool(report.pool);
     Entry& entry = minions_[report.instance.minion];
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -135,6 +135,8 @@
     const MinionReport* findReport(const MinionId&) const;
     /// @return whether the report is of a service that the routing table names, or of a known instance.
     bool mayTake(const MinionReport&) const;
+    /// @return whether a minion that started later has reported from the report's address for its service.
+    bool isAddressReused(const MinionReport&) const;
     /// @return whether the report says something that other daemons need to know.
     bool takeReport(const MinionReport&);
     void removeMinion(const MinionInstance&);
--- a/Source/Control/FleetState.cpp
+++ b/Source/Control/FleetState.cpp
@@ -48,7 +48,10 @@
     if (hasLeft(report.instance) || (known != minions_.end() && (contradicts(report, known->second) || !isLater(report, known->second))))
         return false;
     // Of several minions of a service that reported from one address, only the most recently started one is kept.
-    std::erase_if(minions_, [&](const auto& entry) { return shareAddress(report, entry.second) && entry.second.instance.startTime <= report.instance.startTime; });
+    const auto sharesAddress = [&](const auto& entry) { return shareAddress(report, entry.second); };
+    if (std::any_of(minions_.begin(), minions_.end(), [&](const auto& entry) { return sharesAddress(entry) && entry.second.instance.startTime > report.instance.startTime; }))
+        return false;
+    std::erase_if(minions_, sharesAddress);
     minions_[report.instance.minion] = report;
     return true;
 }
--- a/Tests/Control/FleetRegistryTest.cpp
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -536,3 +536,14 @@
     next.state = MinionState::Leaving;
     CHECK(registry.minionReported(next, now) == ReportOutcome::Changed);
 }
+
+// Guards against a minion that has ended and is counted for ever: its report was held up until a later minion had reported
+// from its address.
+TEST(FleetRegistry, ALateReportFromAnAddressThatALaterMinionUsesIsIgnored)
+{
+    MinionReport later = minion(1);
+    later.instance = { MinionId("later"), MinionStartTime(2) };
+    registry.minionReported(later, now);
+    CHECK(registry.minionReported(minion(1), now) == ReportOutcome::Unchanged);
+    LONGS_EQUAL(1, registry.minionCount());
+}
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -86,6 +86,13 @@
     CHECK(restored.apply(minion("a", 1, 2, "10.0.0.1")));
 }
 
+TEST(FleetState, ALateReportFromAnAddressThatALaterMinionUsesIsIgnored)
+{
+    CHECK(state.apply(minion("b", 2, 1, "10.0.0.1")));
+    CHECK_FALSE(state.apply(minion("a", 1, 9, "10.0.0.1")));
+    LONGS_EQUAL(1, state.minions().size());
+}
+
 TEST(FleetState, AReportThatContradictsAKnownInstanceIsIgnored)
 {
     const MinionRecord known = minion("a", 1, 1, "10.0.0.1");
