Tell the owner of a pool that a minion has restarted for another service

What could happen: an owner kept a minion that had left its pool, and ordered it until the minion answered that it was another instance.

Cause: an entry that learns of a later instance passes it to the cell of its new pool only.

Change: FleetView lists the earlier instance as removed if the pool differs.

Result: FleetView.AMinionThatRestartsForAnotherServiceIsRemovedFromItsPool failed before, passes now.

--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -124,6 +124,9 @@
             replaced.push_back(other.instance);
         }
     }
+    // A minion that has restarted for another service has left its pool.
+    if (known != minions_.end() && known->second.pool != report.pool)
+        change.removed.push_back({ known->second, report.instance.minion });
     for (const MinionInstance& instance : replaced)
         removeMinion(instance, report.instance.minion, change);
     minions_[report.instance.minion] = report;
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -239,3 +239,19 @@
     update.minions = { moved };
     LONGS_EQUAL(1, view.receive(keeperId, update, now).minions.size());
 }
+
+// Guards against an owner that keeps a minion which has restarted for another service.
+TEST(FleetView, AMinionThatRestartsForAnotherServiceIsRemovedFromItsPool)
+{
+    MinionReport restarted = minion("a", 1, 2);
+    restarted.pool.service = ServiceId("billing");
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.minions = { minion("a") };
+    view.receive(keeperId, update, now);
+    update.minions = { restarted };
+    const FleetChange change = view.receive(keeperId, update, now);
+    LONGS_EQUAL(1, change.minions.size());
+    LONGS_EQUAL(1, change.removed.size());
+    CHECK(change.removed.front().report == minion("a"));
+}
