--- a/Source/Adapters/Disk/DiskJournal.cpp
+++ b/Source/Adapters/Disk/DiskJournal.cpp
@@ -26,6 +26,7 @@
     : folder_(std::move(folder))
     , storage_(opened.storage)
     , content_(std::move(opened.content))
+    , cutOff_(opened.cutOff)
 {
 }
 
--- a/Source/Adapters/Disk/DiskJournal.h
+++ b/Source/Adapters/Disk/DiskJournal.h
@@ -43,6 +43,9 @@
     /// The incarnation of the storage, which is part of the member's id.
     Incarnation storage() const { return storage_; }
 
+    /// Size of an incomplete last write, which was cut off when the folder was opened.
+    Bytes cutOff() const { return cutOff_; }
+
     /// @return the content of the folder when it was opened. Call it once.
     JournalContent takeContent() { return std::move(content_); }
 
@@ -71,6 +74,7 @@
     std::unique_ptr<JournalFolder> folder_;
     Incarnation storage_;
     JournalContent content_;
+    Bytes cutOff_;
     mutable absl::Mutex mutex_;
     absl::CondVar changed_;
     std::vector<JournalBatch> batches_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Adapters/Disk/FileSystem.h
+++ b/Source/Adapters/Disk/FileSystem.h
@@ -26,7 +26,7 @@
 public:
     virtual ~FileSystem() = default;
 
-    /// Creates a folder and its parents; a folder that exists already is no error.
+    /// Creates a folder and its parents, and makes its name durable; a folder that exists already is no error.
     virtual Result<Done> makeFolder(const std::string& folder) = 0;
     /// @return the names of a folder's files, sorted.
     virtual Result<std::vector<std::string>> list(const std::string& folder) = 0;
--- a/Source/Adapters/Disk/JournalFolder.cpp
+++ b/Source/Adapters/Disk/JournalFolder.cpp
@@ -99,6 +99,10 @@
 {
     if (auto made = files_.makeFolder(folder_); errorOf(made))
         return *errorOf(made);
+    // A process that was killed may have left names that no power loss would keep.
+    if (auto synced = files_.syncFolder(folder_); errorOf(synced))
+        return *errorOf(synced);
+    ++syncs_;
     const auto listed = files_.list(folder_);
     if (errorOf(listed))
         return *errorOf(listed);
@@ -106,7 +110,7 @@
     const auto identity = readIdentity(names, offered);
     if (errorOf(identity))
         return *errorOf(identity);
-    Opened opened { {}, *valueOf(identity) };
+    Opened opened { {}, *valueOf(identity), Bytes(0) };
     if (auto read = readSnapshot(names, opened.content); errorOf(read))
         return *errorOf(read);
     if (auto read = readSegments(names, opened.content); errorOf(read))
@@ -116,6 +120,7 @@
     hardState_ = opened.content.hardState;
     if (auto begun = beginSegment(); errorOf(begun))
         return *errorOf(begun);
+    opened.cutOff = cutOffBytes_;
     return opened;
 }
 
@@ -204,19 +209,31 @@
                 segment.lastIndex = std::max(segment.lastIndex, entry->index);
         }
     }
-    if (reader.isAtEnd())
-        return Done {};
-    if (!isLast || reader.hasLaterBlock())
+    if (!reader.isAtEnd() && (!isLast || reader.hasLaterBlock()))
         return corruptionError(path, reader.offset(), "the checksum doesn't match");
-    return files_.truncate(path, reader.offset());
+    if (!isLast)
+        return Done {};
+    cutOffBytes_ = Bytes(valueOf(bytes)->size() - reader.offset());
+    return reader.isAtEnd() ? syncFile(path) : files_.truncate(path, reader.offset());
+}
+
+Result<Done> JournalFolder::syncFile(const std::string& path)
+{
+    const auto opened = files_.open(path);
+    if (errorOf(opened))
+        return *errorOf(opened);
+    ++syncs_;
+    return (*valueOf(opened))->sync();
 }
 
 Result<Done> JournalFolder::checkOrder(const JournalContent& content) const
 {
     LogIndex expected(snapshotIndex_.value() + 1);
-    if (!content.entries.empty())
-        expected = std::min(expected, content.entries.front().index);
     for (const LogEntry& entry : content.entries) {
+        // Entries that the snapshot covers aren't needed. They may end before it, if a process was killed between the two
+        // writes that replace them by a leader's snapshot.
+        if (entry.index <= snapshotIndex_)
+            continue;
         if (entry.index != expected)
             return corruptionError(folder_, 0, absl::StrCat("entry ", expected.value(), " is missing"));
         expected = LogIndex(expected.value() + 1);
@@ -366,8 +383,11 @@
 
 Result<Done> JournalFolder::removeObsoleteFiles()
 {
-    // Only the oldest segments are removed, without gaps, so that a missing segment is always detected.
-    while (segments_.size() > 1 && segments_.front().lastIndex <= snapshotIndex_) {
+    // Only the oldest segments are removed, without gaps, so that a missing segment is always detected. A power loss may bring
+    // back any of the names that were removed since the last sync, so there is one at most.
+    for (bool isFirst = true; segments_.size() > 1 && segments_.front().lastIndex <= snapshotIndex_; isFirst = false) {
+        if (auto synced = isFirst ? Result<Done>(Done {}) : files_.syncFolder(folder_); errorOf(synced))
+            return synced;
         if (auto removed = files_.remove(pathOf(numberedName(segmentPrefix, segments_.front().number, segmentSuffix))); errorOf(removed))
             return removed;
         segments_.pop_front();
--- a/Source/Adapters/Disk/JournalFolder.h
+++ b/Source/Adapters/Disk/JournalFolder.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Adapters/Disk/FileSystem.h"
+#include "Model/Units.h"
 #include "Ports/Journal.h"
 
 #include <deque>
@@ -17,8 +18,9 @@
 ///     segment-NUMBER.log        blocks of records, in the order of writing
 ///     snapshot-INDEX.snap       the state after the entry INDEX
 ///
-/// Each write is one block and is synced before the next, so only the last block of the last segment
-/// can be incomplete. Not thread-safe: one thread uses it.
+/// Each write is one block and is synced before the next. What a process that was killed has left unsynced is synced, or cut
+/// off if it is incomplete, before another segment is begun. So only the last block of the last segment can be incomplete.
+/// Not thread-safe: one thread uses it.
 class JournalFolder {
 public:
     struct Options {
@@ -31,11 +33,13 @@
         JournalContent content;
         /// The incarnation of the storage: the offered one if the folder is new, else the stored one.
         Incarnation storage;
+        /// Size of an incomplete last write, which was cut off.
+        Bytes cutOff;
     };
 
     JournalFolder(FileSystem&, std::string folder, Options);
 
-    /// Reads all files and truncates an incomplete last write.
+    /// Reads all files, truncates an incomplete last write, and syncs what an earlier process has left unsynced.
     /// @param offered the storage's incarnation if the folder is new: higher than any earlier one.
     /// @return the stored content, or an error that names file, offset and cure.
     Result<Opened> open(Incarnation offered);
@@ -57,6 +61,7 @@
     Result<Done> readSnapshot(const std::vector<std::string>& names, JournalContent&);
     Result<Done> readSegments(const std::vector<std::string>& names, JournalContent&);
     Result<Done> readSegment(Segment&, bool isLast, JournalContent&);
+    Result<Done> syncFile(const std::string& path);
     Result<Done> checkOrder(const JournalContent&) const;
     Result<Done> writeBatches(const std::vector<JournalBatch>&);
     Result<Done> beginSegment();
@@ -84,6 +89,7 @@
     bool hasFailedWrite_ = false;
     HardState hardState_;
     LogIndex snapshotIndex_;
+    Bytes cutOffBytes_;
     uint64_t bytesWritten_ = 0;
     uint64_t syncs_ = 0;
 };
--- a/Source/Adapters/Disk/PosixFileSystem.cpp
+++ b/Source/Adapters/Disk/PosixFileSystem.cpp
@@ -94,7 +94,10 @@
 Result<Done> PosixFileSystem::makeFolder(const std::string& folder)
 {
     std::error_code code;
-    std::filesystem::create_directories(folder, code);
+    const bool isNew = std::filesystem::create_directories(folder, code);
+    const std::string parent = std::filesystem::path(folder).parent_path().string();
+    if (!code && isNew && !parent.empty())
+        return syncFolder(parent);
     return check(code, "can't create folder", folder);
 }
 
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -90,12 +90,32 @@
     stop();
 }
 
+Result<std::unique_ptr<DiskJournal>> FleetKeeper::openFolder()
+{
+    const std::string folder = settings_.dataFolder + "/fleet";
+    const JournalFolder::Options options { maxSegmentBytes };
+    auto opened = DiskJournal::open(files_, folder, link_.self().incarnation, options);
+    const Error* error = errorOf(opened);
+    if (!error || error->code != ErrorCode::Malformed)
+        return opened;
+    const std::string aside = absl::StrCat(folder, "-damaged-", link_.self().incarnation.value());
+    log_.write(Severity::Error, "journal_damaged", { { "reason", error->message }, { "kept_as", aside } });
+    if (auto renamed = files_.rename(folder, aside); errorOf(renamed))
+        return *errorOf(renamed);
+    if (auto synced = files_.syncFolder(settings_.dataFolder); errorOf(synced))
+        return *errorOf(synced);
+    isJournalReplaced_ = true;
+    return DiskJournal::open(files_, folder, link_.self().incarnation, options);
+}
+
 Result<Done> FleetKeeper::openJournal()
 {
-    auto opened = DiskJournal::open(files_, settings_.dataFolder + "/fleet", link_.self().incarnation, { maxSegmentBytes });
+    auto opened = openFolder();
     if (const Error* error = errorOf(opened))
         return *error;
     journal_ = std::get<std::unique_ptr<DiskJournal>>(std::move(opened));
+    if (journal_->cutOff() > Bytes(0))
+        log_.write(Severity::Warning, "journal_cut_off", { { "bytes", journal_->cutOff().value() }, { "reason", std::string("the last write was incomplete and had never been acknowledged") } });
     LogSettings settings;
     settings.group = fleetGroup;
     settings.self = Member { MemberId { link_.self().daemon, journal_->storage() }, false, true, false };
@@ -105,7 +125,8 @@
     settings.heartbeat = logHeartbeat;
     settings.maxFirstElectionDelay = maxFirstElectionDelay;
     settings.maxEntries = maxLogEntries;
-    settings.mayFound = settings_.isFounding;
+    // A keeper that has lost its journal must not found a second group.
+    settings.mayFound = settings_.isFounding && !isJournalReplaced_;
     settings.minSyncedDisks = settings_.lostDisks + 1;
     settings.voterTimeout = absl::Seconds(settings_.catchUpSeconds * voterTimeoutFraction);
     settings.keepsOddVoters = true;
--- a/Source/Daemon/FleetKeeper.h
+++ b/Source/Daemon/FleetKeeper.h
@@ -38,6 +38,9 @@
     FleetKeeper(const FleetSettings&, const RoutingReader&, EventLog&, HistogramMetrics&);
 
     Result<Done> openJournal();
+    /// Opens the journal's folder. A damaged one is moved aside, and an empty one takes its place: this keeper then joins its
+    /// group as a new member.
+    Result<std::unique_ptr<DiskJournal>> openFolder();
 
     void minionReported(const MinionReport&) override;
     void minionLeft(const MinionId&) override;
@@ -81,6 +84,8 @@
     HttpListener control_;
     MetricsPage metricsPage_;
     std::unique_ptr<DiskJournal> journal_;
+    /// Whether the folder of an earlier journal was damaged.
+    bool isJournalReplaced_ = false;
     std::unique_ptr<ReplicatedFleet> group_;
 
     mutable absl::Mutex mutex_;
--- a/Source/Ports/Journal.h
+++ b/Source/Ports/Journal.h
@@ -25,6 +25,9 @@
 };
 
 /// The content of a journal when it was opened.
+///
+/// All of it is durable, whichever process wrote it: a member may report, acknowledge and vote on it at once. Entries that
+/// were appended since are durable once a sync that covers them was reported (JournalEvents::synced).
 struct JournalContent {
     HardState hardState;
     std::shared_ptr<const Snapshot> snapshot;
--- a/Tests/Adapters/Disk/JournalFolderTest.cpp
+++ b/Tests/Adapters/Disk/JournalFolderTest.cpp
@@ -2,6 +2,7 @@
 #include "Adapters/Disk/DiskJournal.h"
 #include "Adapters/Disk/PosixFileSystem.h"
 #include "Disk/FaultyFileSystem.h"
+#include "Disk/JournalScript.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
@@ -15,76 +16,8 @@
 
 namespace {
 
-const std::string folderName = "journal";
 const std::string firstSegment = "journal/segment-00000000000000000001.log";
 
-LogEntry entryOf(uint64_t index, uint64_t term)
-{
-    ClaimRecord claim;
-    claim.submission = { ServiceId("quotes"), BackerId("shop"), CallerKey(absl::StrCat("k", index)) };
-    return { LogIndex(index), Term(term), claim };
-}
-
-JournalBatch batchOf(uint64_t token, std::vector<LogEntry> entries)
-{
-    JournalBatch batch;
-    batch.token = SyncToken(token);
-    batch.entries = std::move(entries);
-    return batch;
-}
-
-JournalBatch snapshotOf(uint64_t token, uint64_t index, bool dropsEntries)
-{
-    JournalBatch batch;
-    batch.token = SyncToken(token);
-    batch.hardState = HardState { Epoch(1), Term(token), std::nullopt };
-    batch.snapshot = std::make_shared<const Snapshot>(Snapshot { LogIndex(index), Term(1), Epoch(1), {}, { LedgerChunk {}, LedgerChunk {} } });
-    batch.dropsEntries = dropsEntries;
-    return batch;
-}
-
-/// Batches with every kind of write: entries, entries that replace others, and snapshots with and without dropsEntries.
-std::vector<JournalBatch> script()
-{
-    JournalBatch vote = batchOf(1, { entryOf(1, 1), entryOf(2, 1), entryOf(3, 1) });
-    vote.hardState = HardState { Epoch(1), Term(1), MemberId { DaemonId("d1"), Incarnation(4) } };
-    return { vote, batchOf(2, { entryOf(2, 2), entryOf(3, 2), entryOf(4, 2) }), snapshotOf(3, 3, false), batchOf(4, { entryOf(5, 2) }),
-        snapshotOf(5, 9, true), batchOf(6, { entryOf(10, 3) }) };
-}
-
-/// Reference model: the content that a journal must have after the first batches.
-JournalContent contentAfter(size_t batches)
-{
-    JournalContent content;
-    const std::vector<JournalBatch> all = script();
-    for (size_t i = 0; i < batches; ++i) {
-        content.hardState = all[i].hardState.value_or(content.hardState);
-        if (all[i].dropsEntries)
-            content.entries.clear();
-        if (all[i].snapshot)
-            content.snapshot = all[i].snapshot;
-        for (const LogEntry& entry : all[i].entries) {
-            std::erase_if(content.entries, [&](const LogEntry& kept) { return kept.index >= entry.index; });
-            content.entries.push_back(entry);
-        }
-    }
-    return content;
-}
-
-/// @return the entries that must be there; those that the snapshot covers may or may not be removed yet.
-std::vector<LogEntry> afterSnapshot(const JournalContent& content)
-{
-    std::vector<LogEntry> entries = content.entries;
-    std::erase_if(entries, [&](const LogEntry& entry) { return content.snapshot && entry.index <= content.snapshot->lastIndex; });
-    return entries;
-}
-
-bool isSame(const JournalContent& a, const JournalContent& b)
-{
-    const bool sameSnapshot = a.snapshot && b.snapshot ? *a.snapshot == *b.snapshot : a.snapshot == b.snapshot;
-    return a.hardState == b.hardState && sameSnapshot && afterSnapshot(a) == afterSnapshot(b);
-}
-
 Result<JournalFolder::Opened> reopen(FileSystem& files, uint64_t offered = 99)
 {
     return JournalFolder(files, folderName, {}).open(Incarnation(offered));
@@ -141,17 +74,7 @@
             UT_PRINT(errorOf(opened)->message.c_str());
             return false;
         }
-        const JournalContent& content = valueOf(opened)->content;
-        if (isSame(content, contentAfter(acknowledged)))
-            return true;
-        // An unacknowledged write may be stored in full or, with a snapshot, only up to its snapshot or hard state.
-        if (acknowledged == script().size())
-            return false;
-        JournalContent half = contentAfter(acknowledged);
-        half.snapshot = contentAfter(acknowledged + 1).snapshot;
-        JournalContent halfWithState = half;
-        halfWithState.hardState = contentAfter(acknowledged + 1).hardState;
-        return isSame(content, contentAfter(acknowledged + 1)) || isSame(content, half) || isSame(content, halfWithState);
+        return mayFollow(valueOf(opened)->content, acknowledged);
     }
 };
 
--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -19,6 +19,7 @@
         , index(number)
         , daemon(absl::StrCat("d", number))
         , hasDisk(number < owner.options_.hostsWithDisk)
+        , disk(owner.options_.makeStorage())
     {
     }
 
@@ -28,24 +29,10 @@
     double unit() override { return 0.5; }
     void append(JournalBatch batch) override { pending.push_back({ std::move(batch), cluster.now_ + syncTime }); }
 
-    void write(const JournalBatch& batch)
-    {
-        if (batch.hardState)
-            disk.hardState = *batch.hardState;
-        if (batch.dropsEntries)
-            disk.entries.clear();
-        if (batch.snapshot)
-            disk.snapshot = batch.snapshot;
-        for (const LogEntry& entry : batch.entries) {
-            std::erase_if(disk.entries, [&](const LogEntry& kept) { return kept.index >= entry.index; });
-            disk.entries.push_back(entry);
-        }
-    }
-
     void syncDue()
     {
         while (group && !isFrozen && !isDiskFailing && !pending.empty() && pending.front().syncedAt <= cluster.now_) {
-            write(pending.front().batch);
+            disk->write(pending.front().batch);
             const SyncToken token = pending.front().batch.token;
             pending.pop_front();
             group->synced(token);
@@ -59,7 +46,7 @@
     DaemonId daemon;
     bool hasDisk;
     Incarnation storage;
-    JournalContent disk;
+    std::unique_ptr<HostStorage> disk;
     std::deque<PendingBatch> pending;
     absl::Duration syncTime = absl::Milliseconds(5);
     bool isFrozen = false;
@@ -94,6 +81,11 @@
     return number;
 }
 
+HostStorage& GroupCluster::storageOf(size_t host)
+{
+    return *hosts_[host]->disk;
+}
+
 ReplicatedGroup* GroupCluster::group(size_t host)
 {
     return hosts_[host]->group.get();
@@ -130,7 +122,12 @@
     settings.voterTimeout = options_.voterTimeout;
     settings.keepsOddVoters = options_.keepsOddVoters;
     settings.minSyncedDisks = options_.minSyncedDisks;
-    host.group = factory_(host.index, settings, host.disk, { host, host, host, host.hasDisk ? &host : nullptr });
+    std::optional<JournalContent> content = host.disk->open(host.storage);
+    if (!content) {
+        ++failedStarts_;
+        return;
+    }
+    host.group = factory_(host.index, settings, *std::move(content), { host, host, host, host.hasDisk ? &host : nullptr });
 }
 
 void GroupCluster::send(size_t from, const DaemonId& to, const PeerMessage& message)
@@ -252,8 +249,11 @@
     host.held.clear();
     host.isFrozen = false;
     host.isDiskFailing = false;
-    for (size_t i = 0; i < std::min(surviving, host.pending.size()); ++i)
-        host.write(host.pending[i].batch);
+    for (; surviving > 0 && !host.pending.empty(); --surviving) {
+        host.disk->write(host.pending.front().batch);
+        host.pending.pop_front();
+    }
+    host.disk->kill(host.pending.empty() ? nullptr : &host.pending.front().batch);
     host.pending.clear();
     if (!host.hasDisk)
         loseDisk(number);
@@ -273,7 +273,7 @@
     host.isFrozen = false;
     host.isDiskFailing = false;
     host.pending.clear();
-    host.disk = {};
+    host.disk = options_.makeStorage();
     host.storage = Incarnation(++storages_);
 }
 
--- a/Tests/Control/GroupCluster.h
+++ b/Tests/Control/GroupCluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Control/HostStorage.h"
 #include "Control/ReplicatedGroup.h"
 
 #include <functional>
@@ -40,6 +41,8 @@
         bool foundsOnce = false;
         absl::Duration claimGuard = absl::ZeroDuration();
         uint64_t seed = 1;
+        /// Makes the empty disk of a host.
+        std::function<std::unique_ptr<HostStorage>()> makeStorage = [] { return std::make_unique<MemoryStorage>(); };
     };
 
     GroupCluster(Options, Factory);
@@ -69,6 +72,10 @@
     /// @param surviving number of unsynced batches that reached the disk nevertheless.
     void crash(size_t host, size_t surviving = 0);
     void restart(size_t host);
+    /// Lets a host that has crashed lose power too.
+    void losePower(size_t host) { storageOf(host).losePower(); }
+    /// @return the number of starts at which a host couldn't open its journal.
+    size_t failedStarts() const { return failedStarts_; }
     void loseDisk(size_t host);
     void freeze(size_t host);
     void resume(size_t host);
@@ -90,6 +97,7 @@
     };
 
     void start(Host&);
+    HostStorage& storageOf(size_t host);
     void send(size_t from, const DaemonId& to, const PeerMessage&);
     void enqueue(absl::Time at, InFlight);
     void deliver(const InFlight&);
@@ -108,6 +116,7 @@
     uint64_t storages_ = 0;
     bool mayFound_ = true;
     uint64_t messagesSent_ = 0;
+    size_t failedStarts_ = 0;
 };
 
 } // namespace trefoilwing
--- a/Tests/Fleet/Fleet.cpp
+++ b/Tests/Fleet/Fleet.cpp
@@ -163,6 +163,21 @@
     std::filesystem::remove_all(absl::StrCat(folder_, "/", keeper));
 }
 
+void Fleet::damageJournal(const std::string& keeper)
+{
+    std::vector<std::filesystem::path> segments;
+    for (const auto& entry : std::filesystem::directory_iterator(absl::StrCat(folder_, "/", keeper, "/fleet"))) {
+        if (absl::StartsWith(entry.path().filename().string(), "segment-"))
+            segments.push_back(entry.path());
+    }
+    std::fstream file(*std::min_element(segments.begin(), segments.end()), std::ios::in | std::ios::out | std::ios::binary);
+    constexpr std::streamoff insideFirstBlock = 24;
+    file.seekg(insideFirstBlock);
+    const auto changed = static_cast<char>(file.get() ^ 1);
+    file.seekp(insideFirstBlock);
+    file.put(changed);
+}
+
 std::string Fleet::logOf(const std::string& name) const
 {
     std::ifstream file(absl::StrCat(folder_, "/", name, ".log"));
--- a/Tests/Fleet/Fleet.h
+++ b/Tests/Fleet/Fleet.h
@@ -36,6 +36,8 @@
     void startNode(const std::string& name, bool isFounding);
     ChildProcess& node(const std::string& name) { return *processes_.at(name); }
     void deleteDataFolder(const std::string& keeper);
+    /// Changes a byte in the middle of the journal of a keeper that doesn't run.
+    void damageJournal(const std::string& keeper);
     std::string logOf(const std::string& name) const;
 
     Endpoint callers(const std::string& entry) const;
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -259,6 +259,26 @@
     STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), atOther.body.c_str());
 }
 
+// Guards against a keeper that ends at each start because its journal is damaged: it must say so, keep the files, and come
+// back as a new member without the losses that the group bears.
+TEST(FleetSystem, AKeeperWhoseJournalIsDamagedJoinsAgain)
+{
+    begin();
+    CHECK(fleet.publish(7));
+    fleet.node("keeper-1").kill();
+    fleet.damageJournal("keeper-1");
+    fleet.startNode("keeper-1", false);
+    CHECK(fleet.publish(9));
+    absl::SleepFor(absl::Seconds(4));
+    CHECK(absl::StrContains(fleet.logOf("keeper-1"), "event=journal_damaged"));
+    fleet.node("keeper-2").kill();
+    const absl::Time end = absl::Now() + absl::Seconds(40);
+    WebResponse newest { 0, {}, {} };
+    while (newest.status != 200 && absl::Now() < end)
+        newest = fleet.caller().call(fleet.control("keeper-1"), "GET", "/config");
+    STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), newest.body.c_str());
+}
+
 // Guards against tasks that run twice, and minions that are never used again: reports of another writer, for a service that no
 // configuration names, carry the addresses of minions at work (review/9).
 TEST(FleetSystem, ReportsOfAnUnknownServiceRemoveNoMinion)
