Call a view of the minions complete only without a lost update

Cause: FleetView took any update of a keeper, also one behind a lost one, for a sign that it knew all of the keeper's minions. The lost one was sent again after 1.5 s; until then the entry, as the new owner of its cell, started what a minion ran that it didn't know.

AViewIsIncompleteUntilALostUpdateHasBeenReceived fails without the check of the gap, AnUpdateThatIsKnownToBeLostIsSentAgainAtOnce without the resend.

Change: an update that is based on a later one than was received shows a gap; the view is incomplete until it is closed, and the daemon asks for the lost updates at once (lacksUpdates). A view is complete for a grant only if every keeper has said that it knows the grant. Grants of an update are applied before its minions.

Why it works: a keeper tells each daemon everything in its own order. If it has told the grant without a gap, it has told all minions that it could have told the earlier owner before that owner learned of the grant.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -74,7 +74,7 @@
 
 void visitFields(auto&& visit, Fields<DaemonHeartbeat> auto& value)
 {
-    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.ackedKeeper, value.ackedUpdate, value.milliCores, value.claims);
+    visit(value.run, value.dataCentre, value.isEntry, value.isDraining, value.routing, value.ackedKeeper, value.ackedUpdate, value.milliCores, value.claims, value.lacksUpdates);
 }
 
 void visitFields(auto&& visit, Fields<DaemonInfo> auto& value)
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -173,6 +173,8 @@
     // A daemon that has lost what it confirmed is sent everything again.
     if (acked < daemon.lastAckedUpdate)
         daemon.lastSentUpdate = acked;
+    if (heartbeat.lacksUpdates && heartbeat.ackedKeeper == self_.incarnation)
+        daemon.lastSentUpdate = std::min(daemon.lastSentUpdate, acked);
     if (acked > daemon.lastAckedUpdate)
         daemon.awaitingAckSince = now;
     daemon.lastAckedUpdate = acked;
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -262,26 +262,40 @@
                 grants.push_back(grant);
         }
     }
+    if (change.missed)
+        requestMissedUpdates(from, *change.missed);
     for (const Evacuation& evacuation : change.evacuations)
         applyEvacuation(evacuation);
     if (change.table)
         applyTable(*std::move(change.table));
     if (change.routing)
         applyRouting(*change.routing);
+    // Grants come first: an owner must not use a minion that it learns of together with the grant of its cell to another.
+    for (const CellGrant& grant : grants)
+        applyGrant(grant);
     for (const RemovedMinion& removed : change.removed)
         applyRemoval(from, removed);
     for (const MinionReport& report : change.minions) {
         if (const CellPtr cell = findCellOf(report))
             cell->minionReported(report);
     }
-    for (const CellGrant& grant : grants)
-        applyGrant(grant);
     for (const CellPtr& cell : allCells()) {
-        if (areMinionsKnown(cell->cell(), cell->epoch()))
+        if (areMinionsKnown(cell->epoch()))
             cell->setMinionsKnown(true);
     }
 }
 
+void FleetEntry::requestMissedUpdates(const DaemonId& keeper, const MissedUpdates& missed)
+{
+    log_.write(Severity::Info, "updates_missed", { { "keeper", keeper.value() }, { "received", missed.received }, { "since", missed.since } });
+    DaemonHeartbeat heartbeat = makeHeartbeat();
+    {
+        MutexLock lock(viewMutex_);
+        view_.acknowledgeUpdates(keeper, heartbeat);
+    }
+    link_.peers().send(keeper, heartbeat);
+}
+
 void FleetEntry::applyRemoval(const DaemonId& keeper, const RemovedMinion& removed)
 {
     const MinionInstance& instance = removed.report.instance;
@@ -290,12 +304,10 @@
         cell->minionLeft(instance);
 }
 
-bool FleetEntry::areMinionsKnown(const CellId& cell, OwnerEpoch epoch) const
+bool FleetEntry::areMinionsKnown(OwnerEpoch epoch) const
 {
-    // Keepers send the minions of another data centre only to the owners of its cells.
-    const OwnerEpoch awaited = cell.dataCentre == settings_.dataCentre ? OwnerEpoch(0) : epoch;
     MutexLock lock(viewMutex_);
-    return view_.isComplete(link_.clock().now(), awaited);
+    return view_.isComplete(link_.clock().now(), epoch);
 }
 
 void FleetEntry::applyRouting(const RoutingDocument& document)
@@ -348,7 +360,7 @@
         }
         // Another thread may have applied an order after it was read above and before the cell was listed.
         cell->setEvacuated(evacuationOf(grant.cell.dataCentre));
-        cell->setMinionsKnown(areMinionsKnown(grant.cell, grant.epoch));
+        cell->setMinionsKnown(areMinionsKnown(grant.epoch));
         for (const MinionReport& report : reports)
             cell->minionReported(report);
         for (const PendingOffer& pending : offers)
--- a/Source/Daemon/FleetEntry.h
+++ b/Source/Daemon/FleetEntry.h
@@ -91,9 +91,10 @@
     void applyRouting(const RoutingDocument&);
     void applyTable(RoutingTable);
     /// @return whether all minions of an owned cell, granted under this epoch, are known to this entry.
-    bool areMinionsKnown(const CellId&, OwnerEpoch) const;
+    bool areMinionsKnown(OwnerEpoch) const;
     void applyGrant(const CellGrant&);
     void applyEvacuation(const Evacuation&);
+    void requestMissedUpdates(const DaemonId& keeper, const MissedUpdates&);
     /// @param keeper the keeper whose update removed the minion.
     void applyRemoval(const DaemonId& keeper, const RemovedMinion&);
     Evacuation evacuationOf(const DataCentreId&) const;
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace trefoilwing {
 
@@ -46,9 +47,7 @@
         known = {};
     known.run = update.keeper;
     known.isLeading = update.isLeading;
-    // An update meant for an earlier incarnation of this daemon leaves out changes that this one doesn't have yet.
-    if (update.since <= known.number)
-        known.number = std::max(known.number, update.number);
+    change.missed = known.updateNumber(update);
     known.newestGrant = std::max(known.newestGrant, update.newestGrant);
     known.lastUpdateAt = now;
     const bool areDaemonsChanged = known.updateDaemons(update) || isNewRun;
@@ -71,6 +70,17 @@
     return change;
 }
 
+std::optional<MissedUpdates> FleetView::KeeperState::updateNumber(const FleetUpdate& update)
+{
+    // An update that is based on a later one than the last received shows that some were lost, or were meant for an earlier
+    // incarnation of this daemon.
+    if (update.since > number)
+        return std::exchange(hasGap, true) ? std::nullopt : std::make_optional(MissedUpdates { number, update.since });
+    number = std::max(number, update.number);
+    hasGap = false;
+    return std::nullopt;
+}
+
 bool FleetView::KeeperState::updateDaemons(const FleetUpdate& update)
 {
     if (update.daemons) {
@@ -167,6 +177,7 @@
     heartbeat.routing = routing_;
     heartbeat.ackedKeeper = known == keeperStates_.end() ? Incarnation(0) : known->second.run;
     heartbeat.ackedUpdate = known == keeperStates_.end() ? 0 : known->second.number;
+    heartbeat.lacksUpdates = known != keeperStates_.end() && known->second.hasGap;
 }
 
 std::vector<std::pair<DaemonId, DaemonHeartbeat>> FleetView::nextHeartbeats(const DaemonHeartbeat& own)
@@ -193,7 +204,7 @@
 {
     return std::all_of(keepers_.begin(), keepers_.end(), [&](const DaemonId& keeper) {
         const auto known = keeperStates_.find(keeper);
-        if (known == keeperStates_.end() || known->second.number == 0)
+        if (known == keeperStates_.end() || known->second.number == 0 || known->second.hasGap)
             return false;
         const absl::Duration silence = now - known->second.lastUpdateAt;
         return (silence < keeperTimeout && known->second.newestGrant >= grant) || silence > keeperRetention;
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -23,8 +23,16 @@
     std::optional<MinionId> replacedBy;
 };
 
+/// Updates of a keeper that were lost: those after `received` up to `since`.
+struct MissedUpdates {
+    uint64_t received = 0;
+    uint64_t since = 0;
+};
+
 /// What a keeper's update changed in a FleetView.
 struct FleetChange {
+    /// Set by the update that shows a loss; the keeper should be asked for the lost ones at once.
+    std::optional<MissedUpdates> missed;
     /// A newer routing table, decoded or, from a keeper of an earlier version, as a document.
     std::optional<RoutingTable> table;
     std::optional<RoutingDocument> routing;
@@ -52,7 +60,7 @@
     /// @return the receiving keepers and their heartbeats, each with the acknowledgement of that keeper's updates.
     std::vector<std::pair<DaemonId, DaemonHeartbeat>> nextHeartbeats(const DaemonHeartbeat& own);
 
-    /// Sets in a heartbeat which of a keeper's updates this daemon has received.
+    /// Sets in a heartbeat which of a keeper's updates this daemon has received, and whether it lacks some.
     void acknowledgeUpdates(const DaemonId& keeper, DaemonHeartbeat&) const;
 
     /// @return whether the keeper is the leading one, which assigns cell owners; true for a keeper that hasn't sent
@@ -67,10 +75,10 @@
     Evacuation evacuationOf(const DataCentreId&) const;
     const std::map<DataCentreId, Evacuation>& evacuations() const { return evacuations_; }
     RoutingVersion routingVersion() const { return routing_; }
-    /// @return whether the updates of all known keepers have been received. A keeper that has just fallen silent may
-    /// know minions that no other keeper knows.
-    /// @param grant for a cell of another data centre: the epoch of its grant to this entry, which keepers must know
-    /// before they send the cell's minions.
+    /// @return whether all minions are known that anyone may have ordered before it learned of a grant. Every keeper must
+    /// have said that it knows the grant, and no update of it before that may be lost. A keeper that has just fallen
+    /// silent may know minions that no other keeper knows.
+    /// @param grant the epoch of the grant.
     bool isComplete(absl::Time now, OwnerEpoch grant = OwnerEpoch(0)) const;
     /// @return the time since the last message from any keeper.
     absl::Duration silence(absl::Time now) const { return now - lastUpdateAt_; }
@@ -80,13 +88,18 @@
     struct KeeperState {
         Incarnation run;
         bool isLeading = false;
+        /// All updates up to this number have been received.
         uint64_t number = 0;
+        /// Whether a later update has been received, and some in between were lost.
+        bool hasGap = false;
         std::map<DaemonId, DaemonInfo> daemons;
         OwnerEpoch newestGrant;
         absl::Time lastUpdateAt;
 
         /// @return whether the update changes the daemons.
         bool updateDaemons(const FleetUpdate&);
+        /// @return the updates that were lost, if this one is the first to show it.
+        std::optional<MissedUpdates> updateNumber(const FleetUpdate&);
     };
 
     /// Derives the lists of keepers and entries, which are read far more often than they change.
--- a/Source/Model/FleetMessages.h
+++ b/Source/Model/FleetMessages.h
@@ -65,6 +65,8 @@
     uint32_t milliCores = 0;
     /// The sender's jobs at the receiver; unset if the sender can't claim any.
     std::optional<JobClaims> claims = JobClaims {};
+    /// Whether updates of the receiver after ackedUpdate were lost; they are sent again at once.
+    bool lacksUpdates = false;
 
     friend bool operator==(const DaemonHeartbeat&, const DaemonHeartbeat&) = default;
 };
--- a/Tests/Control/FleetRegistryTest.cpp
+++ b/Tests/Control/FleetRegistryTest.cpp
@@ -547,3 +547,15 @@
     CHECK(registry.minionReported(minion(1), now) == ReportOutcome::Unchanged);
     LONGS_EQUAL(1, registry.minionCount());
 }
+
+TEST(FleetRegistry, AnUpdateThatIsKnownToBeLostIsSentAgainAtOnce)
+{
+    addEntry(1);
+    settle();
+    reportMinion();
+    LONGS_EQUAL(1, take()[entryId(1)].minions.size());
+    now += absl::Milliseconds(60);
+    heartbeats[entryId(1)].lacksUpdates = true;
+    sendHeartbeats();
+    LONGS_EQUAL(1, take()[entryId(1)].minions.size());
+}
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -255,3 +255,52 @@
     LONGS_EQUAL(1, change.removed.size());
     CHECK(change.removed.front().report == minion("a"));
 }
+
+// Guards against tasks that run twice: an update that told of a minion was lost in a short cut, and the entry took all its
+// minions for known (review/7).
+TEST(FleetView, AViewIsIncompleteUntilALostUpdateHasBeenReceived)
+{
+    registry.minionReported(minion("a"), now);
+    exchange(view, 1);
+    registry.heartbeatReceived(heartbeatOf(view, 1), now);
+    registry.minionReported(minion("b"), now);
+    now += absl::Milliseconds(60);
+    LONGS_EQUAL(1, registry.takeUpdates(now).size());
+    now += absl::Milliseconds(600);
+    registry.heartbeatReceived(heartbeatOf(view, 1), now);
+    registry.setGrants({ { cell, { cell, { DaemonId("10.0.0.9"), Incarnation(1) }, OwnerEpoch(12) } } });
+    const auto granting = registry.takeUpdates(now);
+    CHECK(view.receive(keeperId, granting.front().second, now).missed.has_value());
+    CHECK_FALSE(view.isComplete(now, OwnerEpoch(12)));
+    // What was lost is sent again at once.
+    now += absl::Milliseconds(60);
+    exchange(view, 1);
+    LONGS_EQUAL(2, view.minionsOf(cell).size());
+    CHECK(view.isComplete(now, OwnerEpoch(12)));
+    CHECK_FALSE(heartbeatOf(view, 1).lacksUpdates);
+}
+
+// The same, if the grant is told first by another keeper than the one whose update was lost.
+TEST(FleetView, AViewIsIncompleteUntilEveryKeeperHasToldTheGrant)
+{
+    const DaemonId otherId("10.0.0.2");
+    FleetUpdate first;
+    first.keeper = Incarnation(3);
+    first.number = 5;
+    view.receive(keeperId, first, now);
+    view.receive(otherId, first, now);
+    CHECK(view.isComplete(now, OwnerEpoch(0)));
+    FleetUpdate granting = first;
+    granting.since = 5;
+    granting.number = 6;
+    granting.newestGrant = OwnerEpoch(12);
+    view.receive(keeperId, granting, now);
+    CHECK_FALSE(view.isComplete(now, OwnerEpoch(12)));
+    granting.since = 6;
+    granting.number = 7;
+    CHECK(view.receive(otherId, granting, now).missed.has_value());
+    CHECK_FALSE(view.isComplete(now, OwnerEpoch(12)));
+    granting.since = 5;
+    view.receive(otherId, granting, now);
+    CHECK(view.isComplete(now, OwnerEpoch(12)));
+}
