Count waits for earlier runs from the last moment they can have started

Cause: a new owner that could reach no minion started tasks 1.7 s after its grant, but an entry that nobody could tell of the grant had used the earlier owner until the cut healed. And an owner waited for the lease that it had asked for, but a minion that restarts counts it from a new clock and grants its longest one.

Change: ClaimLimit computes both bounds from named parts. The first counts from the offer of each takeover, the second from the last order with a lease and up to the longest lease. A repeated start under way to a minion that restarts is waited for too. AStartThatMayHaveReachedANewInstance... demanded a start after 0.92 s, which is the fault; it now demands none for 1.02 s and one within 0.2 s more.

Why it works: an entry offers a takeover only once it has left the earlier owner, which then stops the job's runs, or loses its lease, within the bound.

--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -104,9 +104,9 @@
     return { minion.instance(), minion.report().endpoint, grant_.epoch };
 }
 
-bool CellDispatcher::areAllMinionsFenced(absl::Time now) const
+bool CellDispatcher::areEarlierRunsKnown(const CellJob& job, absl::Time now) const
 {
-    return now >= ownedSince_ + policy_.takeoverTimeout
+    return now >= claimLimit_.endOfEarlierRuns(job.offeredAt())
         || (areMinionsKnown_ && std::all_of(minions_.begin(), minions_.end(), [](const auto& entry) { return entry.second->isFenced; }));
 }
 
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -180,7 +180,9 @@
     void sendRenewal(LeasedMinion&, absl::Time now);
     bool isRenewalDue(const LeasedMinion&, absl::Time now) const;
     OrderHeader headerTo(const LeasedMinion&) const;
-    bool areAllMinionsFenced(absl::Time now) const;
+    /// Whether no run of a job that an earlier owner started goes on unknown to this one: all minions have listed their runs
+    /// under this owner's epoch, or such runs have ended by time.
+    bool areEarlierRunsKnown(const CellJob&, absl::Time now) const;
     /// Whether the first renewals were answered or have timed out, so that the runs on all reachable minions are known.
     bool areFirstRenewalsDone(absl::Time now) const;
 
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -186,7 +186,7 @@
             fitting += minion->free().milliCores / job.offer().need.milliCores;
     }
     if (totalMilliCores == 0)
-        return policy_.takeoverTimeout;
+        return claimLimit_.endOfEarlierRuns(now) - now;
     const double rank = order_.rank(job, now);
     int64_t aheadCoreMs = 0;
     for (const CellJob& other : jobs_) {
@@ -260,7 +260,7 @@
     std::vector<CellJobPtr> ending;
     for (CellJob& job : jobs_) {
         // Runs under the job's id may still be found on the minions.
-        const bool mayFindRuns = job.offer().isTakeover ? !areAllMinionsFenced(now) : !areFirstRenewalsDone(now);
+        const bool mayFindRuns = job.offer().isTakeover ? !areEarlierRunsKnown(job, now) : !areFirstRenewalsDone(now);
         if (job.queuedCount() > 0 && isStartBarred(job, now) && !mayFindRuns)
             ending.emplace_back(&job);
     }
@@ -276,7 +276,7 @@
 bool CellDispatcher::mayStart(const CellJob& job, absl::Time now) const
 {
     // A minion that isn't fenced may still have runs of an earlier owner.
-    return !isStartBarred(job, now) && (!job.offer().isTakeover || areAllMinionsFenced(now)) && !job.hasEarlierRuns && claimLimit_.allowsStart(claimLimit_.endOf(job.claimedAt), now);
+    return !isStartBarred(job, now) && (!job.offer().isTakeover || areEarlierRunsKnown(job, now)) && !job.hasEarlierRuns && claimLimit_.allowsStart(claimLimit_.endOf(job.claimedAt), now);
 }
 
 bool CellDispatcher::mayHaveEarlierRuns(const CellJob& job, absl::Time now) const
--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -54,9 +54,9 @@
     for (const RunId& id : ids) {
         logEvent(std::string(reason), id.job, minion.instance().minion, describe(id));
         const Run& run = *minion.findRun(id);
-        // If this instance never listed the run, the next one may have received the start order instead.
-        if (run.listedAt == absl::InfinitePast() && run.job) {
-            unlistedStarts_.push_back({ run.job, id.task, minion.leasesExpireBy() });
+        // If this instance never listed the run, or a repeated start is under way, the next one may receive the order instead.
+        if ((run.listedAt == absl::InfinitePast() || run.startsInFlight > 0) && run.job) {
+            unlistedStarts_.push_back({ run.job, id.task, minion.newInstanceLeasesExpireBy() });
             minion.removeRun(id);
         } else {
             requeue(minion, id);
--- a/Source/Placement/ClaimLimit.h
+++ b/Source/Placement/ClaimLimit.h
@@ -39,6 +39,18 @@
         return end - now >= timeForFullLease_ ? policy_.leaseDuration : (end - now - policy_.clockMargin) * (1 - policy_.maxClockDrift);
     }
 
+    /// @return the time by which the runs have ended that an earlier owner may have started of a job, if nobody can tell
+    /// which ones it did.
+    /// @param lastUse when the job's entry turned to this owner. It may have used the earlier one until then, if nobody told
+    /// it of the new grant. That one stops what its entry no longer claims, at the latest after the entry's silence, and
+    /// then the lease of the last order has to expire.
+    absl::Time endOfEarlierRuns(absl::Time lastUse) const { return lastUse + policy_.entryTimeout + timeForFullLease_; }
+
+    /// @return the time by which the runs have ended that a minion may have started if it restarted before it received an
+    /// order. Its clock has started anew, so that it grants its longest lease, whatever the order's end of the lease is.
+    /// @param sentAt when the last order with a lease was sent.
+    absl::Time endOfNewInstanceRuns(absl::Time sentAt) const { return sentAt + policy_.orderTimeout + timeFor(policy_.maxMinionLease); }
+
     /// @return the time after which a lease that begins now has certainly expired. A minion's clock may be slow.
     absl::Duration timeFor(absl::Duration lease) const { return lease / (1 - policy_.maxClockDrift) + policy_.clockMargin; }
 
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -48,9 +48,10 @@
     /// Maximum time for which a new owner delays starts while it waits for the answers to its first renewals. Orders
     /// time out after 150 ms.
     absl::Duration firstRenewalTimeout = absl::Milliseconds(200);
-    /// Time after which an earlier owner's runs on an unreachable minion have certainly ended: the silence limit of
-    /// entries plus a full lease.
-    absl::Duration takeoverTimeout = absl::Milliseconds(1700);
+    /// Maximum lease that a minion grants, whatever the order asks for.
+    absl::Duration maxMinionLease = absl::Seconds(1);
+    /// Time after which the gateway gives up an order that wasn't answered.
+    absl::Duration orderTimeout = absl::Milliseconds(150);
     /// Time of silence after which an entry is presumed dead and its jobs are stopped.
     absl::Duration entryTimeout = absl::Milliseconds(800);
     /// Time without progress after which a run is stopped and restarted elsewhere.
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -49,6 +49,7 @@
     // Assume the slowest clock that the minion may have, so that the lease never lasts longer than intended.
     const auto elapsed = absl::ToInt64Milliseconds((now - clockAt_) * (1 - policy_.maxClockDrift));
     leasesExpireBy_ = std::max(leasesExpireBy_, now + claimLimit_.timeFor(lease));
+    leaseSentAt_ = now;
     return clockMs_ + elapsed + absl::ToInt64Milliseconds(lease);
 }
 
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -7,6 +7,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -77,6 +78,8 @@
     void refreshClaims();
     /// Time by which all leases granted have certainly expired.
     absl::Time leasesExpireBy() const { return leasesExpireBy_; }
+    /// The same, if the minion restarted before it received the orders.
+    absl::Time newInstanceLeasesExpireBy() const { return std::max(leasesExpireBy_, claimLimit_.endOfNewInstanceRuns(leaseSentAt_)); }
 
     /// Whether the minion counts as a part of the cell's capacity.
     bool isUsable(absl::Time now) const;
@@ -132,6 +135,7 @@
     int64_t clockMs_ = 0;
     absl::Time clockAt_;
     absl::Time leasesExpireBy_ = absl::InfinitePast();
+    absl::Time leaseSentAt_ = absl::InfinitePast();
     /// Moving average of the ratio of run times to estimates.
     double slowness_ = 1;
     uint64_t recordedRunTimes_ = 0;
--- a/Tests/Placement/FaultyMinionTest.cpp
+++ b/Tests/Placement/FaultyMinionTest.cpp
@@ -107,6 +107,8 @@
 }
 
 // A restarted minion keeps its id, so a start order sent to its earlier instance may be carried out by the new one.
+// Guards against tasks that run twice: the new instance counts its lease from a new clock, so that it holds the run for its
+// longest lease of 1 s, not for that of the order (review, reborn).
 TEST(FaultyMinion, AStartThatMayHaveReachedANewInstanceDelaysItsTaskUntilTheLeaseExpires)
 {
     fixture.addMinion("m1");
@@ -114,9 +116,27 @@
     const StartOrder first = startOne();
     fixture.answerStart(first);
     fixture.cell().answered(RenewResult { first.header.instance, first.header.epoch, OrderFailure::OtherInstance, 0, {}, {} }, fixture.now());
-    fixture.advance(absl::Milliseconds(20));
+    fixture.advance(absl::Milliseconds(1020));
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.advance(absl::Milliseconds(200));
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
+// Guards against the same by a start that was sent twice: the earlier instance listed the run, and the repeated order
+// reaches the new one.
+TEST(FaultyMinion, ARepeatedStartThatMayReachANewInstanceDelaysItsTask)
+{
+    fixture.addMinion("m1");
+    fixture.addMinion("m2");
+    const StartOrder first = startOne();
+    fixture.advance(absl::Milliseconds(100));
+    LONGS_EQUAL(1, fixture.takeRepeatedStarts().size());
+    fixture.answerStart(first);
+    fixture.answerRenewal(first.header.instance.minion.value(), { { first.run, 5 } });
+    fixture.cell().answered(RenewResult { first.header.instance, first.header.epoch, OrderFailure::OtherInstance, 0, {}, {} }, fixture.now());
+    fixture.advance(absl::Milliseconds(1020));
     LONGS_EQUAL(0, fixture.takeStarts().size());
-    fixture.advance(absl::Milliseconds(900));
+    fixture.advance(absl::Milliseconds(200));
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
 
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -103,6 +103,23 @@
     LONGS_EQUAL(1, fixture.takeStarts().size());
 }
 
+// Guards against tasks that run twice: an entry that was cut off with its data centre went on with the earlier owner, and
+// offered its jobs long after the new owner had got the cell (review/8).
+TEST(Takeover, RunsOfTheEarlierOwnerAreExpectedForALeaseAfterItsLastUse)
+{
+    fixture.addMinion("m1");
+    fixture.reportMinion("m2");
+    fixture.advance(absl::Seconds(5));
+    JobOffer patient = takeover("job", 1);
+    patient.untilLate = absl::Seconds(5);
+    patient.untilTimeout = absl::Seconds(9);
+    fixture.offer(patient);
+    fixture.advance(absl::Milliseconds(1600));
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    fixture.advance(absl::Milliseconds(100));
+    LONGS_EQUAL(1, fixture.takeStarts().size());
+}
+
 TEST(Takeover, AJobThatMayHaveStartedIsNeverRejected)
 {
     // No minion is usable, so a new job would be rejected at once.
