Put a later instance of a minion in the place of the known one at once

What callers saw: nothing yet; found by a model. A task could run twice at the same time if a minion had restarted under its id before its cell got a new owner.

Cause: the new owner knew the earlier instance only. The later one answered its renewal, was told apart by its start time, and the owner removed the minion: all others were fenced, so nothing was taken to run any more. But the earlier owner had started tasks on the later instance without knowing.

Change: an answer that names a later instance puts that in the place of the known one, under the known report. It is asked for its runs at once, and gets starts only once its own report has come, which also says what it has room for.

--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -193,6 +193,8 @@
     OrderFailure failure = OrderFailure::None;
     /// The time on the minion's clock; 0 if the answer didn't state it.
     int64_t clockMs = 0;
+    /// Start time of the instance under the minion's id that answered; 0 if the answer didn't state it.
+    MinionStartTime answeredBy {};
 };
 
 struct StopResult {
@@ -202,6 +204,8 @@
     RunId run;
     OrderFailure failure = OrderFailure::None;
     int64_t clockMs = 0;
+    /// As in StartResult.
+    MinionStartTime answeredBy {};
 };
 
 enum class RunEnd {
@@ -232,6 +236,8 @@
     int64_t clockMs = 0;
     std::vector<RunProgress> running;
     std::vector<EndedRun> ended;
+    /// As in StartResult.
+    MinionStartTime answeredBy {};
 };
 
 } // namespace trefoilwing
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -87,6 +87,18 @@
     minions_.erase(MinionId(minion.instance().minion));
 }
 
+void CellDispatcher::otherInstanceAnswered(LeasedMinion& minion, MinionStartTime answeredBy, absl::Time now)
+{
+    MinionReport next = minion.report();
+    removeMinion(minion, "other_life");
+    if (answeredBy <= next.instance.startTime)
+        return;
+    next.instance.startTime = answeredBy;
+    next.sequence = 0;
+    next.state = MinionState::Leaving;
+    minionReported(next, now);
+}
+
 LeasedMinion* CellDispatcher::findMinion(const MinionInstance& instance)
 {
     const auto found = minions_.find(instance.minion);
@@ -192,7 +204,7 @@
         startUnconfirmed(*minion, *run, now);
         break;
     case OrderFailure::OtherInstance:
-        removeMinion(*minion, "other_life");
+        otherInstanceAnswered(*minion, result.answeredBy, now);
         break;
     case OrderFailure::NoRoom:
         ++totals_.startsWithoutRoom;
@@ -228,7 +240,7 @@
         return;
     recordAnswer(*minion, result.failure, result.clockMs, now);
     if (result.failure == OrderFailure::OtherInstance) {
-        removeMinion(*minion, "other_life");
+        otherInstanceAnswered(*minion, result.answeredBy, now);
         place(now);
         return;
     }
@@ -246,7 +258,7 @@
     minion->renewalSentAt.reset();
     recordAnswer(*minion, result.failure, result.clockMs, now);
     if (result.failure == OrderFailure::OtherInstance) {
-        removeMinion(*minion, "other_life");
+        otherInstanceAnswered(*minion, result.answeredBy, now);
     } else if (result.failure == OrderFailure::None) {
         minion->isFenced = true;
         minion->isFull = false;
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -175,6 +175,10 @@
     /// @return the minion that an answer is from; null if it is unknown or was ordered under another epoch.
     LeasedMinion* findAnswering(const MinionInstance&, OwnerEpoch);
     /// Removes a minion whose instance has ended, with its runs.
+    /// Handles an answer of another instance than the one that was ordered. A later one under the minion's id takes its place;
+    /// until its report comes it gets no starts, but its runs are listed.
+    /// @param answeredBy 0 if another minion answered at the address.
+    void otherInstanceAnswered(LeasedMinion&, MinionStartTime answeredBy, absl::Time now);
     void removeMinion(LeasedMinion&, std::string_view reason);
     void recordAnswer(LeasedMinion&, OrderFailure, int64_t clockMs, absl::Time now);
     void sendRenewal(LeasedMinion&, absl::Time now);
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -32,6 +32,14 @@
 {
 }
 
+void LeasedMinion::setReport(MinionReport report)
+{
+    // What an instance has room for is known only with its first own report.
+    free_ += report.capacity;
+    free_ -= report_.capacity;
+    report_ = std::move(report);
+}
+
 void LeasedMinion::recordClock(int64_t clockMs, absl::Time now)
 {
     if (clockMs <= 0)
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -63,7 +63,8 @@
     LeasedMinion(MinionReport, const DispatchPolicy&);
 
     const MinionReport& report() const { return report_; }
-    void setReport(MinionReport report) { report_ = std::move(report); }
+    /// Replaces the report by a later one of the same instance.
+    void setReport(MinionReport);
     const MinionInstance& instance() const { return report_.instance; }
 
     /// Records the minion's clock as reported in an answer.
--- /dev/null
+++ b/Tests/Handover/HandoverModel.cpp
@@ -0,0 +1,301 @@
+#include "Handover/HandoverModel.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+#include <variant>
+
+namespace trefoilwing {
+
+namespace {
+
+    const CellId cell { ServiceId("service"), DataCentreId("home") };
+    const std::array<std::string, 2> entryNames { "entry-1", "entry-2" };
+    const std::array<std::string, 2> keeperNames { "keeper-1", "keeper-2" };
+    constexpr size_t minionCount = 3;
+
+    constexpr absl::Duration pumpInterval = absl::Milliseconds(20);
+    constexpr absl::Duration reportInterval = absl::Milliseconds(700);
+    constexpr absl::Duration submitInterval = absl::Milliseconds(150);
+    /// Minimum time after which a caller submits a job again.
+    constexpr absl::Duration resubmitDelay = absl::Milliseconds(1300);
+
+    absl::Duration milliseconds(uint64_t count)
+    {
+        return absl::Milliseconds(static_cast<int64_t>(count));
+    }
+
+} // namespace
+
+HandoverModel::HandoverModel(uint64_t seed)
+    : network_(seed)
+    , world_ { network_, cell, { DaemonId(keeperNames[0]), DaemonId(keeperNames[1]) },
+        [this](const DaemonId& from, const DaemonId& to, const PeerMessage& message) { deliver(from, to, message); },
+        [this](const std::string& address) { return std::find_if(minions_.begin(), minions_.end(), [&](const auto& minion) { return minion->address() == address; })->get(); },
+        [this](const JobKey& job, AnswerKind kind) { answered(job, kind); },
+        [this](const DaemonRun& run, ModelNetwork::Action action) { whenRunning(run, std::move(action)); } }
+{
+    for (const std::string& name : keeperNames) {
+        keepers_.emplace(name, KeeperHost { FleetRegistry { { DaemonId(name), Incarnation(1) } }, {} });
+        keepers_.at(name).registry.setServices({ cell.service }, network_.now());
+        pumpKeeper(name);
+    }
+    for (const std::string& name : entryNames)
+        startEntry(name);
+    for (size_t i = 0; i < minionCount; ++i) {
+        const double rate = 1 - 0.01 * static_cast<double>(network_.below(3));
+        minions_.push_back(std::make_unique<ModelMinion>(absl::StrCat("minion-", i), cell, network_, rate, ModelMinion::Observer { [this](const ModelMinion& minion, const ModelTask& task) { started(minion, task); }, [this](const ModelMinion& minion, const ModelTask& task) { ended(minion, task); } }));
+        reportMinion(i);
+    }
+    network_.run(absl::Milliseconds(500));
+    disturb(Disturbance::Grant);
+    network_.run(absl::Milliseconds(500));
+    submitJob();
+}
+
+void HandoverModel::run(absl::Duration duration)
+{
+    network_.run(duration);
+}
+
+void HandoverModel::startEntry(const std::string& name)
+{
+    EntryHost& host = entries_[name];
+    host.process = std::make_unique<ModelEntry>(DaemonRun { DaemonId(name), Incarnation(1000 * ++incarnations_) }, world_, cell.dataCentre);
+    host.isFrozen = false;
+    host.held.clear();
+    pumpEntry(name);
+}
+
+void HandoverModel::whenRunning(const DaemonRun& run, ModelNetwork::Action action)
+{
+    EntryHost& host = entries_.at(run.daemon.value());
+    if (host.process->self() != run)
+        return;
+    if (host.isFrozen)
+        host.held.push_back(std::move(action));
+    else
+        action();
+}
+
+void HandoverModel::pumpEntry(const std::string& name)
+{
+    const DaemonRun run = entries_.at(name).process->self();
+    whenRunning(run, [this, name] { entries_.at(name).process->pump(); });
+    network_.after(pumpInterval, [this, name, run] {
+        if (entries_.at(name).process->self() == run)
+            pumpEntry(name);
+    });
+}
+
+void HandoverModel::deliver(const DaemonId& from, const DaemonId& to, const PeerMessage& message)
+{
+    network_.sendInOrder(from.value(), to.value(), [this, from, to, message] {
+        if (const auto keeper = keepers_.find(to.value()); keeper != keepers_.end()) {
+            if (const auto* heartbeat = std::get_if<DaemonHeartbeat>(&message))
+                keeper->second.registry.heartbeatReceived(*heartbeat, network_.now());
+            return;
+        }
+        const ModelEntry& receiver = *entries_.at(to.value()).process;
+        whenRunning(receiver.self(), [this, from, to, message] { entries_.at(to.value()).process->receive(from, message); });
+    });
+}
+
+void HandoverModel::pumpKeeper(const std::string& name)
+{
+    for (auto& [to, update] : keepers_.at(name).registry.takeUpdates(network_.now()))
+        deliver(DaemonId(name), to, update);
+    network_.after(absl::Milliseconds(10), [this, name] { pumpKeeper(name); });
+}
+
+void HandoverModel::reportMinion(size_t index)
+{
+    ModelMinion& minion = *minions_[index];
+    // A minion reports to another keeper if it can't reach the first one.
+    const std::string& first = keeperNames[index % keeperNames.size()];
+    const std::string& keeper = network_.isCut(minion.address(), first) ? keeperNames[(index + 1) % keeperNames.size()] : first;
+    if (minion.isUp() && !network_.isCut(minion.address(), keeper))
+        keepers_.at(keeper).registry.minionReported(minion.report(), network_.now());
+    network_.after(reportInterval, [this, index] { reportMinion(index); });
+}
+
+void HandoverModel::submitJob()
+{
+    submit(JobKey(absl::StrCat("job-", ++jobs_)), 1 + static_cast<uint32_t>(network_.below(2)), 3);
+    network_.after(submitInterval, [this] { submitJob(); });
+}
+
+void HandoverModel::submit(const JobKey& job, uint32_t tasks, int attempts)
+{
+    EntryHost& host = entries_.at(entryNames.at(network_.below(entryNames.size())));
+    if (host.isFrozen || !host.process->submit(job, tasks))
+        return;
+    openJobs_[job] = tasks;
+    // A caller whose entry restarts gets no answer and submits its job again, like one whose job was given up.
+    const DaemonRun run = host.process->self();
+    const auto watch = std::make_shared<std::function<void()>>();
+    *watch = [this, job, tasks, attempts, run, weak = std::weak_ptr(watch)] {
+        const bool isWaiting = openJobs_.contains(job) && entries_.at(run.daemon.value()).process->self() == run;
+        const auto again = weak.lock();
+        if (isWaiting && again)
+            network_.after(absl::Milliseconds(20), [again] { (*again)(); });
+        else if (openJobs_.erase(job) > 0 && attempts > 0)
+            network_.after(resubmitDelay, [this, job, tasks, attempts] { submit(job, tasks, attempts - 1); });
+    };
+    (*watch)();
+}
+
+void HandoverModel::answered(const JobKey& job, AnswerKind kind)
+{
+    const auto open = openJobs_.find(job);
+    if (open == openJobs_.end())
+        return;
+    completed_ += kind == AnswerKind::Completed ? 1 : 0;
+    const uint32_t tasks = open->second;
+    openJobs_.erase(open);
+    if (kind == AnswerKind::GaveUp)
+        network_.after(resubmitDelay, [this, job, tasks] { submit(job, tasks, 1); });
+}
+
+void HandoverModel::started(const ModelMinion& minion, const ModelTask& task)
+{
+    ++starts_;
+    const auto [running, isFirst] = running_.try_emplace(task, minion.address());
+    if (!isFirst && violation_.empty())
+        violation_ = absl::StrCat(task.first.value(), "/", task.second.value(), " runs on ", running->second, " and ", minion.address(), " at ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " after", story_);
+}
+
+void HandoverModel::ended(const ModelMinion& minion, const ModelTask& task)
+{
+    const auto running = running_.find(task);
+    if (running != running_.end() && running->second == minion.address())
+        running_.erase(running);
+}
+
+std::string HandoverModel::anyNode()
+{
+    const uint64_t chosen = network_.below(entryNames.size() + keeperNames.size() + minionCount);
+    if (chosen < entryNames.size())
+        return entryNames.at(chosen);
+    if (chosen < entryNames.size() + keeperNames.size())
+        return keeperNames.at(chosen - entryNames.size());
+    return minions_[chosen - entryNames.size() - keeperNames.size()]->address();
+}
+
+std::vector<std::string> HandoverModel::minionNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& minion : minions_)
+        names.push_back(minion->address());
+    return names;
+}
+
+void HandoverModel::grantTo(const std::string& owner)
+{
+    const CellGrant grant { cell, entries_.at(owner).process->self(), OwnerEpoch(++epochs_) };
+    // The second keeper learns of it later.
+    for (const std::string& keeper : keeperNames) {
+        const absl::Duration lag = keeper == keeperNames.front() ? absl::ZeroDuration() : milliseconds(network_.below(3) == 0 ? network_.below(400) : 2);
+        network_.after(lag, [this, keeper, grant] {
+            KeeperHost& host = keepers_.at(keeper);
+            if (host.grants.contains(cell) && host.grants.at(cell).epoch > grant.epoch)
+                return;
+            host.grants[cell] = grant;
+            host.registry.setGrants(host.grants);
+        });
+    }
+}
+
+void HandoverModel::cut(const std::vector<std::string>& side, const std::vector<std::string>& other, absl::Duration duration)
+{
+    for (const std::string& a : side) {
+        for (const std::string& b : other) {
+            if (a == b)
+                continue;
+            network_.cut(a, b);
+            network_.after(duration, [this, a, b] { network_.heal(a, b); });
+        }
+    }
+}
+
+void HandoverModel::restartMinion(void (ModelMinion::*start)())
+{
+    ModelMinion& minion = *minions_[network_.below(minionCount)];
+    minion.crash();
+    network_.after(milliseconds(network_.below(500)), [&minion, start] {
+        if (!minion.isUp())
+            (minion.*start)();
+    });
+}
+
+void HandoverModel::missUpdates()
+{
+    const std::string& entry = entryNames.at(network_.below(entryNames.size()));
+    const std::string& other = entry == entryNames.front() ? entryNames.back() : entryNames.front();
+    const absl::Duration cutTime = milliseconds(900 + network_.below(500));
+    cut({ entry }, { keeperNames.begin(), keeperNames.end() }, cutTime);
+    network_.after(milliseconds(network_.below(300)), [this] { restartMinion(&ModelMinion::replace); });
+    network_.after(milliseconds(500 + network_.below(200)), [this, other] { grantTo(other); });
+    network_.after(cutTime + milliseconds(network_.below(700)), [this, entry] { grantTo(entry); });
+    absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", entry, " misses updates for ", absl::FormatDuration(cutTime));
+}
+
+void HandoverModel::disturb(Disturbance kind)
+{
+    const absl::Duration duration = milliseconds(network_.below(2) == 0 ? 50 + network_.below(400) : 300 + network_.below(3000));
+    absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", disturbAs(kind, duration), " ", absl::FormatDuration(duration));
+}
+
+std::string HandoverModel::disturbAs(Disturbance kind, absl::Duration duration)
+{
+    const std::string entry = entryNames.at(network_.below(entryNames.size()));
+    switch (kind) {
+    case Disturbance::Grant:
+        grantTo(entry);
+        return absl::StrCat("grant ", epochs_, " to ", entry);
+    case Disturbance::CutPair: {
+        const std::string a = anyNode();
+        const std::string b = anyNode();
+        cut({ a }, { b }, duration);
+        return absl::StrCat("cut of ", a, " and ", b);
+    }
+    case Disturbance::CutNode: {
+        const std::string node = anyNode();
+        std::vector<std::string> others = minionNames();
+        others.insert(others.end(), entryNames.begin(), entryNames.end());
+        others.insert(others.end(), keeperNames.begin(), keeperNames.end());
+        cut({ node }, others, duration);
+        return absl::StrCat("cut of ", node);
+    }
+    case Disturbance::CutSide: {
+        std::vector<std::string> side = minionNames();
+        side.push_back(entry);
+        std::vector<std::string> others { keeperNames.begin(), keeperNames.end() };
+        others.push_back(entry == entryNames.front() ? entryNames.back() : entryNames.front());
+        cut(side, others, duration);
+        return absl::StrCat("cut of ", entry, " with the minions");
+    }
+    case Disturbance::RestartMinion:
+        restartMinion(&ModelMinion::restart);
+        return "restart of a minion";
+    case Disturbance::ReplaceMinion:
+        restartMinion(&ModelMinion::replace);
+        return "replacement of a minion";
+    case Disturbance::FreezeEntry: {
+        EntryHost& host = entries_.at(entry);
+        host.isFrozen = true;
+        network_.after(duration, [&host] {
+            host.isFrozen = false;
+            for (const auto& action : std::exchange(host.held, {}))
+                action();
+        });
+        return absl::StrCat("freeze of ", entry);
+    }
+    case Disturbance::RestartEntry:
+        startEntry(entry);
+        return absl::StrCat("restart of ", entry);
+    }
+    return "nothing";
+}
+
+} // namespace trefoilwing
--- /dev/null
+++ b/Tests/Handover/HandoverModel.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Control/FleetRegistry.h"
+#include "Handover/ModelEntry.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace trefoilwing {
+
+/// Disturbances of a HandoverModel.
+enum class Disturbance {
+    /// The cell gets another owner, or the same one anew.
+    Grant,
+    /// Two nodes are cut off from each other for a while.
+    CutPair,
+    /// One node is cut off from all others for a while.
+    CutNode,
+    /// An entry and the minions are cut off from the other entry and the keepers for a while.
+    CutSide,
+    /// A minion crashes and starts again under its id.
+    RestartMinion,
+    /// A minion crashes, and another one starts at its address.
+    ReplaceMinion,
+    /// An entry stands still for a while.
+    FreezeEntry,
+    RestartEntry,
+};
+
+/// A model of one cell: two keepers, two entries that own it in turn, three minions, and callers that submit a job again if
+/// it was given up or their entry has restarted. It checks that no task runs twice at the same time.
+class HandoverModel {
+public:
+    explicit HandoverModel(uint64_t seed);
+
+    /// Carries out a disturbance, with the nodes and times drawn by the seed.
+    void disturb(Disturbance);
+    /// Cuts an entry off the keepers for a short time. Meanwhile a minion is replaced, and the cell goes to the other entry and
+    /// comes back.
+    void missUpdates();
+    /// Lets time pass. Callers submit jobs meanwhile.
+    void run(absl::Duration);
+
+    /// @return the first violation with the disturbances before it; empty if there was none.
+    const std::string& violation() const { return violation_; }
+    size_t starts() const { return starts_; }
+    size_t completed() const { return completed_; }
+
+private:
+    struct EntryHost {
+        std::unique_ptr<ModelEntry> process;
+        bool isFrozen = false;
+        std::vector<ModelNetwork::Action> held;
+    };
+
+    struct KeeperHost {
+        FleetRegistry registry;
+        std::map<CellId, CellGrant> grants;
+    };
+
+    void startEntry(const std::string& name);
+    void deliver(const DaemonId& from, const DaemonId& to, const PeerMessage&);
+    void whenRunning(const DaemonRun&, ModelNetwork::Action);
+    void pumpEntry(const std::string& name);
+    void pumpKeeper(const std::string& name);
+    void reportMinion(size_t index);
+    void submitJob();
+    void submit(const JobKey&, uint32_t tasks, int attempts);
+    void answered(const JobKey&, AnswerKind);
+    void started(const ModelMinion&, const ModelTask&);
+    void ended(const ModelMinion&, const ModelTask&);
+    std::string anyNode();
+    void grantTo(const std::string& owner);
+    /// Cuts each node of a side off from each of the other.
+    void cut(const std::vector<std::string>& side, const std::vector<std::string>& other, absl::Duration);
+    std::vector<std::string> minionNames() const;
+    void restartMinion(void (ModelMinion::*start)());
+    std::string disturbAs(Disturbance, absl::Duration);
+
+    ModelNetwork network_;
+    ModelEntry::World world_;
+    std::map<std::string, EntryHost> entries_;
+    std::map<std::string, KeeperHost> keepers_;
+    std::vector<std::unique_ptr<ModelMinion>> minions_;
+    std::map<ModelTask, std::string> running_;
+    std::map<JobKey, uint32_t> openJobs_;
+    uint64_t incarnations_ = 0;
+    uint64_t epochs_ = 0;
+    uint64_t jobs_ = 0;
+    size_t starts_ = 0;
+    size_t completed_ = 0;
+    std::string story_;
+    std::string violation_;
+};
+
+} // namespace trefoilwing
--- a/Tests/Placement/TakeoverTest.cpp
+++ b/Tests/Placement/TakeoverTest.cpp
@@ -310,3 +310,33 @@
     LONGS_EQUAL(700, ended.front().offerNumber);
     CHECK(ended.front().end == JobEnd::GivenUp);
 }
+
+// Guards against tasks that run twice: a minion had restarted before its cell got a new owner, which knew the earlier
+// instance only. It took the answer of the later one for the end of all runs there.
+TEST(Takeover, RunsOnALaterInstanceThanTheKnownOneAreAwaited)
+{
+    fixture.addMinion("m1");
+    fixture.reportMinion("m2");
+    fixture.offer(takeover("job", 1));
+    fixture.cell().answered(RenewResult { CellFixture::instance("m2"), OwnerEpoch(9), OrderFailure::OtherInstance, 1, {}, {}, MinionStartTime(5) }, fixture.now());
+    fixture.advance(absl::Milliseconds(20));
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    // The later instance is asked, and lists the run.
+    CHECK(fixture.takeRenewals().back().header.instance == CellFixture::instance("m2", 5));
+    fixture.cell().answered(RenewResult { CellFixture::instance("m2", 5), OwnerEpoch(9), OrderFailure::None, 1, { { CellFixture::runId("job", 0, 77), 10 } }, {} }, fixture.now());
+    fixture.advance(absl::Milliseconds(20));
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+}
+
+TEST(Takeover, ALaterInstanceGetsStartsOnlyOnceItHasReported)
+{
+    fixture.addMinion("m1");
+    fixture.cell().answered(RenewResult { CellFixture::instance("m1"), OwnerEpoch(9), OrderFailure::OtherInstance, 1, {}, {}, MinionStartTime(5) }, fixture.now());
+    fixture.cell().answered(RenewResult { CellFixture::instance("m1", 5), OwnerEpoch(9), OrderFailure::None, 1, {}, {} }, fixture.now());
+    fixture.offer("early", 1);
+    LONGS_EQUAL(0, fixture.takeStarts().size());
+    // The later instance may be of another size.
+    fixture.reportMinion("m1", 32000, 5);
+    fixture.offer("wide", 4);
+    LONGS_EQUAL(4, fixture.takeStarts().size());
+}
--- a/Tests/Platform/MinionCodecTest.cpp
+++ b/Tests/Platform/MinionCodecTest.cpp
@@ -55,7 +55,9 @@
 TEST(MinionCodec, AnAnswerOfAnotherInstanceIsRecognisedByItsStartTime)
 {
     CHECK(decodeRenewal(R"({"clock_ms":1,"born":78,"running":[],"finished":[]})").failure == OrderFailure::OtherInstance);
+    CHECK(decodeRenewal(R"({"clock_ms":1,"born":78,"running":[],"finished":[]})").answeredBy == MinionStartTime(78));
     CHECK(decodeRenewal("", 421).failure == OrderFailure::OtherInstance);
+    CHECK(decodeRenewal("", 421).answeredBy == MinionStartTime(0));
 }
 
 TEST(MinionCodec, RefusalsAreDecodedByReason)
