--- a/Tests/Control/GroupCluster.cpp
+++ b/Tests/Control/GroupCluster.cpp
@@ -56,9 +56,9 @@
 };
 
 GroupCluster::GroupCluster(Options options, Factory factory)
-    : options_(options)
+    : options_(std::move(options))
     , factory_(std::move(factory))
-    , engine_(options.seed)
+    , engine_(options_.seed)
 {
     for (size_t i = 0; i < options_.hosts; ++i) {
         hosts_.push_back(std::make_unique<Host>(*this, i));
--- a/Tests/Control/RecordingGroup.cpp
+++ b/Tests/Control/RecordingGroup.cpp
@@ -136,7 +136,7 @@
 std::unique_ptr<GroupCluster> makeRecordingCluster(LogOracle& oracle, GroupCluster::Options options)
 {
     const size_t contacts = options.seeds > 0 ? options.hosts : 0;
-    return std::make_unique<GroupCluster>(options, [&oracle, contacts](size_t, LogSettings settings, JournalContent content, GroupPorts ports) {
+    return std::make_unique<GroupCluster>(std::move(options), [&oracle, contacts](size_t, LogSettings settings, JournalContent content, GroupPorts ports) {
         auto group = std::make_unique<RecordingGroup>(oracle, std::move(settings), std::move(content), ports);
         for (size_t host = 0; host < contacts; ++host)
             group->addDaemon(DaemonId(absl::StrCat("d", host)));
--- a/Tests/Control/ReplicatedLogTest.cpp
+++ b/Tests/Control/ReplicatedLogTest.cpp
@@ -15,7 +15,7 @@
 
     void start(GroupCluster::Options options)
     {
-        cluster = makeRecordingCluster(oracle, options);
+        cluster = makeRecordingCluster(oracle, std::move(options));
         CHECK(cluster->runUntil([&] { return cluster->isWhole(); }));
     }
 
--- a/Tests/Handover/HandoverModel.cpp
+++ b/Tests/Handover/HandoverModel.cpp
@@ -248,7 +248,7 @@
 
 std::string HandoverModel::disturbAs(Disturbance kind, absl::Duration duration)
 {
-    const std::string entry = entryNames.at(network_.below(entryNames.size()));
+    const std::string& entry = entryNames.at(network_.below(entryNames.size()));
     switch (kind) {
     case Disturbance::Grant:
         grantTo(entry);
