--- a/Tests/Control/ReplicatedLedgerTest.cpp
+++ b/Tests/Control/ReplicatedLedgerTest.cpp
@@ -35,7 +35,7 @@
 
     void start(GroupCluster::Options options = {})
     {
-        cluster = std::make_unique<GroupCluster>(options, [this](size_t host, LogSettings settings, JournalContent content, GroupPorts ports) {
+        cluster = std::make_unique<GroupCluster>(std::move(options), [this](size_t host, LogSettings settings, JournalContent content, GroupPorts ports) {
             ++runs[host];
             return std::make_unique<ReplicatedLedger>(runOf(host), std::move(settings), std::move(content), ports,
                 [this, host](const SubmissionKey&, const RecordedOutcome& outcome) { outcomes[host].push_back(outcome); });
--- a/Tests/Control/ReplicatedLogFuzzTest.cpp
+++ b/Tests/Control/ReplicatedLogFuzzTest.cpp
@@ -18,7 +18,7 @@
 
 /// The cluster under test with the oracle that checks it.
 struct System {
-    System(GroupCluster::Options options, bool mayLoseAnything)
+    System(const GroupCluster::Options& options, bool mayLoseAnything)
         : losesAnything(mayLoseAnything)
     {
         oracle.mayStartAgain = mayLoseAnything;
