Keep a task alive while the model of a hand-over ends its run

Cause: ModelMinion::endRun() erased the run to whose key its caller referred.

Change: the node is taken out of the map and kept until the end.

--- a/Tests/Handover/ModelMinion.cpp
+++ b/Tests/Handover/ModelMinion.cpp
@@ -80,10 +80,10 @@
 
 void ModelMinion::endRun(const ModelTask& task, RunEnd end)
 {
-    const auto found = life_.running.find(task);
-    life_.ended.push_back({ ++life_.endCount, { task.first, task.second, found->second }, end });
-    life_.running.erase(found);
-    observer_.ended(*this, task);
+    // The node keeps the task, to which the caller may refer.
+    const auto node = life_.running.extract(task);
+    life_.ended.push_back({ ++life_.endCount, { node.key().first, node.key().second, node.mapped() }, end });
+    observer_.ended(*this, node.key());
 }
 
 StartResult ModelMinion::receive(const StartOrder& order)
