Never renew a claim that has lapsed

What callers saw: none an error, but tasks ran twice at the same time, and the second submission of a job was answered 504.

Cause: a job's claim could lapse, so that another cell might run the job, and be renewed afterwards. An entry that had stood still for 1.4 to 2.1 s still took its callers for waiting as it went on (a close that a link holds up can't be seen), claimed their jobs and offered them to the new owner of its cell.

Change: JobCoordinator remembers when a job was last claimed, and neither claims nor offers it again once that is older than a claim lasts; CellDispatcher takes no claim for a job whose last one has lapsed. claim_lapsed and claims_lapsed tell of it. The model of a hand-over has messages that arrive seconds after a cut and after later ones, longer stops, and processes that go on with timers and sockets in any order.

Why it works: a run is bounded by the resubmit delay after the last claim, and the next claim of the same submission comes sooner than that or never.

--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -110,7 +110,7 @@
     , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions, guard_, "callers" })
     , readiness_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions, guard_, "readiness" })
     , metricsPage_(loop_, metrics, guard_)
-    , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value(), { this, settings.secondChoices })
+    , jobs_({ callerHandler_, link_.peers(), link_.clock(), log, metrics }, link_.self().incarnation.value(), policy_.maxClaimAge(), { this, settings.secondChoices })
     , view_(seedDaemons(settings))
     , chooser_(settings.dataCentre, settings.secondChoices > 0 ? CellChooser::lateReportCost : CellChooser::noAgeCost)
     , startedAt_(link_.clock().now())
@@ -601,18 +601,24 @@
 
 void FleetEntry::sendOwnerHeartbeats(absl::Time pumpedAt)
 {
-    std::map<DaemonId, std::optional<JobClaims>> owners = jobs_.claims();
+    // A heartbeat without claims only tells owners that this process runs.
+    const bool isClaiming = callersCheckedNumber_ == callerChecks_ && link_.clock().now() - pumpedAt <= maxUncheckedLateness;
+    std::map<DaemonId, std::optional<JobClaims>> owners;
+    if (isClaiming) {
+        owners = jobs_.claimJobs();
+    } else {
+        for (const DaemonId& owner : jobs_.owners())
+            owners.try_emplace(owner);
+    }
     // Owners may still run jobs of this entry's earlier process; a heartbeat of the new one makes them cancel those.
     if (link_.clock().now() < startedAt_ + startupPeriod) {
         MutexLock lock(viewMutex_);
         for (const auto& [cell, grant] : chooser_.grants())
             owners.try_emplace(grant.owner.daemon);
     }
-    // A heartbeat without claims only tells owners that this process runs.
-    const bool isClaiming = callersCheckedNumber_ == callerChecks_ && link_.clock().now() - pumpedAt <= maxUncheckedLateness;
     DaemonHeartbeat heartbeat = makeHeartbeat();
     for (auto& [owner, claims] : owners) {
-        heartbeat.claims = isClaiming ? std::move(claims) : std::nullopt;
+        heartbeat.claims = std::move(claims);
         link_.peers().send(owner, heartbeat);
     }
 }
--- a/Source/Intake/JobCoordinator.cpp
+++ b/Source/Intake/JobCoordinator.cpp
@@ -55,8 +55,9 @@
 
 } // namespace
 
-JobCoordinator::JobCoordinator(JobCoordinatorPorts ports, uint64_t firstOfferNumber, SecondChoices secondChoices)
+JobCoordinator::JobCoordinator(JobCoordinatorPorts ports, uint64_t firstOfferNumber, absl::Duration maxClaimAge, SecondChoices secondChoices)
     : ports_(ports)
+    , maxClaimAge_(maxClaimAge)
     , secondChoices_(secondChoices)
     , lastOfferNumber_(firstOfferNumber)
 {
@@ -99,6 +100,7 @@
 {
     // The caller submitted the job again while it is open: both requests get the same answer.
     open.tickets.push_back(ticket);
+    open.claimedAt = ports_.clock.now();
     effects_.add([this, key = job.key, request = job.requestId, first = open.requestId] {
         ports_.log.write(Severity::Info, "job_joined", { { "request", request }, { "job", key.value() }, { "first_request", first } });
     });
@@ -110,7 +112,7 @@
     OpenJob open;
     open.tickets = { ticket };
     open.requestId = job.requestId;
-    open.openedAt = now;
+    open.openedAt = open.claimedAt = now;
     open.lateAt = now + job.estimate * route.stretch + route.latencyTarget;
     open.timeoutAt = now + (job.maxWait < absl::InfiniteDuration() ? job.maxWait : route.timeout) - replyTransitTime;
     uint32_t firstTask = 0;
@@ -202,9 +204,9 @@
 std::optional<RejectedPart> JobCoordinator::wantedAfter(const OpenJob& job, const Part& part, const JobResult& result) const
 {
     // A job that is being cancelled needs no cell, and an earlier owner of the cell may have started tasks of a takeover.
-    if (result.end != JobEnd::Rejected || part.secondChoices >= secondChoices_.maxPerPart || job.rejection || part.offer.isTakeover)
-        return std::nullopt;
     const absl::Time now = ports_.clock.now();
+    if (result.end != JobEnd::Rejected || part.secondChoices >= secondChoices_.maxPerPart || job.rejection || part.offer.isTakeover || isClaimLapsed(job, now))
+        return std::nullopt;
     const absl::Duration untilUseless = std::min(job.timeoutAt - now, (1 + lateTolerance) * (job.lateAt - now));
     const absl::Duration maxWait = untilUseless - part.offer.estimate;
     if (maxWait < absl::ZeroDuration())
@@ -335,7 +337,8 @@
         MutexLock lock(mutex_);
         if (!grants_.accept(grant))
             return;
-        std::vector<JobKey> ending;
+        const absl::Time now = ports_.clock.now();
+        std::vector<std::pair<JobKey, std::string_view>> ending;
         for (auto& [key, job] : jobs_) {
             const auto part = std::find_if(job.parts.begin(), job.parts.end(), [&](const Part& each) {
                 return each.offer.cell == grant.cell && each.offer.epoch < grant.epoch && each.state == PartState::Open;
@@ -344,12 +347,14 @@
                 continue;
             // The job ends with the rejection anyway, and a new owner can't say whether the earlier one ran the part.
             if (job.rejection)
-                ending.push_back(key);
+                ending.emplace_back(key, "part_turned_down");
+            else if (isClaimLapsed(job, now))
+                ending.emplace_back(key, "claim_lapsed");
             else
                 move(job, *part, grant);
         }
-        for (const JobKey& key : ending)
-            answer(key, { { AnswerKind::GaveUp, {} }, "part_turned_down" });
+        for (const auto& [key, outcome] : ending)
+            answer(key, { { AnswerKind::GaveUp, {} }, std::string(outcome) });
     }
     effects_.flush();
 }
@@ -462,21 +467,51 @@
     return jobs_.size();
 }
 
-std::map<DaemonId, std::optional<JobClaims>> JobCoordinator::claims() const
+void JobCoordinator::logLapse(const JobKey& key, const OpenJob& job, absl::Time now)
+{
+    effects_.add([this, key, request = job.requestId, age = now - job.claimedAt] {
+        ports_.log.write(Severity::Warning, "claim_lapsed", { { "request", request }, { "job", key.value() }, { "age_ms", milliseconds(age) } });
+        ports_.metrics.count("claims_lapsed", {}, 1);
+    });
+}
+
+std::set<DaemonId> JobCoordinator::owners() const
 {
     MutexLock lock(mutex_);
-    std::map<DaemonId, std::optional<JobClaims>> owners;
+    std::set<DaemonId> owners;
     for (const auto& [key, job] : jobs_) {
         for (const Part& part : job.parts) {
-            if (part.state != PartState::Open)
-                continue;
-            std::optional<JobClaims>& claims = owners[part.owner.daemon];
-            if (const std::optional<OwnerStamp> stamp = stampOf(part.owner.daemon); stamp && !claims)
-                claims = JobClaims { *stamp, {} };
-            if (claims)
-                claims->offerNumbers.push_back(part.offer.offerNumber);
+            if (part.state == PartState::Open)
+                owners.insert(part.owner.daemon);
         }
     }
+    return owners;
+}
+
+std::map<DaemonId, std::optional<JobClaims>> JobCoordinator::claimJobs()
+{
+    std::map<DaemonId, std::optional<JobClaims>> owners;
+    {
+        MutexLock lock(mutex_);
+        const absl::Time now = ports_.clock.now();
+        for (auto& [key, job] : jobs_) {
+            const bool isClaimed = !isClaimLapsed(job, now);
+            if (isClaimed)
+                job.claimedAt = now;
+            else if (!std::exchange(job.isLapseLogged, true))
+                logLapse(key, job, now);
+            for (const Part& part : job.parts) {
+                if (part.state != PartState::Open)
+                    continue;
+                std::optional<JobClaims>& claims = owners[part.owner.daemon];
+                if (const std::optional<OwnerStamp> stamp = stampOf(part.owner.daemon); stamp && !claims)
+                    claims = JobClaims { *stamp, {} };
+                if (claims && isClaimed)
+                    claims->offerNumbers.push_back(part.offer.offerNumber);
+            }
+        }
+    }
+    effects_.flush();
     for (auto& [owner, claims] : owners) {
         if (claims)
             std::sort(claims->offerNumbers.begin(), claims->offerNumbers.end());
--- a/Source/Intake/JobCoordinator.h
+++ b/Source/Intake/JobCoordinator.h
@@ -48,7 +48,8 @@
 public:
     /// @param firstOfferNumber the number that offers are counted from; higher than any that an earlier incarnation
     /// of this daemon used.
-    JobCoordinator(JobCoordinatorPorts, uint64_t firstOfferNumber, SecondChoices = {});
+    /// @param maxClaimAge the age at which the claim of a job has lapsed, see ClaimLimit.
+    JobCoordinator(JobCoordinatorPorts, uint64_t firstOfferNumber, absl::Duration maxClaimAge, SecondChoices = {});
 
     /// Opens a job and offers it to owners. A job that is already open only gets one more waiting caller.
     /// @param shares the cells that run the job; together they cover all its tasks.
@@ -60,7 +61,8 @@
     void abandoned(Ticket);
     void resultReceived(const DaemonId& from, const JobResult&);
     /// Handles a new grant of a cell, also to the process that has it already: that process has dropped the offers of its
-    /// earlier grant. Grants that are older than a known one are ignored.
+    /// earlier grant. Grants that are older than a known one are ignored. Jobs whose claim has lapsed aren't offered to the
+    /// new owner.
     void ownerChanged(const CellGrant&);
     /// Handles a new division of a pool into cells; the previous cells have no owner any more.
     /// @param cell any cell of the new division.
@@ -79,9 +81,12 @@
     void answerAllAsGivenUp();
 
     size_t openCount() const;
+    /// @return the owners of open parts of jobs.
+    std::set<DaemonId> owners() const;
+    /// Claims the open jobs whose claim hasn't lapsed. Call it only if all callers that have left are known to have left.
     /// @return the owners of open parts of jobs, with the claims of these; unset for an owner that hasn't reported its
     /// load.
-    std::map<DaemonId, std::optional<JobClaims>> claims() const;
+    std::map<DaemonId, std::optional<JobClaims>> claimJobs();
 
 private:
     enum class PartState {
@@ -121,6 +126,9 @@
         std::string requestId;
         std::vector<Part> parts;
         absl::Time openedAt;
+        /// When its callers were last known to wait for it.
+        absl::Time claimedAt;
+        bool isLapseLogged = false;
         absl::Time lateAt;
         absl::Time timeoutAt;
         /// Longest time that a part waited for its first start.
@@ -144,6 +152,9 @@
     };
 
     bool isOwnerSilent(const OpenJob&, absl::Time now) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    /// @return whether the job went unclaimed for so long that its callers may have submitted it elsewhere. It is never
+    /// claimed again.
+    bool isClaimLapsed(const OpenJob& job, absl::Time now) const { return now - job.claimedAt > maxClaimAge_; }
     void join(OpenJob&, Ticket, const IncomingJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void openNew(Ticket, const IncomingJob&, const Route&, const std::vector<CellShare>&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     /// Applies an owner's result of one part.
@@ -165,9 +176,11 @@
     void move(const OpenJob&, Part&, const CellGrant&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancel(const Part&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     void cancelOpenParts(const OpenJob&) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+    void logLapse(const JobKey&, const OpenJob&, absl::Time now) ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
     std::optional<OwnerStamp> stampOf(const DaemonId& owner) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
     JobCoordinatorPorts ports_;
+    const absl::Duration maxClaimAge_;
     const SecondChoices secondChoices_;
     mutable absl::Mutex mutex_;
     EffectQueue effects_;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -50,7 +50,7 @@
             continue;
         if (job.offer().offerNumber < entry.incarnation.value())
             ended.emplace_back(&job);
-        else if (isClaimed(job))
+        else if (isClaimed(job) && !isClaimOver(job, now))
             job.claimedAt = std::max(job.claimedAt, claimedAt);
     }
     for (const CellJobPtr& job : ended) {
--- a/Source/Placement/ClaimLimit.h
+++ b/Source/Placement/ClaimLimit.h
@@ -27,7 +27,7 @@
 
     /// @param claimedAt infinite past if no claim is known.
     /// @return the time by which the runs of a job with this claim must have ended.
-    absl::Time endOf(absl::Time claimedAt) const { return claimedAt + policy_.resubmitDelay - policy_.claimMargin; }
+    absl::Time endOf(absl::Time claimedAt) const { return claimedAt + policy_.maxClaimAge(); }
 
     /// @return whether a run that must have ended by a time can be given a lease that is worth a start.
     bool allowsStart(absl::Time end, absl::Time now) const { return end - now >= timeForMinLease_; }
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -18,6 +18,8 @@
     absl::Duration resubmitDelay = absl::Milliseconds(1300);
     /// Allowance for the time in which an entry notices that a caller has left.
     absl::Duration claimMargin = absl::Milliseconds(100);
+    /// @return the age at which a claim has lapsed: the caller may have submitted its job elsewhere since.
+    absl::Duration maxClaimAge() const { return resubmitDelay - claimMargin; }
     /// Long-poll time of a lease renewal at a busy minion: the minion answers when a run ends, or after this time.
     /// Two renewals may fail before the lease expires.
     absl::Duration renewalWait = absl::Milliseconds(250);
--- a/Tests/Handover/HandoverModel.cpp
+++ b/Tests/Handover/HandoverModel.cpp
@@ -3,6 +3,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <array>
+#include <iterator>
+#include <utility>
 #include <variant>
 
 namespace trefoilwing {
@@ -13,6 +15,8 @@
     const std::array<std::string, 2> entryNames { "entry-1", "entry-2" };
     const std::array<std::string, 2> keeperNames { "keeper-1", "keeper-2" };
     constexpr size_t minionCount = 3;
+    /// Where runs of jobs are that callers have submitted to another cell, which isn't modelled.
+    const std::string otherCell = "another cell";
 
     constexpr absl::Duration pumpInterval = absl::Milliseconds(20);
     constexpr absl::Duration reportInterval = absl::Milliseconds(700);
@@ -27,8 +31,8 @@
 
 } // namespace
 
-HandoverModel::HandoverModel(uint64_t seed)
-    : network_(seed)
+HandoverModel::HandoverModel(uint64_t seed, CutMessages cutMessages)
+    : network_(seed, cutMessages)
     , world_ { network_, cell, { DaemonId(keeperNames[0]), DaemonId(keeperNames[1]) },
         [this](const DaemonId& from, const DaemonId& to, const PeerMessage& message) { deliver(from, to, message); },
         [this](const std::string& address) { return std::find_if(minions_.begin(), minions_.end(), [&](const auto& minion) { return minion->address() == address; })->get(); },
@@ -44,7 +48,7 @@
         startEntry(name);
     for (size_t i = 0; i < minionCount; ++i) {
         const double rate = 1 - 0.01 * static_cast<double>(network_.below(3));
-        minions_.push_back(std::make_unique<ModelMinion>(absl::StrCat("minion-", i), cell, network_, rate, ModelMinion::Observer { [this](const ModelMinion& minion, const ModelTask& task) { started(minion, task); }, [this](const ModelMinion& minion, const ModelTask& task) { ended(minion, task); } }));
+        minions_.push_back(std::make_unique<ModelMinion>(absl::StrCat("minion-", i), cell, network_, rate, ModelMinion::Observer { [this](const ModelMinion& minion, const ModelTask& task) { started(minion.address(), task); }, [this](const ModelMinion& minion, const ModelTask& task) { ended(minion.address(), task); } }));
         reportMinion(i);
     }
     network_.run(absl::Milliseconds(500));
@@ -67,21 +71,47 @@
     pumpEntry(name);
 }
 
-void HandoverModel::whenRunning(const DaemonRun& run, ModelNetwork::Action action)
+void HandoverModel::whenRunning(const DaemonRun& run, ModelNetwork::Action action, std::string source)
 {
     EntryHost& host = entries_.at(run.daemon.value());
     if (host.process->self() != run)
         return;
-    if (host.isFrozen)
-        host.held.push_back(std::move(action));
-    else
+    if (!host.isFrozen) {
         action();
+        return;
+    }
+    if (source.empty())
+        source = absl::StrCat("#", ++unorderedActions_);
+    host.held[network_.cutMessages() == CutMessages::Late ? source : std::string()].push_back(std::move(action));
+}
+
+void HandoverModel::freeze(const std::string& entry, absl::Duration duration)
+{
+    EntryHost& host = entries_.at(entry);
+    host.isFrozen = true;
+    network_.after(duration, [this, &host] { goOn(host); });
+}
+
+void HandoverModel::goOn(EntryHost& host)
+{
+    host.isFrozen = false;
+    auto held = std::exchange(host.held, {});
+    // Timers and sockets are due at the same time.
+    while (!held.empty()) {
+        const auto source = std::next(held.begin(), static_cast<ptrdiff_t>(held.size() > 1 ? network_.below(held.size()) : 0));
+        const ModelNetwork::Action action = std::move(source->second.front());
+        source->second.erase(source->second.begin());
+        if (source->second.empty())
+            held.erase(source);
+        action();
+    }
 }
 
 void HandoverModel::pumpEntry(const std::string& name)
 {
     const DaemonRun run = entries_.at(name).process->self();
-    whenRunning(run, [this, name] { entries_.at(name).process->pump(); });
+    whenRunning(
+        run, [this, name] { entries_.at(name).process->pump(); }, "timer");
     network_.after(pumpInterval, [this, name, run] {
         if (entries_.at(name).process->self() == run)
             pumpEntry(name);
@@ -97,7 +127,8 @@
             return;
         }
         const ModelEntry& receiver = *entries_.at(to.value()).process;
-        whenRunning(receiver.self(), [this, from, to, message] { entries_.at(to.value()).process->receive(from, message); });
+        whenRunning(
+            receiver.self(), [this, from, to, message] { entries_.at(to.value()).process->receive(from, message); }, from.value());
     });
 }
 
@@ -157,21 +188,30 @@
         network_.after(resubmitDelay, [this, job, tasks] { submit(job, tasks, 1); });
 }
 
-void HandoverModel::started(const ModelMinion& minion, const ModelTask& task)
+void HandoverModel::started(const std::string& where, const ModelTask& task)
 {
     ++starts_;
-    const auto [running, isFirst] = running_.try_emplace(task, minion.address());
+    const auto [running, isFirst] = running_.try_emplace(task, where);
     if (!isFirst && violation_.empty())
-        violation_ = absl::StrCat(task.first.value(), "/", task.second.value(), " runs on ", running->second, " and ", minion.address(), " at ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " after", story_);
+        violation_ = absl::StrCat(task.first.value(), "/", task.second.value(), " runs on ", running->second, " and ", where, " at ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " after", story_);
 }
 
-void HandoverModel::ended(const ModelMinion& minion, const ModelTask& task)
+void HandoverModel::ended(const std::string& where, const ModelTask& task)
 {
     const auto running = running_.find(task);
-    if (running != running_.end() && running->second == minion.address())
+    if (running != running_.end() && running->second == where)
         running_.erase(running);
 }
 
+void HandoverModel::runInOtherCell(const JobKey& job, uint32_t tasks)
+{
+    for (uint32_t index = 0; index < tasks; ++index) {
+        const ModelTask task { job, TaskIndex(index) };
+        started(otherCell, task);
+        network_.after(milliseconds(200 + network_.below(1500)), [this, task] { ended(otherCell, task); });
+    }
+}
+
 std::string HandoverModel::anyNode()
 {
     const uint64_t chosen = network_.below(entryNames.size() + keeperNames.size() + minionCount);
@@ -240,6 +280,24 @@
     absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", entry, " misses updates for ", absl::FormatDuration(cutTime));
 }
 
+void HandoverModel::leaveStoppedEntry()
+{
+    const std::string& entry = entryNames.at(network_.below(entryNames.size()));
+    const absl::Duration duration = resubmitDelay + milliseconds(network_.below(1200));
+    freeze(entry, duration);
+    EntryHost& host = entries_.at(entry);
+    for (const auto& [ticket, job] : host.process->callersLeave()) {
+        const auto open = openJobs_.extract(job);
+        if (open.empty())
+            continue;
+        network_.after(resubmitDelay + milliseconds(network_.below(600)), [this, job = job, tasks = open.mapped()] { runInOtherCell(job, tasks); });
+        network_.after(duration + milliseconds(network_.below(2000)), [this, entry, run = host.process->self(), ticket = ticket] {
+            whenRunning(run, [this, entry, ticket] { entries_.at(entry).process->closeRead(ticket); });
+        });
+    }
+    absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " the callers of ", entry, " leave, which stands still for ", absl::FormatDuration(duration));
+}
+
 void HandoverModel::disturb(Disturbance kind)
 {
     const absl::Duration duration = milliseconds(network_.below(2) == 0 ? 50 + network_.below(400) : 300 + network_.below(3000));
@@ -281,16 +339,9 @@
     case Disturbance::ReplaceMinion:
         restartMinion(&ModelMinion::replace);
         return "replacement of a minion";
-    case Disturbance::FreezeEntry: {
-        EntryHost& host = entries_.at(entry);
-        host.isFrozen = true;
-        network_.after(duration, [&host] {
-            host.isFrozen = false;
-            for (const auto& action : std::exchange(host.held, {}))
-                action();
-        });
+    case Disturbance::FreezeEntry:
+        freeze(entry, duration);
         return absl::StrCat("freeze of ", entry);
-    }
     case Disturbance::RestartEntry:
         startEntry(entry);
         return absl::StrCat("restart of ", entry);
--- a/Tests/Handover/HandoverModel.h
+++ b/Tests/Handover/HandoverModel.h
@@ -33,13 +33,16 @@
 /// it was given up or their entry has restarted. It checks that no task runs twice at the same time.
 class HandoverModel {
 public:
-    explicit HandoverModel(uint64_t seed);
+    explicit HandoverModel(uint64_t seed, CutMessages = CutMessages::Lost);
 
     /// Carries out a disturbance, with the nodes and times drawn by the seed.
     void disturb(Disturbance);
     /// Cuts an entry off the keepers for a short time. Meanwhile a minion is replaced, and the cell goes to the other entry and
     /// comes back.
     void missUpdates();
+    /// Lets an entry stand still for longer than a claim lasts. Its callers leave meanwhile and submit their jobs to another
+    /// cell, and the closes of their connections arrive late.
+    void leaveStoppedEntry();
     /// Lets time pass. Callers submit jobs meanwhile.
     void run(absl::Duration);
 
@@ -52,7 +55,8 @@
     struct EntryHost {
         std::unique_ptr<ModelEntry> process;
         bool isFrozen = false;
-        std::vector<ModelNetwork::Action> held;
+        /// What waits for the process to go on, by where it comes from. It is carried out in order for each source.
+        std::map<std::string, std::vector<ModelNetwork::Action>> held;
     };
 
     struct KeeperHost {
@@ -62,15 +66,20 @@
 
     void startEntry(const std::string& name);
     void deliver(const DaemonId& from, const DaemonId& to, const PeerMessage&);
-    void whenRunning(const DaemonRun&, ModelNetwork::Action);
+    /// @param source of the action, within which the order is kept; actions without one come in any order.
+    void whenRunning(const DaemonRun&, ModelNetwork::Action, std::string source = {});
+    void freeze(const std::string& entry, absl::Duration);
+    void goOn(EntryHost&);
     void pumpEntry(const std::string& name);
     void pumpKeeper(const std::string& name);
     void reportMinion(size_t index);
     void submitJob();
     void submit(const JobKey&, uint32_t tasks, int attempts);
     void answered(const JobKey&, AnswerKind);
-    void started(const ModelMinion&, const ModelTask&);
-    void ended(const ModelMinion&, const ModelTask&);
+    /// @param where the address of the minion, or what stands for those of another cell.
+    void started(const std::string& where, const ModelTask&);
+    void ended(const std::string& where, const ModelTask&);
+    void runInOtherCell(const JobKey&, uint32_t tasks);
     std::string anyNode();
     void grantTo(const std::string& owner);
     /// Cuts each node of a side off from each of the other.
@@ -89,6 +98,7 @@
     uint64_t incarnations_ = 0;
     uint64_t epochs_ = 0;
     uint64_t jobs_ = 0;
+    uint64_t unorderedActions_ = 0;
     size_t starts_ = 0;
     size_t completed_ = 0;
     std::string story_;
--- a/Tests/Handover/HandoverTest.cpp
+++ b/Tests/Handover/HandoverTest.cpp
@@ -127,3 +127,41 @@
         CHECK_TEXT(model.violation().empty(), absl::StrCat("seed ", seed, ": ", model.violation()).c_str());
     }
 }
+
+// Guards against an entry that stood still and, once it goes on, claims the jobs of callers that have submitted them elsewhere.
+TEST(Handover, NoTaskRunsTwiceAfterTheCallersOfAStoppedEntryHaveLeft)
+{
+    const std::vector<uint64_t> seeds = seedsToRun(100);
+    for (const uint64_t seed : seeds) {
+        HandoverModel model(seed, CutMessages::Late);
+        std::mt19937_64 random(seed);
+        for (int stop = 0; stop < 4; ++stop) {
+            model.leaveStoppedEntry();
+            model.run(absl::Milliseconds(static_cast<int64_t>(random() % 1500)));
+            if (random() % 2 == 0)
+                model.disturb(Disturbance::Grant);
+            model.run(absl::Seconds(4));
+        }
+        CHECK_TEXT(model.violation().empty(), absl::StrCat("seed ", seed, ": ", model.violation()).c_str());
+    }
+}
+
+// Guards against messages from before or in a cut that arrive after later ones, and against processes that go on with their
+// timers and their sockets due at once.
+TEST(Handover, NoTaskRunsTwiceWhenWhatACutStoppedArrivesLate)
+{
+    const std::vector<uint64_t> seeds = seedsToRun(150);
+    size_t completed = 0;
+    for (const uint64_t seed : seeds) {
+        HandoverModel model(seed, CutMessages::Late);
+        std::mt19937_64 random(seed);
+        for (int disturbance = 0; disturbance < 25; ++disturbance) {
+            model.disturb(allDisturbances.at(random() % allDisturbances.size()));
+            model.run(absl::Milliseconds(static_cast<int64_t>(random() % 900)));
+        }
+        model.run(absl::Seconds(3));
+        completed += model.completed();
+        CHECK_TEXT(model.violation().empty(), absl::StrCat("seed ", seed, ": ", model.violation()).c_str());
+    }
+    CHECK_COMPARE(completed, >, seeds.size() * 10);
+}
--- a/Tests/Handover/ModelEntry.cpp
+++ b/Tests/Handover/ModelEntry.cpp
@@ -14,7 +14,7 @@
     : self_(std::move(self))
     , world_(world)
     , dataCentre_(std::move(dataCentre))
-    , jobs_({ *this, *this, world.network, log_, *this }, self_.incarnation.value())
+    , jobs_({ *this, *this, world.network, log_, *this }, self_.incarnation.value(), policy_.maxClaimAge())
     , view_(world.keepers)
 {
 }
@@ -47,8 +47,15 @@
 
 void ModelEntry::reply(Ticket ticket, const CallerAnswer& answer)
 {
-    world_.answered(callers_.at(ticket), answer.kind);
-    callers_.erase(ticket);
+    const auto caller = callers_.extract(ticket);
+    if (!caller.empty())
+        world_.answered(caller.mapped(), answer.kind);
+}
+
+void ModelEntry::closeRead(Ticket ticket)
+{
+    jobs_.abandoned(ticket);
+    flush();
 }
 
 void ModelEntry::receive(const DaemonId& from, const PeerMessage& message)
@@ -168,7 +175,7 @@
         for (const auto& [to, heartbeat] : view_.nextHeartbeats(makeHeartbeat()))
             send(to, heartbeat);
         DaemonHeartbeat heartbeat = makeHeartbeat();
-        for (auto& [owner, claims] : jobs_.claims()) {
+        for (auto& [owner, claims] : jobs_.claimJobs()) {
             heartbeat.claims = std::move(claims);
             send(owner, heartbeat);
         }
--- a/Tests/Handover/ModelEntry.h
+++ b/Tests/Handover/ModelEntry.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 #include <vector>
 
 namespace trefoilwing {
@@ -38,6 +39,10 @@
     /// @return whether the job could be offered to an owner.
     bool submit(const JobKey&, uint32_t tasks);
     void receive(const DaemonId& from, const PeerMessage&);
+    /// Ends the callers' wait. The process learns of it when it reads the closes of their connections.
+    /// @return the jobs that they waited for, and what to pass to closeRead().
+    std::map<Ticket, JobKey> callersLeave() { return std::exchange(callers_, {}); }
+    void closeRead(Ticket);
     /// Does the periodic work.
     void pump();
 
--- a/Tests/Intake/JobCoordinatorTest.cpp
+++ b/Tests/Intake/JobCoordinatorTest.cpp
@@ -31,7 +31,8 @@
     RecordingPeers peers;
     RecordingEventLog log;
     NoMetrics metrics;
-    JobCoordinator coordinator { { replies, peers, clock, log, metrics }, 100 };
+    static constexpr absl::Duration maxClaimAge = absl::Milliseconds(1200);
+    JobCoordinator coordinator { { replies, peers, clock, log, metrics }, 100, maxClaimAge };
     const CellGrant grant { { ServiceId("service"), DataCentreId("home") }, { DaemonId("owner"), Incarnation(1) }, OwnerEpoch(3) };
 
     void open(uint64_t ticket, const std::string& key)
@@ -324,7 +325,44 @@
     CHECK(!coordinator.loadReceived(grant, sentAt - absl::Seconds(1)));
     open(2, "second");
     CHECK(peers.take<JobOffer>().back().second.stamp == OwnerStamp({ Incarnation(1), sentAt }));
-    CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(1), sentAt }, { 101, 102 } }));
+    CHECK(coordinator.claimJobs().at(DaemonId("owner")) == JobClaims({ { Incarnation(1), sentAt }, { 101, 102 } }));
+}
+
+// Guards against a process that stood still and claims its jobs again, whose callers have submitted them elsewhere meanwhile
+// and whose closes are held up.
+TEST(JobCoordinator, AJobWhoseClaimHasLapsedIsNeverClaimedAgain)
+{
+    open(1, "job");
+    coordinator.loadReceived(grant, clock.time);
+    clock.time += maxClaimAge;
+    CHECK(coordinator.claimJobs().at(DaemonId("owner")).value().offerNumbers == std::vector<uint64_t>({ 101 }));
+    clock.time += maxClaimAge + absl::Milliseconds(1);
+    open(2, "later");
+    CHECK(coordinator.claimJobs().at(DaemonId("owner")).value().offerNumbers == std::vector<uint64_t>({ 102 }));
+    CHECK(coordinator.claimJobs().at(DaemonId("owner")).value().offerNumbers == std::vector<uint64_t>({ 102 }));
+    LONGS_EQUAL(1, log.count("claim_lapsed"));
+    // Whatever its owner has decided is still delivered.
+    coordinator.resultReceived(DaemonId("owner"), { JobKey("job"), 101, JobEnd::Completed, {}, {} });
+    CHECK(replies.answers.back().second.kind == AnswerKind::Completed);
+}
+
+TEST(JobCoordinator, AJobWhoseClaimHasLapsedIsNotOfferedToANewOwner)
+{
+    open(1, "job");
+    clock.time += maxClaimAge + absl::Milliseconds(1);
+    changeOwner("other", 1, 4);
+    LONGS_EQUAL(1, peers.take<JobOffer>().size());
+    LONGS_EQUAL(1, peers.take<JobCancel>().size());
+    CHECK(replies.answers.back().second.kind == AnswerKind::GaveUp);
+}
+
+TEST(JobCoordinator, ACallerThatSubmitsALapsedJobAgainRenewsItsClaim)
+{
+    open(1, "job");
+    coordinator.loadReceived(grant, clock.time);
+    clock.time += maxClaimAge + absl::Milliseconds(1);
+    open(2, "job");
+    CHECK(coordinator.claimJobs().at(DaemonId("owner")).value().offerNumbers == std::vector<uint64_t>({ 101 }));
 }
 
 // Guards against an owner whose jobs nobody claims any more, because it restarted after its time of day was set back.
@@ -335,7 +373,7 @@
     CHECK(coordinator.loadReceived({ grant.cell, { DaemonId("owner"), Incarnation(2) }, OwnerEpoch(8) }, absl::FromUnixSeconds(1)));
     // A report of the earlier process that was held up changes nothing.
     CHECK(!coordinator.loadReceived({ grant.cell, { DaemonId("owner"), Incarnation(9) }, OwnerEpoch(3) }, absl::FromUnixSeconds(8)));
-    CHECK(coordinator.claims().at(DaemonId("owner")) == JobClaims({ { Incarnation(2), absl::FromUnixSeconds(1) }, { 101 } }));
+    CHECK(coordinator.claimJobs().at(DaemonId("owner")) == JobClaims({ { Incarnation(2), absl::FromUnixSeconds(1) }, { 101 } }));
 }
 
 // Reports of an owner's earlier process that were held up don't show that the new one runs.
@@ -461,12 +499,12 @@
 TEST(JobCoordinator, OnlyOwnersOfOpenPartsAreListed)
 {
     openShared(1, "job");
-    LONGS_EQUAL(2, coordinator.claims().size());
+    LONGS_EQUAL(2, coordinator.claimJobs().size());
     end("owner", "job", 101, JobEnd::Completed);
-    LONGS_EQUAL(1, coordinator.claims().size());
-    CHECK(coordinator.claims().contains(DaemonId("other")));
+    LONGS_EQUAL(1, coordinator.claimJobs().size());
+    CHECK(coordinator.claimJobs().contains(DaemonId("other")));
     end("other", "job", 102, JobEnd::Completed);
-    CHECK(coordinator.claims().empty());
+    CHECK(coordinator.claimJobs().empty());
 }
 
 // Guards against an entry that got no processor time and then abandons the jobs of owners whose messages it hasn't read
--- a/Tests/Intake/SecondChoiceTest.cpp
+++ b/Tests/Intake/SecondChoiceTest.cpp
@@ -94,7 +94,7 @@
     RecordingEventLog log;
     CountingMetrics metrics;
     PreparedChoices choices;
-    JobCoordinator coordinator { { replies, peers, clock, log, metrics }, 100, { &choices, 1 } };
+    JobCoordinator coordinator { { replies, peers, clock, log, metrics }, 100, absl::InfiniteDuration(), { &choices, 1 } };
     const CellGrant home = grantOf("home", "owner", 3);
     const CellGrant far = grantOf("far", "other", 4);
     const CellGrant third = grantOf("third", "third", 5);
@@ -361,8 +361,8 @@
     coordinator.loadReceived(far, absl::FromUnixSeconds(7));
     end("owner", 101, JobEnd::Rejected);
     CHECK(lastOffer().second.stamp == OwnerStamp({ Incarnation(1), absl::FromUnixSeconds(7) - absl::Milliseconds(20) }));
-    CHECK(coordinator.claims().at(DaemonId("other")).value().offerNumbers == std::vector<uint64_t>({ 102 }));
-    CHECK_FALSE(coordinator.claims().contains(DaemonId("owner")));
+    CHECK(coordinator.claimJobs().at(DaemonId("other")).value().offerNumbers == std::vector<uint64_t>({ 102 }));
+    CHECK_FALSE(coordinator.claimJobs().contains(DaemonId("owner")));
 }
 
 // A burst fills one cell while another has room: the entry's figures are up to 250 ms old.
@@ -375,7 +375,7 @@
     CountingMetrics metrics;
     CellChooser chooser { DataCentreId("home"), CellChooser::lateReportCost };
     ChosenByLoad choice { chooser, clock };
-    JobCoordinator coordinator { { replies, peers, clock, log, metrics }, 100, { &choice, 1 } };
+    JobCoordinator coordinator { { replies, peers, clock, log, metrics }, 100, absl::InfiniteDuration(), { &choice, 1 } };
 
     void load(const std::string& dataCentre, uint64_t epoch, int64_t free, double rate = 20)
     {
--- a/Tests/Placement/ClaimLimitTest.cpp
+++ b/Tests/Placement/ClaimLimitTest.cpp
@@ -197,6 +197,21 @@
     LONGS_EQUAL(0, fixture.takeStarts().size());
 }
 
+// Guards against an owner that stood still and takes a claim for a job whose caller has submitted it elsewhere meanwhile.
+TEST(ClaimLimit, AClaimThatHasLapsedIsNotRenewed)
+{
+    fixture.addMinion("m1");
+    JobOffer offer = fixture.makeOffer("job", 1);
+    offer.estimate = absl::Seconds(10);
+    offer.untilLate = offer.untilTimeout = absl::Seconds(20);
+    fixture.offer(offer);
+    const StartOrder start = fixture.takeStarts().front();
+    fixture.answerStart(start);
+    fixture.pause(policy.maxClaimAge());
+    LONGS_EQUAL(1, fixture.takeStops().size());
+    CHECK(fixture.takeResults().front().end == JobEnd::GivenUp);
+}
+
 TEST(ClaimLimit, EntriesOfEarlierVersionsClaimTheirJobsWithEachMessage)
 {
     fixture.addMinion("m1");
