--- a/Tests/Fleet/FleetMinions.h
+++ b/Tests/Fleet/FleetMinions.h
@@ -36,6 +36,8 @@
     FleetMinions(const FleetMinions&) = delete;
     FleetMinions& operator=(const FleetMinions&) = delete;
 
+    /// Changes the run time of each task. Call this before start().
+    void setRunTime(absl::Duration runTime) { runTime_ = runTime; }
     /// Adds a minion with 16 cores. Call this before start().
     void add(const std::string& id, const Endpoint&, const std::string& dataCentre);
     void start();
@@ -66,7 +68,7 @@
     void report(Minion&);
 
     const std::vector<Endpoint> keepers_;
-    const absl::Duration runTime_;
+    absl::Duration runTime_;
     HttpLoop loop_;
     HttpClient client_;
     boost::asio::steady_timer timer_;
--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -279,6 +279,32 @@
     STRCMP_EQUAL(FleetCaller::configuration(9).c_str(), newest.body.c_str());
 }
 
+// Guards against an entry that stood still and claims its callers' jobs again, which run in another data centre by then.
+TEST(FleetSystem, AStoppedEntryClaimsNoJobThatRunsElsewhere)
+{
+    constexpr absl::Duration resubmitDelay = absl::Milliseconds(1300);
+    fleet.minions().setRunTime(absl::Milliseconds(1200));
+    begin();
+    for (int round = 0; round < 3; ++round) {
+        const std::string stopped = fleet.ownerOf("bole");
+        std::vector<std::string> jobs;
+        for (int i = 0; i < 3; ++i)
+            jobs.push_back(absl::StrCat(absl::Hex(0xb000000000000000UL + ++lastJob)));
+        for (const std::string& job : jobs)
+            fleet.caller().submit(fleet.callers(stopped), job, 3, 1200, statuses.callback(job));
+        absl::SleepFor(absl::Milliseconds(200));
+        fleet.node(stopped).signal(SIGSTOP);
+        // The first connections stay open, as if a link held up their end.
+        absl::SleepFor(resubmitDelay + absl::Milliseconds(100));
+        for (const std::string& job : jobs)
+            fleet.caller().submit(fleet.callers("entry-3"), job, 3, 1200, statuses.callback(job));
+        absl::SleepFor(absl::Milliseconds(300));
+        fleet.node(stopped).signal(SIGCONT);
+        CHECK_TEXT(statuses.awaitAll(), "each call is answered");
+    }
+    LONGS_EQUAL(0, fleet.minions().totals().duplicateStarts);
+}
+
 // Guards against tasks that run twice, and minions that are never used again: reports of another writer, for a service that no
 // configuration names, carry the addresses of minions at work (review/9).
 TEST(FleetSystem, ReportsOfAnUnknownServiceRemoveNoMinion)
