--- a/Tests/Fleet/FleetSystemTest.cpp
+++ b/Tests/Fleet/FleetSystemTest.cpp
@@ -287,9 +287,9 @@
     begin();
     for (int round = 0; round < 3; ++round) {
         const std::string stopped = fleet.ownerOf("bole");
-        std::vector<std::string> jobs;
-        for (int i = 0; i < 3; ++i)
-            jobs.push_back(absl::StrCat(absl::Hex(0xb000000000000000UL + ++lastJob)));
+        std::vector<std::string> jobs(3);
+        for (std::string& job : jobs)
+            job = absl::StrCat(absl::Hex(0xb000000000000000UL + ++lastJob));
         for (const std::string& job : jobs)
             fleet.caller().submit(fleet.callers(stopped), job, 3, 1200, statuses.callback(job));
         absl::SleepFor(absl::Milliseconds(200));
--- a/Tests/Placement/LargeJobTest.cpp
+++ b/Tests/Placement/LargeJobTest.cpp
@@ -10,7 +10,7 @@
 // the specification (review/10).
 TEST_GROUP(LargeJob)
 {
-    static constexpr int64_t largeMinion = 7000 * 100;
+    static constexpr int64_t largeMinion = 700000;
     CellFixture fixture;
 
     std::vector<StartOrder> answerStarts(std::vector<StartOrder> starts)
@@ -90,6 +90,7 @@
     fixture.advance(absl::Milliseconds(40));
     LONGS_EQUAL(0, fixture.takeStarts().size());
     std::vector<RunProgress> running;
+    running.reserve(starts.size());
     for (const StartOrder& start : starts)
         running.push_back({ start.run, 10 });
     running.pop_back();
