--- a/Source/Adapters/Yaml/FleetSettingsLoader.cpp
+++ b/Source/Adapters/Yaml/FleetSettingsLoader.cpp
@@ -10,6 +10,8 @@
     constexpr uint32_t maxPort = 65535;
     constexpr uint32_t maxLostDisks = 2;
     constexpr uint32_t maxSecondChoices = 3;
+    constexpr uint32_t minMaxJobTasks = 1;
+    constexpr uint32_t maxMaxJobTasks = 100000;
     constexpr double minResubmitMs = 1;
     constexpr double maxResubmitMs = 3600.0 * 1000;
     constexpr double minCatchUpSeconds = 0.001;
@@ -86,6 +88,7 @@
             optionalKey("evacuation_ms", &FleetSettings::evacuationMs, fractionValue(minEvacuationMs, maxEvacuationMs)),
             optionalKey("data_centres", &FleetSettings::dataCentres, dataCentresValue()),
             optionalKey("second_choices", &FleetSettings::secondChoices, numberValue(0, maxSecondChoices)),
+            optionalKey("max_job_tasks", &FleetSettings::maxJobTasks, numberValue(minMaxJobTasks, maxMaxJobTasks)),
         };
         return keys;
     }
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -70,9 +70,23 @@
     /// Minimum resubmit delay that can be kept: entries claim their jobs every 250 ms, and a claim may be twice as old.
     constexpr absl::Duration minResubmitDelay = absl::Milliseconds(800);
 
+    /// Memory of a start order with the longest specification, and of the request that is made of it.
+    constexpr uint64_t startOrderBytes = 6U << 10U;
+    /// Memory of a run, with that of its stop order.
+    constexpr uint64_t runBytes = 2560;
+    constexpr uint64_t queuedTaskBytes = 48;
+    /// Start orders in flight, runs and queued tasks of a cell may each hold the memory of the process divided by these.
+    constexpr uint64_t startMemoryDivisor = 16;
+    constexpr uint64_t runMemoryDivisor = 8;
+    constexpr uint64_t queueMemoryDivisor = 16;
+
     DispatchPolicy policyFor(const FleetSettings& settings)
     {
         DispatchPolicy policy;
+        const uint64_t memory = uint64_t { settings.memoryMb } << 20U;
+        policy.maxStartsInFlight = memory / startMemoryDivisor / startOrderBytes;
+        policy.maxRuns = memory / runMemoryDivisor / runBytes;
+        policy.maxQueuedTasks = memory / queueMemoryDivisor / queuedTaskBytes;
         policy.avoidsInterference = settings.avoidsInterference;
         policy.resubmitDelay = std::max(minResubmitDelay, absl::Milliseconds(settings.resubmitMs));
         return policy;
@@ -105,7 +119,7 @@
     , link_(settings, *this, log)
     , policy_(policyFor(settings))
     , guard_(std::make_shared<ConnectionGuard>(loop_, incomingLimits(settings, Bytes(maxCallerBody)), ConnectionReports { &log, &metrics }))
-    , callerHandler_(log)
+    , callerHandler_(log, settings.maxJobTasks)
     , gateway_(loop_, *this, maxMinionAnswers(settings))
     , callers_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handle(exchange); }, { Bytes(maxCallerBody), maxCallerSessions, guard_, "callers" })
     , readiness_(loop_, [this](const HttpExchangePtr& exchange) { callerHandler_.handleReadiness(exchange); }, { Bytes(maxCallerBody), maxReadinessSessions, guard_, "readiness" })
--- a/Source/Model/FleetSettings.h
+++ b/Source/Model/FleetSettings.h
@@ -53,6 +53,8 @@
     std::vector<DataCentreId> dataCentres;
     /// Maximum number of further cells that an entry offers a rejected part of a job to.
     uint32_t secondChoices = 0;
+    /// Maximum number of tasks of a job.
+    uint32_t maxJobTasks = 10000;
 
     friend bool operator==(const FleetSettings&, const FleetSettings&) = default;
 };
--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -9,6 +9,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -141,8 +142,8 @@
 struct StartOrder {
     OrderHeader header;
     RunId run;
-    /// The caller's specification of the task, which is passed on without being parsed.
-    std::string spec;
+    /// The caller's specification of the task, which is passed on without being parsed. All orders of a job share it.
+    std::shared_ptr<const std::string> spec;
     /// End of the lease on the minion's clock. All runs of the minion are stopped then, unless the lease is extended.
     int64_t leaseEndMs = 0;
 };
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -177,11 +177,18 @@
 
 void CellDispatcher::answered(const StartResult& result, absl::Time now)
 {
-    LeasedMinion* minion = findAnswering(result.instance, result.epoch);
-    if (!minion)
-        return;
-    recordAnswer(*minion, result.failure, result.clockMs, now);
-    Run* run = minion->findRun(result.run);
+    if (result.epoch == grant_.epoch)
+        startsInFlight_ -= std::min<size_t>(startsInFlight_, 1);
+    if (LeasedMinion* minion = findAnswering(result.instance, result.epoch)) {
+        recordAnswer(*minion, result.failure, result.clockMs, now);
+        applyStartResult(*minion, result, now);
+    }
+    resumePlacement(now);
+}
+
+void CellDispatcher::applyStartResult(LeasedMinion& minion, const StartResult& result, absl::Time now)
+{
+    Run* run = minion.findRun(result.run);
     if (!run)
         return;
     run->startsInFlight -= std::min<uint32_t>(run->startsInFlight, 1);
@@ -196,28 +203,28 @@
     const bool concernsAllStarts = result.failure == OrderFailure::OtherInstance || result.failure == OrderFailure::Fenced;
     if (run->startOrders > 1 && !concernsAllStarts) {
         // Whatever became of this order, another start of the same run may have been carried out.
-        startUnconfirmed(*minion, *run, now);
+        startUnconfirmed(minion, *run, now);
         return;
     }
     switch (result.failure) {
     case OrderFailure::NoAnswer:
-        startUnconfirmed(*minion, *run, now);
+        startUnconfirmed(minion, *run, now);
         break;
     case OrderFailure::OtherInstance:
-        otherInstanceAnswered(*minion, result.answeredBy, now);
+        otherInstanceAnswered(minion, result.answeredBy, now);
         break;
     case OrderFailure::NoRoom:
         ++totals_.startsWithoutRoom;
-        minion->isFull = true;
-        requeue(*minion, result.run);
+        minion.isFull = true;
+        requeue(minion, result.run);
         break;
     case OrderFailure::Unhealthy:
     case OrderFailure::Refused:
-        minion->health.runFailed(now);
-        requeue(*minion, result.run);
+        minion.health.runFailed(now);
+        requeue(minion, result.run);
         break;
     default:
-        requeue(*minion, result.run);
+        requeue(minion, result.run);
         break;
     }
     if (result.failure != OrderFailure::NoRoom)
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <boost/intrusive/list.hpp>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -143,6 +144,13 @@
     // Placement.
     void place(absl::Time now);
     bool placeTask(CellJob&, TaskIndex, absl::Time now);
+    /// Whether the limits of the cell's runs and of its orders in flight leave room for another start of a job.
+    bool hasRoomForStart(const CellJob&) const;
+    size_t maxStartsInFlight() const { return std::min(policy_.maxStartsInFlight, policy_.maxStartsInFlightPerMinion * minions_.size()); }
+    size_t runCount() const;
+    /// Goes on with a placement that reached the limit of starts in flight.
+    void resumePlacement(absl::Time now);
+    bool exceedsQueueLimit(const CellJob&) const;
     bool mayStart(const CellJob&, absl::Time now) const;
     /// Whether runs of an earlier submission or offer of a job may still be in progress: a caller may submit the same id
     /// again.
@@ -151,9 +159,10 @@
     bool hasOtherRunsOf(const CellJob&) const;
 
     // Runs.
+    void applyStartResult(LeasedMinion&, const StartResult&, absl::Time now);
     void runEnded(LeasedMinion&, const RunId&, RunEnd, absl::Time now);
     void requeue(LeasedMinion&, const RunId&);
-    void taskFailed(LeasedMinion&, CellJob&, CellTask&, absl::Time now);
+    void taskFailed(LeasedMinion&, CellJob&, TaskIndex, absl::Time now);
     void stopRun(LeasedMinion&, Run&, absl::Time now);
     void sweepRuns(LeasedMinion&, absl::Time now);
     /// Whether a run that an earlier owner started has been without a claim for too long.
@@ -208,6 +217,9 @@
     /// Until when jobs in progress may start their other tasks although the data centre is evacuated.
     absl::Time finishJobsUntil_ = absl::InfinitePast();
     uint64_t runCounter_ = 0;
+    size_t startsInFlight_ = 0;
+    /// Whether the last placement ended at a limit, with tasks left that fit on minions.
+    bool isPlacementPaused_ = false;
     MinionTable minions_;
     const std::unique_ptr<InterferenceModel> interference_;
     const MinionChooser chooser_;
--- a/Source/Placement/CellDispatcherJobs.cpp
+++ b/Source/Placement/CellDispatcherJobs.cpp
@@ -5,6 +5,8 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <numeric>
+#include <optional>
 
 namespace trefoilwing {
 
@@ -102,6 +104,12 @@
         endEvacuatedJobs(now);
         return;
     }
+    if (!offer.isTakeover && exceedsQueueLimit(*job)) {
+        ++totals_.rejectedJobs;
+        logEvent("job_turned_down", offer.job, {}, absl::StrCat("reason=queue_limit tasks=", offer.taskCount, " queued_jobs=", jobs_.size()));
+        finish(*job, job->mayHaveRun() ? JobEnd::GivenUp : JobEnd::Rejected, now, retryAfter(expectedWait(*job, now)), RejectionReason::ExpectedWait);
+        return;
+    }
     const auto milliCores = static_cast<double>(offer.need.milliCores);
     averageMilliCores_ += (milliCores - averageMilliCores_) * (averageMilliCores_ > 0 ? policy_.needWeight : 1);
     const absl::Duration wait = expectedWait(*job, now);
@@ -297,6 +305,7 @@
 {
     if (isSuperseded_)
         return;
+    isPlacementPaused_ = false;
     std::vector<std::pair<double, CellJob*>> queued;
     for (CellJob& job : jobs_) {
         if (job.hasEarlierRuns) {
@@ -315,9 +324,12 @@
         // A job that can't end in time isn't started: sweepJobs() rejects it.
         if (!job->hasStarted && job->offeredAt() < now && cannotEndInTime(*job, now))
             continue;
-        TaskIndex index;
-        while (job->firstQueued(index) && maxFree.holds(job->offer().need)) {
-            if (placeTask(*job, index, now))
+        while (const std::optional<TaskIndex> index = maxFree.holds(job->offer().need) ? job->firstQueued() : std::nullopt) {
+            if (!hasRoomForStart(*job)) {
+                isPlacementPaused_ = true;
+                break;
+            }
+            if (placeTask(*job, *index, now))
                 continue;
             maxFree = MinionChooser::maxFree(minions_, now);
             break;
@@ -325,10 +337,33 @@
     }
 }
 
+bool CellDispatcher::hasRoomForStart(const CellJob& job) const
+{
+    // Large jobs leave a part of both limits to small ones.
+    const auto shareOf = [&](size_t limit) { return job.offer().taskCount > limit / 4 ? limit - limit / 4 : limit; };
+    return startsInFlight_ < shareOf(maxStartsInFlight()) && runCount() < shareOf(policy_.maxRuns);
+}
+
+size_t CellDispatcher::runCount() const
+{
+    return std::accumulate(minions_.begin(), minions_.end(), size_t { 0 }, [](size_t sum, const auto& entry) { return sum + entry.second->runs().size(); });
+}
+
+void CellDispatcher::resumePlacement(absl::Time now)
+{
+    if (isPlacementPaused_ && startsInFlight_ <= maxStartsInFlight() / 2)
+        place(now);
+}
+
+bool CellDispatcher::exceedsQueueLimit(const CellJob& job) const
+{
+    const size_t queued = std::accumulate(jobs_.begin(), jobs_.end(), size_t { 0 }, [](size_t sum, const CellJob& each) { return sum + each.queuedCount(); });
+    return queued > policy_.maxQueuedTasks && queued > job.queuedCount();
+}
+
 bool CellDispatcher::placeTask(CellJob& job, TaskIndex index, absl::Time now)
 {
-    CellTask& task = job.task(index);
-    LeasedMinion* minion = chooser_.choose(minions_, job, task, now);
+    LeasedMinion* minion = chooser_.choose(minions_, job, job.task(index), now);
     if (!minion)
         return false;
     Run run;
@@ -342,7 +377,7 @@
     // The claim of this job limits the lease too.
     added.leaseEndMs = minion->renewLease(now);
     sendStart(*minion, added);
-    task.state = TaskState::Active;
+    job.setState(index, TaskState::Active);
     job.firstStart = std::min(job.firstStart, now);
     job.hasStarted = true;
     ++totals_.starts;
--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -19,7 +19,8 @@
 {
     ++run.startOrders;
     ++run.startsInFlight;
-    outbox_.orders.push_back(StartOrder { headerTo(minion), run.id, run.job->offer().spec, run.leaseEndMs });
+    ++startsInFlight_;
+    outbox_.orders.push_back(StartOrder { headerTo(minion), run.id, run.job->spec(), run.leaseEndMs });
 }
 
 bool CellDispatcher::isStartRepeatDue(const LeasedMinion& minion, const Run& run, absl::Time now) const
@@ -43,7 +44,7 @@
     const CellJobPtr job = run->job;
     minion.removeRun(id);
     if (job && !job->isResultSent)
-        job->task(id.task).state = TaskState::Queued;
+        job->setState(id.task, TaskState::Queued);
 }
 
 void CellDispatcher::removeAllRuns(LeasedMinion& minion, std::string_view reason)
@@ -71,13 +72,14 @@
         if (now <= unlisted.leaseExpiresBy)
             return false;
         if (!unlisted.job->isResultSent)
-            unlisted.job->task(unlisted.task).state = TaskState::Queued;
+            unlisted.job->setState(unlisted.task, TaskState::Queued);
         return true;
     });
 }
 
-void CellDispatcher::taskFailed(LeasedMinion& minion, CellJob& job, CellTask& task, absl::Time now)
+void CellDispatcher::taskFailed(LeasedMinion& minion, CellJob& job, TaskIndex index, absl::Time now)
 {
+    CellTask& task = job.task(index);
     ++task.failures;
     if (task.failures == 1)
         minion.health.runFailed(now);
@@ -86,7 +88,7 @@
         finish(job, JobEnd::Failed, now);
         return;
     }
-    task.state = TaskState::Queued;
+    job.setState(index, TaskState::Queued);
     task.avoidedMinion = minion.instance().minion;
 }
 
@@ -121,17 +123,16 @@
     }
     if (!job || job->isResultSent)
         return;
-    CellTask& task = job->task(id.task);
     if (end == RunEnd::Done) {
         if (!wasStalled)
             minion.recordRunTime(job->offer().estimate, taken);
-        task.state = TaskState::Done;
+        job->setState(id.task, TaskState::Done);
         if (job->isComplete())
             finish(*job, JobEnd::Completed, now);
     } else if (end == RunEnd::Failed) {
-        taskFailed(minion, *job, task, now);
+        taskFailed(minion, *job, id.task, now);
     } else {
-        task.state = TaskState::Queued;
+        job->setState(id.task, TaskState::Queued);
     }
 }
 
@@ -148,18 +149,17 @@
             if (!job.hasTask(endedRun.run.task))
                 continue;
             job.hasStarted = true;
-            CellTask& task = job.task(endedRun.run.task);
             if (endedRun.end == RunEnd::Done)
-                task.state = TaskState::Done;
+                job.setState(endedRun.run.task, TaskState::Done);
             else if (endedRun.end == RunEnd::Failed)
-                ++task.failures;
+                ++job.task(endedRun.run.task).failures;
         }
         unclaimedEnds_.erase(ends);
     }
     for (const auto& [minionId, minion] : minions_) {
         std::vector<RunId> adopted;
         for (const auto& [id, run] : minion->runs()) {
-            if (run.isInherited && id.job == job.offer().job && job.hasTask(id.task) && job.task(id.task).state == TaskState::Queued)
+            if (run.isInherited && id.job == job.offer().job && job.hasTask(id.task) && job.task(id.task).state() == TaskState::Queued)
                 adopted.push_back(id);
         }
         for (const RunId& id : adopted) {
@@ -170,7 +170,7 @@
             run.isInherited = false;
             run.progressAt = now;
             minion->addRun(std::move(run));
-            job.task(id.task).state = TaskState::Active;
+            job.setState(id.task, TaskState::Active);
             job.hasStarted = true;
             logEvent("run_adopted", id.job, minionId, describe(id));
         }
@@ -191,8 +191,8 @@
         else {
             minion.removeRun(endedRun.run);
             CellJob* job = findJob(endedRun.run.job);
-            if (job && job->offer().isTakeover && job->hasTask(endedRun.run.task) && job->task(endedRun.run.task).state == TaskState::Queued && endedRun.end == RunEnd::Done) {
-                job->task(endedRun.run.task).state = TaskState::Done;
+            if (job && job->offer().isTakeover && job->hasTask(endedRun.run.task) && job->task(endedRun.run.task).state() == TaskState::Queued && endedRun.end == RunEnd::Done) {
+                job->setState(endedRun.run.task, TaskState::Done);
                 if (job->isComplete())
                     finish(*job, JobEnd::Completed, now);
             } else if (!job && now < ownedSince_ + policy_.adoptionPeriod)
@@ -206,6 +206,7 @@
     absl::flat_hash_map<RunId, uint32_t> listed;
     for (const RunProgress& each : result.running)
         listed[each.run] = each.progress;
+    std::vector<CellJobPtr> adopting;
     for (const auto& [id, progress] : listed) {
         Run* run = minion.findRun(id);
         if (!run) {
@@ -217,12 +218,9 @@
             minion.inheritLease(now);
             run = &minion.addRun(std::move(inherited));
             CellJob* job = findJob(id.job);
-            if (job && job->offer().isTakeover)
-                adoptRuns(*job, now);
-            run = minion.findRun(id);
+            if (job && job->offer().isTakeover && std::find(adopting.begin(), adopting.end(), job) == adopting.end())
+                adopting.emplace_back(job);
         }
-        if (!run)
-            continue;
         run->confirmedAt = run->listedAt = now;
         if (run->state == RunState::Starting || run->state == RunState::Unconfirmed)
             run->state = RunState::Running;
@@ -231,6 +229,8 @@
             run->progressAt = now;
         }
     }
+    for (const CellJobPtr& job : adopting)
+        adoptRuns(*job, now);
     if (result.ended.size() >= maxListedEnds)
         return;
     std::vector<RunId> missing;
--- a/Source/Placement/CellJob.cpp
+++ b/Source/Placement/CellJob.cpp
@@ -1,6 +1,7 @@
 #include "Placement/CellJob.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace trefoilwing {
 
@@ -11,27 +12,31 @@
     , lateAt_(now + offer_.untilLate)
     , timeoutAt_(now + offer_.untilTimeout)
     , usefulUntil_(std::min(timeoutAt_, lateAt_ + lateTolerance * offer_.untilLate))
+    , spec_(std::make_shared<const std::string>(std::exchange(offer_.spec, {})))
     , tasks_(offer_.taskCount)
+    , queuedCount_(offer_.taskCount)
 {
 }
 
-size_t CellJob::queuedCount() const
+void CellJob::setState(TaskIndex index, TaskState state)
 {
-    return static_cast<size_t>(std::count_if(tasks_.begin(), tasks_.end(), [](const CellTask& task) { return task.state == TaskState::Queued; }));
+    CellTask& changed = task(index);
+    queuedCount_ -= changed.state_ == TaskState::Queued ? 1 : 0;
+    doneCount_ -= changed.state_ == TaskState::Done ? 1 : 0;
+    changed.state_ = state;
+    queuedCount_ += state == TaskState::Queued ? 1 : 0;
+    doneCount_ += state == TaskState::Done ? 1 : 0;
+    if (state == TaskState::Queued)
+        firstQueued_ = std::min<size_t>(firstQueued_, index.value() - offer_.firstTask);
 }
 
-bool CellJob::isComplete() const
+std::optional<TaskIndex> CellJob::firstQueued()
 {
-    return std::all_of(tasks_.begin(), tasks_.end(), [](const CellTask& task) { return task.state == TaskState::Done; });
-}
-
-const CellTask* CellJob::firstQueued(TaskIndex& index) const
-{
-    const auto found = std::find_if(tasks_.begin(), tasks_.end(), [](const CellTask& task) { return task.state == TaskState::Queued; });
-    if (found == tasks_.end())
-        return nullptr;
-    index = TaskIndex(offer_.firstTask + static_cast<uint32_t>(found - tasks_.begin()));
-    return &*found;
+    while (firstQueued_ < tasks_.size() && tasks_[firstQueued_].state_ != TaskState::Queued)
+        ++firstQueued_;
+    if (firstQueued_ == tasks_.size())
+        return std::nullopt;
+    return TaskIndex(offer_.firstTask + static_cast<uint32_t>(firstQueued_));
 }
 
 int64_t CellJob::queuedCoreMs() const
--- a/Source/Placement/CellJob.h
+++ b/Source/Placement/CellJob.h
@@ -6,6 +6,9 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace trefoilwing {
@@ -17,11 +20,18 @@
     Done,
 };
 
-struct CellTask {
-    TaskState state = TaskState::Queued;
+class CellTask {
+public:
+    TaskState state() const { return state_; }
+
     uint32_t failures = 0;
     /// The minion of the latest failed or stalled run; it is used again only if the task fits no other.
     MinionId avoidedMinion;
+
+private:
+    friend class CellJob;
+
+    TaskState state_ = TaskState::Queued;
 };
 
 /// A job at the owner of its cell, or the part of its tasks that this cell runs. Runs keep it alive by reference
@@ -42,12 +52,14 @@
 
     /// @param index of the task in the whole job, including the tasks that other cells run.
     CellTask& task(TaskIndex index) { return tasks_[index.value() - offer_.firstTask]; }
+    void setState(TaskIndex, TaskState);
     bool hasTask(TaskIndex index) const { return index.value() >= offer_.firstTask && index.value() - offer_.firstTask < tasks_.size(); }
-    size_t queuedCount() const;
-    bool isComplete() const;
-    /// @param index is set to the index of the task found.
-    /// @return the first queued task, or null if there is none.
-    const CellTask* firstQueued(TaskIndex& index) const;
+    size_t queuedCount() const { return queuedCount_; }
+    bool isComplete() const { return doneCount_ == tasks_.size(); }
+    /// @return the first queued task; unset if there is none.
+    std::optional<TaskIndex> firstQueued();
+    /// What its tasks run. All start orders share it.
+    const std::shared_ptr<const std::string>& spec() const { return spec_; }
     /// Total work of the queued tasks in core-milliseconds, by the caller's estimate.
     int64_t queuedCoreMs() const;
 
@@ -73,7 +85,12 @@
     absl::Time lateAt_;
     absl::Time timeoutAt_;
     absl::Time usefulUntil_;
+    std::shared_ptr<const std::string> spec_;
     std::vector<CellTask> tasks_;
+    size_t queuedCount_;
+    size_t doneCount_ = 0;
+    /// No task before this position is queued.
+    size_t firstQueued_ = 0;
 };
 
 using CellJobPtr = boost::intrusive_ptr<CellJob>;
--- a/Source/Placement/DispatchPolicy.h
+++ b/Source/Placement/DispatchPolicy.h
@@ -89,6 +89,16 @@
     bool avoidsInterference = false;
     /// Maximum number of jobs considered in one placement round.
     size_t maxJobsPerRound = 64;
+    /// Maximum number of start orders of a cell that wait for their answers. It bounds the memory of the orders, and the time
+    /// of a placement round. Placement goes on once half of them are answered.
+    size_t maxStartsInFlight = 2000;
+    /// The same for each minion of the cell, on average. The starts of other jobs wait behind them.
+    size_t maxStartsInFlightPerMinion = 64;
+    /// Maximum number of runs in a cell. It bounds the memory of the runs, of the orders that stop them and of the answers that
+    /// list them.
+    size_t maxRuns = 10000;
+    /// Maximum number of tasks in a cell that wait for their start. Jobs beyond it are rejected.
+    size_t maxQueuedTasks = 200000;
 };
 
 } // namespace trefoilwing
--- a/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
+++ b/Tests/Adapters/Yaml/FleetSettingsLoaderTest.cpp
@@ -74,6 +74,14 @@
     STRCMP_CONTAINS("second_choices", errorOf(refused)->message.c_str());
 }
 
+TEST(FleetSettingsLoader, TheLargestJobIsASettingAndChecked)
+{
+    LONGS_EQUAL(10000, valueOf(parseFleetSettings(keeperSettings, "fleet.yaml"))->maxJobTasks);
+    LONGS_EQUAL(1300, valueOf(parseFleetSettings(keeperSettings + "max_job_tasks: 1300\n", "fleet.yaml"))->maxJobTasks);
+    for (const char* bad : { "max_job_tasks: 0\n", "max_job_tasks: 100001\n" })
+        STRCMP_CONTAINS("max_job_tasks", errorOf(parseFleetSettings(keeperSettings + bad, "fleet.yaml"))->message.c_str());
+}
+
 // Guards against a limit that is applied although it isn't set, and against one that leaves no connection.
 TEST(FleetSettingsLoader, TheDescriptorLimitIsOptionalAndChecked)
 {
--- a/Tests/Bench/FleetBenchmark.cpp
+++ b/Tests/Bench/FleetBenchmark.cpp
@@ -85,7 +85,7 @@
 
 void startAsJson(benchmark::State& state)
 {
-    const StartOrder order { header, run, std::string(400, 's'), 486000 };
+    const StartOrder order { header, run, std::make_shared<const std::string>(400, 's'), 486000 };
     const HttpResult answer = WebResponse { 200, {}, R"({"clock_ms":482113,"born":1})" };
     for (auto _ : state) {
         benchmark::DoNotOptimize(platform::encodeOrder(order));
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -60,6 +60,8 @@
     void endRun(const StartOrder&, RunEnd);
 
     CellDispatcher& cell() { return cell_; }
+    /// The limits of the cell, which a test may lower.
+    DispatchPolicy& policy() { return policy_; }
     absl::Time now() const { return now_; }
     static RunId runId(const std::string& job, uint32_t task, uint64_t number) { return { JobKey(job), TaskIndex(task), RunNumber(number) }; }
     static MinionInstance instance(const std::string& id, uint64_t startTime = 1) { return { MinionId(id), MinionStartTime(startTime) }; }
--- a/Tests/Platform/DecoderFuzzTest.cpp
+++ b/Tests/Platform/DecoderFuzzTest.cpp
@@ -35,7 +35,7 @@
     const std::string hold = R"({"clock_ms":4,"born":77,"running":[["5c0e.0.0.17",2,"",41,6]],"finished":[[58,"5c0e.0.0.9",1,"done",""]]})";
     const std::string table = R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/p/","timeout_ms":1,"service":"s","stretch":1.5}],"services":[{"name":"s"}]})";
     const bool isSound = rc::check("bodies", [&] {
-        static_cast<void>(platform::decodeJob({ "POST", "/", "h", {}, mutated(job) }, "5c0e7a21d94b36f8"));
+        static_cast<void>(platform::decodeJob({ "POST", "/", "h", {}, mutated(job) }, "5c0e7a21d94b36f8", 1300));
         static_cast<void>(platform::decodeMinionReport("i", mutated(report)));
         const OrderHeader header { { MinionId("i"), MinionStartTime(77) }, { "10.0.0.9", 80 }, OwnerEpoch(7) };
         const auto status = *rc::gen::elementOf(std::vector<unsigned> { 200, 409, 421, 500 });
--- a/Tests/Platform/JobCodecTest.cpp
+++ b/Tests/Platform/JobCodecTest.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr uint32_t maxTasks = 1300;
+
 WebRequest request(const std::string& body)
 {
     return { "POST", "/lohu930/5c0e7a21d94b36f8?x=1", "nony24.example:8161", { { "x-trefoilwing-deadline-ms", "1500" } }, body };
@@ -13,7 +15,7 @@
 
 Result<IncomingJob> decode(const std::string& body)
 {
-    return platform::decodeJob(request(body), "5c0e7a21d94b36f8");
+    return platform::decodeJob(request(body), "5c0e7a21d94b36f8", maxTasks);
 }
 
 } // namespace
@@ -53,8 +55,19 @@
         const Result<IncomingJob> decoded = decode(body);
         CHECK(errorOf(decoded) && errorOf(decoded)->code == ErrorCode::Malformed);
     }
-    CHECK(errorOf(platform::decodeJob(request("{}"), "short")));
-    CHECK(errorOf(platform::decodeJob(request("{}"), "5c0e7a21d94b36fz")));
+    CHECK(errorOf(platform::decodeJob(request("{}"), "short", maxTasks)));
+    CHECK(errorOf(platform::decodeJob(request("{}"), "5c0e7a21d94b36fz", maxTasks)));
+}
+
+// Guards against a job that its cell can't hold: it ended one owner after the other (review/10).
+TEST(JobCodec, AJobOfTooManyTasksIsTooLargeAndFinal)
+{
+    CHECK(valueOf(decode(R"({"spec":"s","best_effort":true,"steps":[{"count":1300,"cpu":1}]})")));
+    for (const char* body : { R"({"spec":"s","best_effort":true,"steps":[{"count":1301,"cpu":1}]})", R"({"spec":"s","best_effort":true,"steps":[{"count":100000000000,"cpu":1}]})" }) {
+        const Result<IncomingJob> decoded = decode(body);
+        CHECK(errorOf(decoded) && errorOf(decoded)->code == ErrorCode::TooLarge);
+        LONGS_EQUAL(413, platform::encodeError(*errorOf(decoded)).status);
+    }
 }
 
 TEST(JobCodec, AnswersHaveTheirStatus)
--- a/Tests/Platform/MinionCodecTest.cpp
+++ b/Tests/Platform/MinionCodecTest.cpp
@@ -12,6 +12,11 @@
 const OrderHeader header { { MinionId("i-7f3a91c2"), MinionStartTime(77) }, { "10.128.0.9", 8080 }, OwnerEpoch(7) };
 const RunId startedRun { JobKey("5c0e7a21d94b36f8"), TaskIndex(17), RunNumber(2) };
 
+std::shared_ptr<const std::string> specification(const char* text)
+{
+    return std::make_shared<const std::string>(text);
+}
+
 RenewResult decodeRenewal(const std::string& body, unsigned status = 200)
 {
     return platform::decodeResult(RenewOrder { header, 0, 0, {} }, HttpResult(WebResponse { status, {}, body }));
@@ -19,7 +24,7 @@
 
 OrderFailure startFailure(unsigned status, const std::string& body)
 {
-    return platform::decodeResult(StartOrder { header, startedRun, "s", 1 }, HttpResult(WebResponse { status, {}, body })).failure;
+    return platform::decodeResult(StartOrder { header, startedRun, specification("s"), 1 }, HttpResult(WebResponse { status, {}, body })).failure;
 }
 
 } // namespace
@@ -28,7 +33,7 @@
 
 TEST(MinionCodec, OrdersNameTheRunTheEpochAndTheMinion)
 {
-    const WebRequest request = platform::encodeOrder(StartOrder { header, startedRun, "(text)", 486000 });
+    const WebRequest request = platform::encodeOrder(StartOrder { header, startedRun, specification("(text)"), 486000 });
     STRCMP_EQUAL("/run-start", request.target.c_str());
     const json body = json::parse(request.body);
     STRCMP_EQUAL("5c0e7a21d94b36f8.0.0.17", body["task"].get<std::string>().c_str());
@@ -69,5 +74,5 @@
     CHECK(startFailure(503, "") == OrderFailure::Unhealthy);
     CHECK(startFailure(400, "") == OrderFailure::Refused);
     CHECK(startFailure(200, "not json") == OrderFailure::NoAnswer);
-    CHECK(platform::decodeResult(StartOrder { header, startedRun, "s", 1 }, HttpResult(HttpFailure::NotSent)).failure == OrderFailure::NotSent);
+    CHECK(platform::decodeResult(StartOrder { header, startedRun, specification("s"), 1 }, HttpResult(HttpFailure::NotSent)).failure == OrderFailure::NotSent);
 }
