Review: a minion whose DELETE isn't answered has its tasks run twice

The owner of a cell starts the tasks of a minion that leaves again as soon as a keeper has received its DELETE. If the answer is lost, the minion is up for another second, and its tasks run on under their lease.

--- /dev/null
+++ b/review/standin-3/Cases.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Record.h"
+
+#include <string>
+
+namespace review {
+
+struct CaseInput {
+    std::string program;
+    std::string folder;
+    /// Whether the disruption happens.
+    bool hasTrouble = true;
+    Record& record;
+};
+
+constexpr int ruleHeld = 0;
+constexpr int ruleBroken = 1;
+constexpr int couldNotRun = 2;
+
+/// A client cancels a job while its task runs, and one that waits.
+int playCancel(const CaseInput& input);
+/// The answer to the DELETE of a minion that leaves is lost.
+int playLeave(const CaseInput& input);
+/// An entry is killed, and a minion leaves the stop orders that follow unanswered.
+int playLease(const CaseInput& input);
+
+} // namespace review
