--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -18,6 +18,8 @@
 constexpr int ruleBroken = 1;
 constexpr int couldNotRun = 2;
 
+/// A minion registers while no leader is known, and its zone is handed over after its keeper has restarted.
+int playRegister(const CaseInput& input);
 /// A client cancels a job while its task runs, and one that waits.
 int playCancel(const CaseInput& input);
 /// The answer to the DELETE of a minion that leaves is lost.
--- a/review/standin-3/Fleet.cpp
+++ b/review/standin-3/Fleet.cpp
@@ -110,14 +110,15 @@
     return text.data();
 }
 
-void Fleet::run(const std::string& name, const std::string& settings)
+void Fleet::run(const std::string& name, const std::string& settings, bool isFounding)
 {
+    settings_[name] = settings;
     const std::string file = folder_ + "/" + name + ".yaml";
     std::string seeds;
     for (const char* keeper : keeperNames)
         seeds += (seeds.empty() ? "" : ",") + textOf(address(keeper, controlPort));
     std::ofstream(file) << "node: \"" << name << "\"\naddress: \"" << address(name, 0).ip << "\"\npeer_port: " << peerPort << "\nseeds: [" << seeds
-                        << "]\nfounding: true\ncatch_up_s: 4\nresubmit_ms: 1300\nlost_disks: 1\nmemory_mb: 260\nmax_descriptors: 1024\n"
+                        << "]\nfounding: " << (isFounding ? "true" : "false") << "\ncatch_up_s: 4\nresubmit_ms: 1300\nlost_disks: 1\nmemory_mb: 260\nmax_descriptors: 1024\n"
                         << settings;
     const std::string log = folder_ + "/" + name + ".log";
     const pid_t process = ::fork();
@@ -143,25 +144,52 @@
         std::filesystem::create_directories(folder_ + "/" + name);
         std::ostringstream settings;
         settings << "data_centre: \"" << zones.at(i) << "\"\ncontrol: " << textOf(address(name, controlPort)) << "\ndata_folder: \"" << folder_ << "/" << name << "\"\n";
-        run(name, settings.str());
+        run(name, settings.str(), true);
     }
     for (const FleetPlan::Entry& entry : plan_.entries) {
         std::ostringstream settings;
         settings << "data_centre: \"" << entry.zone << "\"\ncores: " << entry.cores << "\ncallers: " << textOf(address(entry.name, callersPort)) << "\nreadiness: " << textOf(address(entry.name, readinessPort)) << "\n";
-        run(entry.name, settings.str());
+        run(entry.name, settings.str(), true);
     }
-    std::vector<Address> keepers;
-    keepers.reserve(keeperNames.size());
-    for (const char* keeper : keeperNames)
-        keepers.push_back(address(keeper, controlPort));
     for (const FleetPlan::Place& place : plan_.minions) {
-        minions_[place.name] = std::make_unique<Minion>(MinionOptions { place.name, address(place.name, minionPort), place.zone, "work", place.cpu, keepers }, book_, record_);
+        minions_[place.name] = std::make_unique<Minion>(MinionOptions { place.name, address(place.name, minionPort), place.zone, "work", place.cpu, keepers() }, book_, record_);
         if (!minions_[place.name]->isListening())
             return false;
     }
     return publish(1) && std::all_of(plan_.entries.begin(), plan_.entries.end(), [this](const FleetPlan::Entry& entry) { return awaitService(entry.name); });
 }
 
+std::vector<Address> Fleet::keepers() const
+{
+    std::vector<Address> keepers;
+    keepers.reserve(keeperNames.size());
+    for (const char* keeper : keeperNames)
+        keepers.push_back(address(keeper, controlPort));
+    return keepers;
+}
+
+Minion& Fleet::addMinion(const FleetPlan::Place& place, const std::string& keeper)
+{
+    hosts_[place.name] = 150 + static_cast<int>(minions_.size());
+    std::vector<Address> order = keepers();
+    std::stable_partition(order.begin(), order.end(), [&](const Address& each) { return each.ip == address(keeper, 0).ip; });
+    minions_[place.name] = std::make_unique<Minion>(MinionOptions { place.name, address(place.name, minionPort), place.zone, "work", place.cpu, order }, book_, record_);
+    return *minions_[place.name];
+}
+
+void Fleet::restart(const std::string& name)
+{
+    record_.write("restart of " + name);
+    const std::string settings = settings_.at(name);
+    run(name, settings, false);
+}
+
+void Fleet::terminate(const std::string& name)
+{
+    record_.write("SIGTERM to " + name);
+    ::kill(processes_.at(name), SIGTERM);
+}
+
 bool Fleet::publish(int version)
 {
     const Clock::time_point deadline = Clock::now() + startTimeout;
--- a/review/standin-3/Fleet.h
+++ b/review/standin-3/Fleet.h
@@ -52,11 +52,17 @@
     bool start();
     /// Sends SIGKILL to a process and waits for its end.
     void kill(const std::string& name);
+    /// Starts a process again that was killed.
+    void restart(const std::string& name);
+    /// Sends SIGTERM to a process.
+    void terminate(const std::string& name);
     /// Lets a keeper's disk refuse every write, or take writes again, by the limit on the size of its files.
     /// @return whether the limit was set.
     bool refuseWrites(const std::string& keeper, bool isRefused);
 
     Minion& minion(const std::string& id) { return *minions_.at(id); }
+    /// Adds a minion that reports to one keeper first.
+    Minion& addMinion(const FleetPlan::Place& place, const std::string& keeper);
     std::map<std::string, std::unique_ptr<Minion>>& minions() { return minions_; }
     RunBook& book() { return book_; }
 
@@ -72,7 +78,8 @@
 
 private:
     Address address(const std::string& name, int port) const;
-    void run(const std::string& name, const std::string& settings);
+    std::vector<Address> keepers() const;
+    void run(const std::string& name, const std::string& settings, bool isFounding);
     bool publish(int version);
     bool awaitService(const std::string& entry);
 
@@ -83,6 +90,7 @@
     std::string network_;
     std::map<std::string, int> hosts_;
     std::map<std::string, pid_t> processes_;
+    std::map<std::string, std::string> settings_;
     RunBook book_;
     std::map<std::string, std::unique_ptr<Minion>> minions_;
     std::atomic<uint64_t> lastId_ { 0 };
--- a/review/standin-3/Main.cpp
+++ b/review/standin-3/Main.cpp
@@ -10,7 +10,7 @@
 
 int main(int argc, char** argv)
 {
-    const std::map<std::string, int (*)(const review::CaseInput&)> cases { { "cancel", review::playCancel }, { "leave", review::playLeave }, { "lease", review::playLease }, { "disk", review::playDisk } };
+    const std::map<std::string, int (*)(const review::CaseInput&)> cases { { "cancel", review::playCancel }, { "leave", review::playLeave }, { "lease", review::playLease }, { "disk", review::playDisk }, { "register", review::playRegister } };
     if (argc != 5 || !cases.contains(argv[1])) {
         std::cerr << "usage: standin CASE PROGRAM FOLDER RECORD\n";
         return 2;
--- a/review/standin-3/Minion.cpp
+++ b/review/standin-3/Minion.cpp
@@ -301,8 +301,10 @@
         body["remaining_ms"] = 2000;
     for (size_t tried = 0; tried < options_.keepers.size(); ++tried) {
         Response response = call(options_.keepers[keeper_ % options_.keepers.size()], { "PUT", "/instances/" + options_.id, {}, body.dump() }, callTimeout);
-        if (response.status >= 200 && response.status < 300)
+        if (response.status >= 200 && response.status < 300) {
+            ++acknowledged_;
             return response;
+        }
         ++keeper_;
     }
     return {};
--- a/review/standin-3/Minion.h
+++ b/review/standin-3/Minion.h
@@ -70,6 +70,8 @@
     /// From now on, stop orders are left unanswered and carried out after this time.
     void carryOutStopsLate(Millis delay) { lateStopMs_ = delay.count(); }
     bool hasRun(const std::string& task) const;
+    /// @return how many reports were acknowledged.
+    size_t acknowledgedReports() const { return acknowledged_; }
     /// Reports that it leaves.
     /// @return whether that was acknowledged.
     bool beginToLeave();
@@ -108,6 +110,7 @@
     const int64_t born_;
     std::atomic<int64_t> lateStopMs_ { 0 };
     std::atomic<bool> isEnding_ { false };
+    std::atomic<size_t> acknowledged_ { 0 };
     mutable std::mutex mutex_;
     std::condition_variable changed_;
     uint64_t epoch_ = 0;
