--- a/review/standin-3/LeaseCase.cpp
+++ b/review/standin-3/LeaseCase.cpp
@@ -11,6 +11,7 @@
 namespace {
 
     constexpr Millis resendDelay { 1300 };
+    constexpr Millis setupPause { 300 };
     constexpr Millis lateBy { 3000 };
     /// When room comes free at the minion for the job whose entry was killed.
     constexpr Millis roomAfterKill { 600 };
@@ -36,11 +37,14 @@
     const auto hold = [&](const std::string& entry, const std::string& name, int64_t cpu, int64_t estimate) {
         return std::async(std::launch::async, [&fleet, entry, name, cpu, estimate] { return fleet.submit(entry, { fleet.newId(), "until " + name, cpu, estimate, 20000 }); });
     };
-    // A job that goes on all the while, one that makes room soon, and one that keeps the other zone full for a while.
+    // A job that keeps the other zone full for a while, one that goes on all the while, and one that makes room soon. They
+    // are handed in one after the other, so that each goes to its own zone.
+    auto roomB = hold("owner-b", "room-b", 15000, 20000);
+    std::this_thread::sleep_for(setupPause);
     auto background = hold("owner-a", "the end", 4000, 10000);
+    std::this_thread::sleep_for(setupPause);
     auto roomA = hold("owner-a", "room-a", 10000, 300);
-    auto roomB = hold("owner-b", "room-b", 15000, 20000);
-    std::this_thread::sleep_for(Millis(400));
+    std::this_thread::sleep_for(setupPause);
     const Job job { fleet.newId(), "work 4000", 8000, 4000, 20000 };
     input.record.write("job " + job.id + " is handed in at entry-a");
     auto first = std::async(std::launch::async, [&] { return fleet.submit("entry-a", job); });
