--- a/review/standin-3/CancelCase.cpp
+++ b/review/standin-3/CancelCase.cpp
@@ -30,7 +30,7 @@
     bool isBroken = false;
     if (isReady && input.hasTrouble) {
         for (const Job& job : { running, waiting }) {
-            const Response response = fleet.ask("entry-1", "DELETE", job.id);
+            const Response response = fleet.ask("entry-1", "DELETE", "/work/" + job.id);
             input.record.write("DELETE of job " + job.id + " answered " + std::to_string(response.status) + " " + response.body);
             if (response.status != 410 && (response.status < 200 || response.status > 299))
                 return couldNotRun;
--- a/review/standin-3/Cases.h
+++ b/review/standin-3/Cases.h
@@ -25,4 +25,7 @@
 /// An entry is killed, and a minion leaves the stop orders that follow unanswered.
 int playLease(const CaseInput& input);
 
+/// A keeper's disk refuses writes while the configuration changes often.
+int playDisk(const CaseInput& input);
+
 } // namespace review
--- a/review/standin-3/Fleet.cpp
+++ b/review/standin-3/Fleet.cpp
@@ -14,6 +14,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -122,7 +123,10 @@
     const pid_t process = ::fork();
     if (process == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-        const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        // A file beyond the limit of refuseWrites() then only fails. The limit would hold for a log file too.
+        ::signal(SIGXFSZ, SIG_IGN);
+        const bool isKeeper = std::find(keeperNames.begin(), keeperNames.end(), name) != keeperNames.end();
+        const int output = ::open(isKeeper ? "/dev/null" : log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
         ::execl(program_.c_str(), program_.c_str(), "--fleet", file.c_str(), nullptr);
@@ -190,17 +194,25 @@
     processes_.erase(name);
 }
 
-bool Fleet::hasEnded()
+bool Fleet::refuseWrites(const std::string& keeper, bool isRefused)
 {
-    return std::any_of(processes_.begin(), processes_.end(), [](const auto& process) { return ::waitpid(process.second, nullptr, WNOHANG) != 0; });
+    record_.write("the disk of " + keeper + (isRefused ? " refuses writes" : " takes writes again"));
+    const rlimit limit { isRefused ? 1 : RLIM_INFINITY, RLIM_INFINITY };
+    return ::prlimit(processes_.at(keeper), RLIMIT_FSIZE, &limit, nullptr) == 0;
 }
 
-std::string Fleet::configuration(int version) const
+std::string Fleet::configuration(int version, int addedRoutes) const
 {
-    const json body { { "version", version },
+    json body { { "version", version },
         { "routes", { { { "name", "r-work" }, { "host", "jobs.example" }, { "path_prefix", "/work/" }, { "kind", "non_idempotent" }, { "timeout_ms", 1500 }, { "target_latency_ms", 60 }, { "priority", 0 }, { "service", "work" }, { "max_attempts", 4 }, { "stretch", 1.6 } } } },
         { "services", { { { "name", "work" }, { "health_path", "/healthz" }, { "max_connections", 64 }, { "protocol", "h1" }, { "tls", false }, { "admission_check", true }, { "standby", false } } } },
         { "limits", { { "max_header_bytes", 16384 }, { "max_body_bytes", 262144 }, { "header_timeout_ms", 3000 }, { "idle_timeout_ms", 15000 } } } };
+    for (int i = 1; i <= addedRoutes; ++i) {
+        json route = body["routes"][0];
+        route["name"] = "r-added-" + std::to_string(i);
+        route["path_prefix"] = "/added-" + std::to_string(i) + "/";
+        body["routes"].push_back(route);
+    }
     return body.dump();
 }
 
@@ -211,9 +223,9 @@
     return call(address(entry, callersPort), { "POST", "/work/" + job.id, { { "host", "jobs.example" }, { "x-trefoilwing-deadline-ms", std::to_string(job.waitMs) } }, body.dump() }, Millis(job.waitMs));
 }
 
-Response Fleet::ask(const std::string& entry, const std::string& method, const std::string& id)
+Response Fleet::ask(const std::string& entry, const std::string& method, const std::string& path)
 {
-    return call(address(entry, callersPort), { method, "/work/" + id, { { "host", "jobs.example" } }, "" }, Millis(1000));
+    return call(address(entry, callersPort), { method, path, { { "host", "jobs.example" } }, "" }, Millis(1000));
 }
 
 Response Fleet::callKeeper(size_t index, const Request& request)
--- a/review/standin-3/Fleet.h
+++ b/review/standin-3/Fleet.h
@@ -52,8 +52,9 @@
     bool start();
     /// Sends SIGKILL to a process and waits for its end.
     void kill(const std::string& name);
-    /// @return whether a process that wasn't killed has ended.
-    bool hasEnded();
+    /// Lets a keeper's disk refuse every write, or take writes again, by the limit on the size of its files.
+    /// @return whether the limit was set.
+    bool refuseWrites(const std::string& keeper, bool isRefused);
 
     Minion& minion(const std::string& id) { return *minions_.at(id); }
     std::map<std::string, std::unique_ptr<Minion>>& minions() { return minions_; }
@@ -61,10 +62,11 @@
 
     /// Hands a job in and waits for the answer.
     Response submit(const std::string& entry, const Job& job);
-    /// Sends a request about a job, as a client does.
-    Response ask(const std::string& entry, const std::string& method, const std::string& id);
+    /// Sends a request without a body to a path, as a client does.
+    Response ask(const std::string& entry, const std::string& method, const std::string& path);
     Response callKeeper(size_t index, const Request& request);
-    std::string configuration(int version) const;
+    /// @param addedRoutes the number of routes beside the first, with the prefixes "/added-1/" and so on.
+    std::string configuration(int version, int addedRoutes = 0) const;
     /// @return a new job id.
     std::string newId();
 
