Take a minion that leaves for ended only when it has ended

What callers saw: a task ran twice at the same time.

Cause: the owner of the cell took the departure for the end of the minion's runs and queued their tasks again. The keepers and all entries forgot the minion at that moment, so that a new owner of the cell couldn't know it either.

Change: hasLeft is the last state of a minion's instance, ordered after all its reports. Owners send such a minion no starts, don't extend its lease and stop its runs; the tasks start elsewhere when the stop is answered, the minion lists their end, or the lease is over. An idle minion is dropped at once. The leader removes a minion from the log 5 s after it left, so that new owners learn of it and ask it for its runs. A minion whose address another one of another service uses, and one that the log drops without a word, are taken for ones that left; those that are replaced within their service have ended, as before.

Evidence: the model of a hand-over lets minions leave.

--- a/Source/Adapters/Msgpack/FleetFields.h
+++ b/Source/Adapters/Msgpack/FleetFields.h
@@ -54,7 +54,7 @@
 
 void visitFields(auto&& visit, Fields<MinionReport> auto& value)
 {
-    visit(value.instance, value.sequence, value.pool, value.endpoint, value.capacity, value.labels, value.state);
+    visit(value.instance, value.sequence, value.pool, value.endpoint, value.capacity, value.labels, value.state, value.hasLeft);
 }
 
 void visitFields(auto&& visit, Fields<CellGrant> auto& value)
--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -39,12 +39,9 @@
     constexpr absl::Duration comparisonInterval = absl::Milliseconds(500);
     constexpr size_t maxProposedReports = 64;
 
-    /// Maximum number of instances that are to be removed from the log.
-    constexpr size_t maxEndedInstances = 500;
-
     bool hasSameContent(const MinionReport& a, const MinionReport& b)
     {
-        return a.instance == b.instance && a.pool == b.pool && a.endpoint == b.endpoint && a.capacity == b.capacity && a.labels == b.labels && a.state == b.state;
+        return a.instance == b.instance && a.pool == b.pool && a.endpoint == b.endpoint && a.capacity == b.capacity && a.labels == b.labels && a.state == b.state && a.hasLeft == b.hasLeft;
     }
 
 } // namespace
@@ -88,24 +85,34 @@
     });
 }
 
-std::vector<MinionInstance> FleetRegistry::takeReplacedInOtherServices(const MinionReport& report, absl::Time now)
+std::vector<MinionReport> FleetRegistry::takeReplacedInOtherServices(const MinionReport& report, absl::Time now)
 {
-    std::vector<MinionInstance> replaced;
-    for (const auto& [id, entry] : minions_) {
+    std::vector<MinionReport> replaced;
+    for (auto& [id, entry] : minions_) {
         const MinionReport& other = entry.report;
-        if (other.endpoint == report.endpoint && other.pool.service != report.pool.service && other.instance.startTime < report.instance.startTime)
-            replaced.push_back(other.instance);
+        if (other.endpoint == report.endpoint && other.pool.service != report.pool.service && other.instance.startTime < report.instance.startTime && !other.hasLeft)
+            replaced.push_back(markLeft(entry, now));
     }
-    for (const MinionInstance& instance : replaced)
-        addEndedInstance(instance, now);
     return replaced;
 }
 
-void FleetRegistry::addEndedInstance(const MinionInstance& instance, absl::Time now)
+const MinionReport& FleetRegistry::markLeft(Entry& entry, absl::Time now)
 {
-    if (endedInstances_.size() < maxEndedInstances)
-        endedInstances_[instance] = now;
+    entry.report.state = MinionState::Leaving;
+    entry.report.hasLeft = true;
+    entry.number = ++number_;
+    entry.proposedAt = entry.leftAt = now;
     isComparisonDue_ = true;
+    return entry.report;
+}
+
+bool FleetRegistry::isDepartureOver(Entry& entry, absl::Time now) const
+{
+    if (!entry.report.hasLeft)
+        return false;
+    // The log said that it has left.
+    entry.leftAt = std::min(entry.leftAt, now);
+    return isLeading_ && now >= entry.leftAt + departureRetention;
 }
 
 bool FleetRegistry::takeReport(const MinionReport& report, absl::Time proposedAt)
@@ -123,21 +130,19 @@
     if (isChange) {
         entry.number = ++number_;
         entry.proposedAt = proposedAt;
+        entry.leftAt = absl::InfiniteFuture();
         isComparisonDue_ = true;
     }
     return isChange;
 }
 
-std::optional<MinionInstance> FleetRegistry::minionLeft(const MinionId& minion, absl::Time now)
+std::optional<MinionReport> FleetRegistry::minionLeft(const MinionId& minion, absl::Time now)
 {
     heldReports_.remove(minion);
     const auto found = minions_.find(minion);
-    if (found == minions_.end() || found->second.report.state != MinionState::Leaving)
+    if (found == minions_.end() || found->second.report.state != MinionState::Leaving || found->second.report.hasLeft)
         return std::nullopt;
-    const MinionInstance instance = found->second.report.instance;
-    removeMinion(instance);
-    addEndedInstance(instance, now);
-    return instance;
+    return markLeft(found->second, now);
 }
 
 void FleetRegistry::removeMinion(const MinionInstance& instance)
@@ -219,7 +224,14 @@
     const auto isDue = [&](absl::Time proposedAt) { return proposedAt < leaderSince_ || now >= proposedAt + proposalRetryInterval; };
     removeReplacedMinions();
     unloggedCount_ = 0;
+    bool hasDepartures = false;
     for (auto& [id, entry] : minions_) {
+        hasDepartures = hasDepartures || entry.report.hasLeft;
+        if (isDepartureOver(entry, now) && isDue(entry.proposedAt)) {
+            entry.proposedAt = now;
+            changes.ended.push_back(entry.report.instance);
+            continue;
+        }
         if (!isUnlogged(entry.report))
             continue;
         ++unloggedCount_;
@@ -228,17 +240,7 @@
         entry.proposedAt = now;
         changes.reports.push_back(entry.report);
     }
-    std::erase_if(endedInstances_, [&](const auto& ended) {
-        const auto logged = loggedMinions_.find(ended.first.minion);
-        return logged == loggedMinions_.end() || logged->second.instance != ended.first;
-    });
-    for (auto& [instance, proposedAt] : endedInstances_) {
-        if (!isDue(proposedAt))
-            continue;
-        proposedAt = now;
-        changes.ended.push_back(instance);
-    }
-    isComparisonDue_ = unloggedCount_ > 0 || !endedInstances_.empty();
+    isComparisonDue_ = unloggedCount_ > 0 || hasDepartures;
     return changes;
 }
 
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -36,7 +36,7 @@
 /// What a keeper has acknowledged and its replicated log doesn't say yet.
 struct UnloggedChanges {
     std::vector<MinionReport> reports;
-    /// Minion instances that have left or were replaced, and that the log still holds.
+    /// Minion instances that left long enough ago to be removed from the log. Only the leader proposes this.
     std::vector<MinionInstance> ended;
 };
 
@@ -83,14 +83,14 @@
     /// Sets the services that the routing table names.
     /// @return the held reports that are taken therefore, as far as other daemons need to know them.
     std::vector<MinionReport> setServices(std::set<ServiceId>, absl::Time now);
-    /// Finds the minions of other services that reported from the report's address and started earlier, so that they must have
-    /// ended. They are removed from the log.
-    /// @return their instances.
-    std::vector<MinionInstance> takeReplacedInOtherServices(const MinionReport&, absl::Time now);
+    /// Takes the minions of other services that reported from the report's address and started earlier for ones that have left.
+    /// @return what to propose of them to the log.
+    std::vector<MinionReport> takeReplacedInOtherServices(const MinionReport&, absl::Time now);
     /// Handles a minion's message that it leaves. The message names no instance, but a minion reports that it is leaving
-    /// before it sends it: from one that is known to serve, it is a late message of an earlier instance.
-    /// @return the instance that left; unset if none did.
-    std::optional<MinionInstance> minionLeft(const MinionId&, absl::Time now);
+    /// before it sends it: from one that is known to serve, it is a late message of an earlier instance. The minion is kept for
+    /// departureRetention, as it may still be up.
+    /// @return what to propose to the log; unset if no minion has left.
+    std::optional<MinionReport> minionLeft(const MinionId&, absl::Time now);
     /// Sets the minions of the replicated log. Those that are no longer in it have left, whichever keeper they told. Those of
     /// services that the routing table doesn't name are ignored.
     /// @param departed the instances that the log doesn't take any more.
@@ -136,6 +136,8 @@
         uint64_t number = 0;
         /// When the report was last proposed to the log.
         absl::Time proposedAt = absl::InfinitePast();
+        /// When this keeper learned that the minion has left.
+        absl::Time leftAt = absl::InfiniteFuture();
     };
     struct Departure {
         MinionInstance instance;
@@ -161,7 +163,10 @@
     /// @return whether the log holds a minion that started later at the same address.
     bool isReplacedInLog(const MinionReport&) const;
     void removeReplacedMinions();
-    void addEndedInstance(const MinionInstance&, absl::Time now);
+    /// Records that a minion has left.
+    /// @return the report that says so.
+    const MinionReport& markLeft(Entry&, absl::Time now);
+    bool isDepartureOver(Entry&, absl::Time now) const;
     /// @return whether the report is of a service that the routing table names, or of a known instance.
     bool mayTake(const MinionReport&) const;
     /// @return whether a minion that started later has reported from the report's address for its service.
@@ -198,8 +203,6 @@
     /// The minions in the replicated log, and the instances that have left it.
     std::map<MinionId, MinionReport> loggedMinions_;
     std::deque<MinionInstance> loggedDepartures_;
-    /// Instances to be removed from the log, and when that was last proposed.
-    std::map<MinionInstance, absl::Time> endedInstances_;
     /// Whether the log may lack something.
     bool isComparisonDue_ = false;
     absl::Time nextComparisonAt_ = absl::InfinitePast();
--- a/Source/Control/FleetState.h
+++ b/Source/Control/FleetState.h
@@ -26,7 +26,7 @@
     ///
     /// Keepers propose what they have acknowledged until the log holds it, so records of a minion may be repeated and may be
     /// committed in another order than they were sent. Reports are ordered by the start of the instance, then by their sequence
-    /// numbers. A departure concerns one instance, and comes after all reports of that instance and before those of later ones.
+    /// numbers. That an instance has left comes after all its reports and before those of later instances, and its removal is final.
     /// @return whether it was stored.
     bool apply(const MinionRecord&);
     bool apply(const MinionGoneRecord&);
--- a/Source/Daemon/FleetEntry.cpp
+++ b/Source/Daemon/FleetEntry.cpp
@@ -314,8 +314,13 @@
 {
     const MinionInstance& instance = removed.report.instance;
     log_.write(Severity::Info, "minion_removed", { { "minion", instance.minion.value() }, { "birth", instance.startTime.value() }, { "service", removed.report.pool.service.value() }, { "data_centre", removed.report.pool.dataCentre.value() }, { "keeper", keeper.value() }, { "reason", std::string(removed.replacedBy ? "replaced" : "left") }, { "replaced_by", removed.replacedBy ? removed.replacedBy->value() : std::string() } });
-    if (const CellPtr cell = findCellOf(removed.report))
-        cell->minionLeft(instance);
+    const CellPtr cell = findCellOf(removed.report);
+    if (!cell)
+        return;
+    if (removed.replacedBy)
+        cell->minionEnded(instance);
+    else
+        cell->minionForgotten(instance);
 }
 
 bool FleetEntry::areMinionsKnown(OwnerEpoch epoch) const
--- a/Source/Daemon/FleetKeeper.cpp
+++ b/Source/Daemon/FleetKeeper.cpp
@@ -205,30 +205,32 @@
 
 void FleetKeeper::reportTaken(const MinionReport& report)
 {
-    std::vector<MinionInstance> replaced;
+    std::vector<MinionReport> replaced;
     {
         MutexLock lock(mutex_);
         replaced = registry_.takeReplacedInOtherServices(report, link_.clock().now());
     }
     log_.write(Severity::Info, "minion_reported", { { "minion", report.instance.minion.value() }, { "birth", report.instance.startTime.value() }, { "sequence", report.sequence }, { "service", report.pool.service.value() }, { "data_centre", report.pool.dataCentre.value() }, { "state", report.state == MinionState::Serving ? std::string("serving") : std::string("leaving") } });
     group_->remember(report);
-    for (const MinionInstance& instance : replaced)
-        group_->forget(instance);
+    for (const MinionReport& left : replaced) {
+        log_.write(Severity::Info, "minion_left", { { "minion", left.instance.minion.value() }, { "birth", left.instance.startTime.value() }, { "replaced_by", report.instance.minion.value() } });
+        group_->remember(left);
+    }
 }
 
 void FleetKeeper::minionLeft(const MinionId& minion)
 {
-    std::optional<MinionInstance> instance;
+    std::optional<MinionReport> left;
     {
         MutexLock lock(mutex_);
-        instance = registry_.minionLeft(minion, link_.clock().now());
+        left = registry_.minionLeft(minion, link_.clock().now());
     }
-    if (!instance) {
-        log_.write(Severity::Info, "leave_ignored", { { "minion", minion.value() }, { "reason", std::string("it has not reported that it leaves") } });
+    if (!left) {
+        log_.write(Severity::Info, "leave_ignored", { { "minion", minion.value() }, { "reason", std::string("it has not reported that it leaves, or has left already") } });
         return;
     }
-    group_->forget(*instance);
-    log_.write(Severity::Info, "minion_left", { { "minion", minion.value() }, { "birth", instance->startTime.value() } });
+    group_->remember(*left);
+    log_.write(Severity::Info, "minion_left", { { "minion", minion.value() }, { "birth", left->instance.startTime.value() }, { "replaced_by", std::string() } });
     sendUpdates();
 }
 
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -54,10 +54,11 @@
     const bool areDaemonsChanged = known.updateDaemons(update) || isNewRun;
     if (areDaemonsChanged || currentKeepers_ != std::count_if(keeperStates_.begin(), keeperStates_.end(), [&](const auto& entry) { return isCurrent(entry.second); }))
         deriveLists();
-    for (const MinionInstance& instance : update.gone)
-        removeMinion(instance, std::nullopt, change);
+    // Reports come first: they say which minion took the place of one that is gone.
     for (const MinionReport& report : update.minions)
         applyReport(report, change);
+    for (const MinionInstance& instance : update.gone)
+        removeMinion(instance, std::nullopt, change);
     for (const Evacuation& evacuation : update.evacuations)
         applyEvacuation(evacuation, change);
     if (update.table && update.table->version > routing_) {
--- a/Source/Intake/FleetView.h
+++ b/Source/Intake/FleetView.h
@@ -19,7 +19,8 @@
 /// A minion that a FleetView no longer holds.
 struct RemovedMinion {
     MinionReport report;
-    /// The minion that reported from the same address; unset if a keeper said that the removed one has left.
+    /// The minion that reported from the same address, or the same one for another service; unset if a keeper said that the
+    /// removed one has left.
     std::optional<MinionId> replacedBy;
 };
 
--- a/Source/Model/Runs.h
+++ b/Source/Model/Runs.h
@@ -109,18 +109,27 @@
     ResourceVector capacity;
     std::vector<std::string> labels;
     MinionState state = MinionState::Serving;
+    /// Whether the minion has said that it ends, or another one reports from its address. It may be up, and its tasks may run,
+    /// for some seconds after that.
+    bool hasLeft = false;
 
     friend bool operator==(const MinionReport&, const MinionReport&) = default;
 };
 
+/// Time for which a minion that has left is kept, so that new owners of its cell learn of it. One that gets no answer to its
+/// message that it leaves ends some seconds later.
+inline constexpr absl::Duration departureRetention = absl::Seconds(5);
+
 /// @return whether the minion belongs to the cell.
 bool isInCell(const MinionReport&, const CellId&);
 
-/// @return whether a report is newer than the known one: it is from a later
-/// instance, or a later report of the same instance.
+/// @return whether a report is newer than the known one: it is from a later instance, or a later report of the same instance.
+/// That an instance has left comes after all its reports.
 inline bool isLater(const MinionReport& report, const MinionReport& known)
 {
-    return report.instance.startTime != known.instance.startTime ? report.instance.startTime > known.instance.startTime : report.sequence > known.sequence;
+    if (report.instance.startTime != known.instance.startTime)
+        return report.instance.startTime > known.instance.startTime;
+    return report.hasLeft != known.hasLeft ? report.hasLeft : report.sequence > known.sequence;
 }
 
 /// @return whether two minions reported from one address for one service, so that only the one that started later can be
--- a/Source/Placement/CellDispatcher.cpp
+++ b/Source/Placement/CellDispatcher.cpp
@@ -67,7 +67,7 @@
     if (minion && minion->instance().startTime > report.instance.startTime)
         return;
     if (minion && minion->instance() == report.instance) {
-        if (report.sequence >= minion->report().sequence)
+        if (report.hasLeft || report.sequence >= minion->report().sequence)
             minion->setReport(report);
     } else {
         if (minion)
@@ -76,18 +76,55 @@
         logEvent("minion_added", {}, report.instance.minion, absl::StrCat("birth=", report.instance.startTime.value(), " cpu=", report.capacity.milliCores));
         sendRenewal(*minion, now);
     }
+    if (report.hasLeft) {
+        drainMinion(*minion, now);
+        removeDrainedMinions(now);
+    }
     place(now);
 }
 
-void CellDispatcher::minionLeft(const MinionInstance& instance, absl::Time now)
+void CellDispatcher::minionEnded(const MinionInstance& instance, absl::Time now)
 {
-    const auto found = minions_.find(instance.minion);
-    if (found == minions_.end() || found->second->instance() != instance)
+    LeasedMinion* minion = findMinion(instance);
+    if (!minion)
+        return;
+    removeMinion(*minion, "minion_replaced");
+    place(now);
+}
+
+void CellDispatcher::minionForgotten(const MinionInstance& instance, absl::Time now)
+{
+    LeasedMinion* minion = findMinion(instance);
+    if (!minion)
         return;
-    removeMinion(*found->second, "minion_left");
+    // The keepers have known for long enough that it has left, if they said so before.
+    if (minion->drainedBy)
+        minion->drainedBy = now;
+    else
+        drainMinion(*minion, now);
+    removeDrainedMinions(now);
     place(now);
 }
 
+void CellDispatcher::drainMinion(LeasedMinion& minion, absl::Time now)
+{
+    if (minion.drainedBy)
+        return;
+    minion.drainedBy = now + departureRetention;
+    for (auto& [id, run] : minion.runs()) {
+        logEvent("minion_left", id.job, minion.instance().minion, describe(id));
+        stopRun(minion, run, now);
+    }
+}
+
+void CellDispatcher::removeDrainedMinions(absl::Time now)
+{
+    std::erase_if(minions_, [&](const auto& entry) {
+        const LeasedMinion& minion = *entry.second;
+        return minion.drainedBy && minion.runs().empty() && (minion.isFenced || now >= *minion.drainedBy);
+    });
+}
+
 void CellDispatcher::removeMinion(LeasedMinion& minion, std::string_view reason)
 {
     removeAllRuns(minion, reason);
@@ -103,6 +140,7 @@
     next.instance.startTime = answeredBy;
     next.sequence = 0;
     next.state = MinionState::Leaving;
+    next.hasLeft = false;
     minionReported(next, now);
 }
 
@@ -150,7 +188,7 @@
     RenewOrder order { headerTo(minion), 0, minion.lastEndNumber, absl::ZeroDuration() };
     // The lease of a minion that doesn't answer isn't renewed, so that its tasks can restart elsewhere after it
     // expires.
-    if (minion.knowsClock() && isBusy && minion.health.isReachable())
+    if (minion.knowsClock() && isBusy && minion.health.isReachable() && !minion.drainedBy)
         order.leaseEndMs = minion.renewLease(now);
     if (isBusy && minion.isFenced && minion.health.isReachable())
         order.wait = order.leaseEndMs > 0 ? policy_.renewalWait : policy_.unclaimedRenewalWait;
@@ -295,6 +333,7 @@
     absl::erase_if(earlyCancels_, [&](const auto& cancel) { return now > cancel.second + earlyCancelRetention; });
     for (const auto& [id, minion] : minions_)
         sweepRuns(*minion, now);
+    removeDrainedMinions(now);
     stopUnclaimedJobs(now);
     endEvacuatedJobs(now);
     sweepJobs(now);
--- a/Source/Placement/CellDispatcher.h
+++ b/Source/Placement/CellDispatcher.h
@@ -76,7 +76,11 @@
     /// @param mayFinishJobs whether the tasks that jobs in progress still lack may start for a short time.
     void setEvacuated(bool isEvacuated, bool mayFinishJobs, absl::Time now);
     void minionReported(const MinionReport&, absl::Time now);
-    void minionLeft(const MinionInstance&, absl::Time now);
+    /// Removes a minion whose process has ended, with its runs.
+    void minionEnded(const MinionInstance&, absl::Time now);
+    /// Removes a minion that the keepers don't hold any more. Its process may be up, so tasks that it may run wait until they
+    /// have ended.
+    void minionForgotten(const MinionInstance&, absl::Time now);
 
     void offered(const JobOffer&, const DaemonId& entry, absl::Time now);
     void cancelled(const JobCancel&, const DaemonId& entry, absl::Time now);
@@ -189,6 +193,10 @@
     /// @param answeredBy 0 if another minion answered at the address.
     void otherInstanceAnswered(LeasedMinion&, MinionStartTime answeredBy, absl::Time now);
     void removeMinion(LeasedMinion&, std::string_view reason);
+    /// Stops what a minion runs that has left. It gets no more starts, and its lease isn't extended.
+    void drainMinion(LeasedMinion&, absl::Time now);
+    /// Removes the minions that have left, as far as they run nothing any more.
+    void removeDrainedMinions(absl::Time now);
     void recordAnswer(LeasedMinion&, OrderFailure, int64_t clockMs, absl::Time now);
     void sendRenewal(LeasedMinion&, absl::Time now);
     bool isRenewalDue(const LeasedMinion&, absl::Time now) const;
--- a/Source/Placement/CellDispatcherRuns.cpp
+++ b/Source/Placement/CellDispatcherRuns.cpp
@@ -255,7 +255,8 @@
 void CellDispatcher::sweepRuns(LeasedMinion& minion, absl::Time now)
 {
     minion.refreshClaims();
-    if (!minion.health.isReachable() && now > minion.leasesExpireBy() && !minion.runs().empty()) {
+    const bool mayExpire = !minion.health.isReachable() || minion.drainedBy;
+    if (mayExpire && now > minion.leasesExpireBy() && !minion.runs().empty()) {
         removeAllRuns(minion, "lease_over");
         return;
     }
--- a/Source/Placement/CellShard.cpp
+++ b/Source/Placement/CellShard.cpp
@@ -60,9 +60,14 @@
     run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionReported(report, now); });
 }
 
-void CellShard::minionLeft(const MinionInstance& instance)
+void CellShard::minionEnded(const MinionInstance& instance)
 {
-    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionLeft(instance, now); });
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionEnded(instance, now); });
+}
+
+void CellShard::minionForgotten(const MinionInstance& instance)
+{
+    run([&](CellDispatcher& dispatcher, absl::Time now) { dispatcher.minionForgotten(instance, now); });
 }
 
 void CellShard::offered(const JobOffer& offer, const DaemonId& entry)
--- a/Source/Placement/CellShard.h
+++ b/Source/Placement/CellShard.h
@@ -33,7 +33,8 @@
     /// an older revision than the known one is ignored.
     void setEvacuated(const Evacuation&);
     void minionReported(const MinionReport&);
-    void minionLeft(const MinionInstance&);
+    void minionEnded(const MinionInstance&);
+    void minionForgotten(const MinionInstance&);
     void offered(const JobOffer&, const DaemonId& entry);
     void cancelled(const JobCancel&, const DaemonId& entry);
     void entryHeartbeatReceived(const DaemonRun& entry, const std::optional<JobClaims>&);
--- a/Source/Placement/LeasedMinion.cpp
+++ b/Source/Placement/LeasedMinion.cpp
@@ -80,7 +80,7 @@
 
 bool LeasedMinion::isUsable(absl::Time now) const
 {
-    return isFenced && !isFull && report_.state == MinionState::Serving && health.isReachable() && !health.isEjected(now)
+    return isFenced && !isFull && !drainedBy && report_.state == MinionState::Serving && health.isReachable() && !health.isEjected(now)
         && (!health.isOnProbation() || runs_.empty());
 }
 
--- a/Tests/Control/FleetStateTest.cpp
+++ b/Tests/Control/FleetStateTest.cpp
@@ -195,11 +195,13 @@
     const MinionRecord first = minion("a", 1, 1, "10.0.0.1");
     MinionRecord leaving = minion("a", 1, 2, "10.0.0.1");
     leaving.report.state = MinionState::Leaving;
+    MinionRecord left = leaving;
+    left.report.hasLeft = true;
     const MinionGoneRecord gone { first.report.instance };
     const MinionRecord next = minion("a", 2, 1, "10.0.0.1");
     using Record = std::variant<MinionRecord, MinionGoneRecord>;
-    std::vector<Record> records { first, leaving, gone, next, first, gone };
-    std::vector<size_t> order { 0, 1, 2, 3, 4, 5 };
+    std::vector<Record> records { first, leaving, left, gone, next, first, gone };
+    std::vector<size_t> order { 0, 1, 2, 3, 4, 5, 6 };
     do {
         FleetState each;
         for (const size_t index : order)
--- a/Tests/Handover/HandoverModel.cpp
+++ b/Tests/Handover/HandoverModel.cpp
@@ -139,6 +139,7 @@
     host.registry = std::make_unique<FleetRegistry>(DaemonRun { DaemonId(name), Incarnation(++incarnations_) });
     host.isUp = true;
     host.registry->setServices({ cell.service }, network_.now());
+    host.registry->setLeading(name == keeperNames.front());
     host.registry->setGrants(host.state.grants());
     host.registry->setLoggedMinions(host.state.minions(), host.state.departed());
     host.registry->awaitReports(network_.now() + 2 * reportInterval);
@@ -226,6 +227,38 @@
         propose(MinionRecord { report });
 }
 
+void HandoverModel::deleteMinion(const std::string& keeper, const MinionId& minion)
+{
+    if (const std::optional<MinionReport> left = keepers_.at(keeper).registry->minionLeft(minion, network_.now()))
+        propose(MinionRecord { *left });
+}
+
+void HandoverModel::leave(ModelMinion& minion, const ModelNetwork::Action& beside)
+{
+    const std::string keeper = keeperOf(minion);
+    if (!minion.isUp() || minion.isLeaving() || keeper.empty())
+        return;
+    minion.beginToLeave();
+    reportTo(keeper, minion.report());
+    const absl::Duration drainTime = milliseconds(100 + network_.below(500));
+    network_.after(drainTime, [this, &minion, instance = minion.instance(), beside] {
+        const std::string reached = keeperOf(minion);
+        if (minion.instance() != instance || !minion.isUp())
+            return;
+        if (beside)
+            beside();
+        if (!reached.empty())
+            deleteMinion(reached, instance.minion);
+        const bool isAnswered = network_.below(2) == 0;
+        network_.after(milliseconds(isAnswered ? 2 : 500 + network_.below(2000)), [this, &minion, instance] {
+            if (minion.instance() != instance || !minion.isUp())
+                return;
+            minion.crash();
+            network_.after(milliseconds(200 + network_.below(1000)), [this, &minion] { startMinion(minion, &ModelMinion::replace); });
+        });
+    });
+}
+
 void HandoverModel::submitJob()
 {
     submit(JobKey(absl::StrCat("job-", ++jobs_)), 1 + static_cast<uint32_t>(network_.below(2)), 3);
@@ -358,6 +391,17 @@
     absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", minion.address(), " is replaced without a leader for ", absl::FormatDuration(leaderless), ", restart of ", keeper, " after ", absl::FormatDuration(killedAt));
 }
 
+void HandoverModel::leaveDuringHandover()
+{
+    grantTo(entryNames.front());
+    ModelMinion& minion = anyMinion();
+    leave(minion, [this] {
+        freeze(entryNames.front(), milliseconds(1000 + network_.below(1000)));
+        network_.after(milliseconds(network_.below(200)), [this] { grantTo(entryNames.back()); });
+    });
+    absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", minion.address(), " leaves during a hand-over");
+}
+
 void HandoverModel::missUpdates()
 {
     const std::string& entry = entryNames.at(network_.below(entryNames.size()));
@@ -443,6 +487,11 @@
         restartKeeper(keeper, std::min(duration, absl::Milliseconds(500)));
         return absl::StrCat("restart of ", keeper);
     }
+    case Disturbance::LeaveMinion: {
+        ModelMinion& minion = anyMinion();
+        leave(minion);
+        return absl::StrCat("leave of ", minion.address());
+    }
     }
     return "nothing";
 }
--- a/Tests/Handover/HandoverModel.h
+++ b/Tests/Handover/HandoverModel.h
@@ -33,6 +33,8 @@
     LoseLeader,
     /// A keeper is killed, and forgets what its log doesn't hold.
     RestartKeeper,
+    /// A minion leaves. The answer to its message may be lost, and it stays up for a while then.
+    LeaveMinion,
 };
 
 /// A model of one cell: two keepers with a replicated log, two entries that own it in turn, one of them of another data
@@ -50,6 +52,8 @@
     /// Lets a minion report while the keepers have no leader. Later a keeper is killed, and the cell goes from the entry of its data
     /// centre to the other one before the minion has reported again.
     void forgetMinion();
+    /// Lets a minion leave while the owner of its cell stands still and the cell goes to the entry of the other data centre.
+    void leaveDuringHandover();
     /// Lets an entry stand still for longer than a claim lasts. Its callers leave meanwhile and submit their jobs to another
     /// cell, and the closes of their connections arrive late.
     void leaveStoppedEntry();
@@ -86,6 +90,9 @@
     /// Has a keeper apply the log up to an entry, and tell its registry.
     void applyLog(const std::string& keeper, size_t upTo);
     void reportTo(const std::string& keeper, const MinionReport&);
+    /// @param beside is carried out as the minion sends that it leaves.
+    void leave(ModelMinion&, const ModelNetwork::Action& beside = {});
+    void deleteMinion(const std::string& keeper, const MinionId&);
     /// @return the keeper that a minion reports to; empty if it reaches none.
     std::string keeperOf(const ModelMinion&) const;
 
--- a/Tests/Handover/HandoverTest.cpp
+++ b/Tests/Handover/HandoverTest.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::array<Disturbance, 10> allDisturbances { Disturbance::Grant, Disturbance::CutPair, Disturbance::CutNode, Disturbance::CutSide, Disturbance::RestartMinion, Disturbance::ReplaceMinion, Disturbance::FreezeEntry, Disturbance::RestartEntry, Disturbance::LoseLeader, Disturbance::RestartKeeper };
+constexpr std::array<Disturbance, 11> allDisturbances { Disturbance::Grant, Disturbance::CutPair, Disturbance::CutNode, Disturbance::CutSide, Disturbance::RestartMinion, Disturbance::ReplaceMinion, Disturbance::FreezeEntry, Disturbance::RestartEntry, Disturbance::LoseLeader, Disturbance::RestartKeeper, Disturbance::LeaveMinion };
 
 /// @param countOfCi number of seeds that CI runs, from 1 on.
 /// @param kept further seeds, which failed while a part of the hand-over was missing.
@@ -180,3 +180,35 @@
         CHECK_TEXT(model.violation().empty(), absl::StrCat("seed ", seed, ": ", model.violation()).c_str());
     }
 }
+
+// Guards against new owners that don't learn of a minion which has just left, and start what it still runs.
+TEST(Handover, NoTaskRunsTwiceAfterAMinionHasLeftDuringAHandover)
+{
+    const std::vector<uint64_t> seeds = seedsToRun(100);
+    for (const uint64_t seed : seeds) {
+        HandoverModel model(seed);
+        for (int leave = 0; leave < 4; ++leave) {
+            model.leaveDuringHandover();
+            model.run(absl::Seconds(5));
+        }
+        CHECK_TEXT(model.violation().empty(), absl::StrCat("seed ", seed, ": ", model.violation()).c_str());
+    }
+}
+
+// The way of review/12: a minion is up for a while after its message that it leaves, and its cell may get a new owner meanwhile.
+TEST(Handover, NoTaskRunsTwiceWhileAMinionThatHasLeftIsUp)
+{
+    const std::vector<uint64_t> seeds = seedsToRun(100);
+    for (const uint64_t seed : seeds) {
+        HandoverModel model(seed);
+        std::mt19937_64 random(seed);
+        for (int leave = 0; leave < 4; ++leave) {
+            model.disturb(Disturbance::LeaveMinion);
+            model.run(absl::Milliseconds(static_cast<int64_t>(random() % 1200)));
+            if (random() % 2 == 0)
+                model.disturb(Disturbance::Grant);
+            model.run(absl::Seconds(3));
+        }
+        CHECK_TEXT(model.violation().empty(), absl::StrCat("seed ", seed, ": ", model.violation()).c_str());
+    }
+}
--- a/Tests/Handover/ModelEntry.cpp
+++ b/Tests/Handover/ModelEntry.cpp
@@ -86,8 +86,13 @@
         applyGrant(grant);
     if (!cell_)
         return;
-    for (const RemovedMinion& removed : change.removed)
-        cell_->minionLeft(removed.report.instance, now);
+    for (const RemovedMinion& removed : change.removed) {
+        const MinionInstance& instance = removed.report.instance;
+        if (removed.replacedBy)
+            cell_->minionEnded(instance, now);
+        else
+            cell_->minionForgotten(instance, now);
+    }
     for (const MinionReport& report : change.minions)
         cell_->minionReported(report, now);
     if (areMinionsKnown())
--- a/Tests/Handover/ModelMinion.cpp
+++ b/Tests/Handover/ModelMinion.cpp
@@ -26,7 +26,7 @@
 
 MinionReport ModelMinion::report()
 {
-    return { { MinionId(id_), life_.born }, ++life_.sequence, cell_.pool(), { address_, 80 }, { milliCores, 65536, 0 }, {}, MinionState::Serving };
+    return { { MinionId(id_), life_.born }, ++life_.sequence, cell_.pool(), { address_, 80 }, { milliCores, 65536, 0 }, {}, life_.isLeaving ? MinionState::Leaving : MinionState::Serving };
 }
 
 void ModelMinion::crash()
--- a/Tests/Handover/ModelMinion.h
+++ b/Tests/Handover/ModelMinion.h
@@ -33,6 +33,10 @@
     MinionReport report();
 
     void crash();
+    /// From now on it reports that it leaves. Its tasks run on.
+    void beginToLeave() { life_.isLeaving = true; }
+    bool isLeaving() const { return life_.isLeaving; }
+    MinionInstance instance() const { return { MinionId(id_), life_.born }; }
     /// Starts it again under its id.
     void restart();
     /// Starts another minion at its address, under an id of its own.
@@ -53,6 +57,7 @@
         std::vector<EndedRun> ended;
         uint64_t sequence = 0;
         uint64_t endCount = 0;
+        bool isLeaving = false;
     };
 
     int64_t clockMs() const;
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -140,6 +140,39 @@
     LONGS_EQUAL(0, view.minionsOf(cell).size());
 }
 
+TEST(FleetView, ALaterReportDoesntUndoThatAMinionHasLeft)
+{
+    MinionReport left = minion("a", 5);
+    left.state = MinionState::Leaving;
+    left.hasLeft = true;
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.number = 1;
+    update.minions = { left };
+    LONGS_EQUAL(1, view.receive(keeperId, update, now).minions.size());
+    update.minions = { minion("a", 6) };
+    LONGS_EQUAL(0, view.receive(DaemonId("10.0.0.2"), update, now).minions.size());
+    CHECK(view.minionsOf(cell).front().hasLeft);
+}
+
+// Guards against tasks of a minion that has ended and wait for its lease: one update says that it is gone, and which minion took
+// its place.
+TEST(FleetView, AReplacedMinionIsRemovedAsSuch)
+{
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.number = 1;
+    update.minions = { minion("a") };
+    view.receive(keeperId, update, now);
+    MinionReport next = minion("b", 1, 2);
+    next.endpoint = minion("a").endpoint;
+    update.minions = { next };
+    update.gone = { minion("a").instance };
+    const FleetChange change = view.receive(keeperId, update, now);
+    LONGS_EQUAL(1, change.removed.size());
+    CHECK(change.removed.front().replacedBy == next.instance.minion);
+}
+
 TEST(FleetView, TheRoutingVersionNeverDecreases)
 {
     FleetUpdate update;
--- a/Tests/Placement/CellFixture.cpp
+++ b/Tests/Placement/CellFixture.cpp
@@ -32,10 +32,10 @@
         results_.push_back(message.result);
 }
 
-void CellFixture::reportMinion(const std::string& id, int64_t milliCores, uint64_t startTime, MinionState state)
+void CellFixture::reportMinion(const std::string& id, int64_t milliCores, uint64_t startTime, MinionState state, bool hasLeft)
 {
     static uint64_t sequence = 0;
-    cell_.minionReported({ instance(id, startTime), ++sequence, cellId.pool(), { id, 80 }, { milliCores, 65536, 0 }, {}, state }, now_);
+    cell_.minionReported({ instance(id, startTime), ++sequence, cellId.pool(), { id, 80 }, { milliCores, 65536, 0 }, {}, state, hasLeft }, now_);
     collect();
 }
 
--- a/Tests/Placement/CellFixture.h
+++ b/Tests/Placement/CellFixture.h
@@ -21,7 +21,7 @@
     /// Adds a minion and answers its first lease renewal.
     void addMinion(const std::string& id, int64_t milliCores = 16000);
     /// Reports a minion without answering anything.
-    void reportMinion(const std::string& id, int64_t milliCores = 16000, uint64_t startTime = 1, MinionState state = MinionState::Serving);
+    void reportMinion(const std::string& id, int64_t milliCores = 16000, uint64_t startTime = 1, MinionState state = MinionState::Serving, bool hasLeft = false);
 
     /// Offers a job of equal tasks that need 7 cores and 100 ms each, with an objective of 300 ms and a timeout of 2 s.
     void offer(const std::string& job, uint32_t tasks);
