Leave out a silent keeper also if it ended while it awaited reports

A keeper that ended for good within three seconds of its start kept every view of the fleet incomplete: that it awaited reports counted for longer than its silence. Callers would have seen takeovers that wait for the end of the earlier owner's runs by time for ever. Found by reading; the test FleetView.AKeeperThatHasEndedWhileItAwaitedReportsIsLeftOutInTheEnd failed before. FleetRegistry::isRemovalDue() no longer changes what it looks at.

--- a/Source/Control/FleetRegistry.cpp
+++ b/Source/Control/FleetRegistry.cpp
@@ -106,13 +106,9 @@
     return entry.report;
 }
 
-bool FleetRegistry::isDepartureOver(Entry& entry, absl::Time now) const
+bool FleetRegistry::isRemovalDue(const Entry& entry, absl::Time now) const
 {
-    if (!entry.report.hasLeft)
-        return false;
-    // The log said that it has left.
-    entry.leftAt = std::min(entry.leftAt, now);
-    return isLeading_ && now >= entry.leftAt + departureRetention;
+    return isLeading_ && entry.report.hasLeft && now >= entry.leftAt + departureRetention;
 }
 
 bool FleetRegistry::takeReport(const MinionReport& report, absl::Time proposedAt)
@@ -226,8 +222,12 @@
     unloggedCount_ = 0;
     bool hasDepartures = false;
     for (auto& [id, entry] : minions_) {
-        hasDepartures = hasDepartures || entry.report.hasLeft;
-        if (isDepartureOver(entry, now) && isDue(entry.proposedAt)) {
+        if (entry.report.hasLeft) {
+            hasDepartures = true;
+            // The log doesn't say when it left.
+            entry.leftAt = std::min(entry.leftAt, now);
+        }
+        if (isRemovalDue(entry, now) && isDue(entry.proposedAt)) {
             entry.proposedAt = now;
             changes.ended.push_back(entry.report.instance);
             continue;
--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -166,7 +166,8 @@
     /// Records that a minion has left.
     /// @return the report that says so.
     const MinionReport& markLeft(Entry&, absl::Time now);
-    bool isDepartureOver(Entry&, absl::Time now) const;
+    /// @return whether a minion left long enough ago for the leader to remove it from the log.
+    bool isRemovalDue(const Entry&, absl::Time now) const;
     /// @return whether the report is of a service that the routing table names, or of a known instance.
     bool mayTake(const MinionReport&) const;
     /// @return whether a minion that started later has reported from the report's address for its service.
--- a/Source/Intake/FleetView.cpp
+++ b/Source/Intake/FleetView.cpp
@@ -206,10 +206,10 @@
 {
     return std::all_of(keepers_.begin(), keepers_.end(), [&](const DaemonId& keeper) {
         const auto known = keeperStates_.find(keeper);
-        if (known == keeperStates_.end() || known->second.number == 0 || known->second.hasGap || known->second.awaitsReports)
+        if (known == keeperStates_.end() || known->second.number == 0 || known->second.hasGap)
             return false;
         const absl::Duration silence = now - known->second.lastUpdateAt;
-        return (silence < keeperTimeout && known->second.newestGrant >= grant) || silence > keeperRetention;
+        return (silence < keeperTimeout && known->second.newestGrant >= grant && !known->second.awaitsReports) || silence > keeperRetention;
     });
 }
 
--- a/Tests/Intake/FleetViewTest.cpp
+++ b/Tests/Intake/FleetViewTest.cpp
@@ -108,6 +108,19 @@
     CHECK(view.isComplete(now));
 }
 
+TEST(FleetView, AKeeperThatHasEndedWhileItAwaitedReportsIsLeftOutInTheEnd)
+{
+    FleetUpdate update;
+    update.keeper = Incarnation(3);
+    update.number = 1;
+    update.awaitsReports = true;
+    view.receive(keeperId, update, now);
+    now += absl::Seconds(19);
+    CHECK_FALSE(view.isComplete(now));
+    now += absl::Seconds(2);
+    CHECK(view.isComplete(now));
+}
+
 TEST(FleetView, AnOlderReportFromAnotherKeeperChangesNothing)
 {
     MinionReport leaving = minion("a", 5);
