--- a/Tests/Handover/HandoverModel.cpp
+++ b/Tests/Handover/HandoverModel.cpp
@@ -35,6 +35,7 @@
 
 HandoverModel::HandoverModel(uint64_t seed, CutMessages cutMessages)
     : network_(seed, cutMessages)
+    , secondDataCentre_(network_.below(2) == 0 ? cell.dataCentre : DataCentreId("remote"))
     , world_ { network_, cell, { DaemonId(keeperNames[0]), DaemonId(keeperNames[1]) },
         [this](const DaemonId& from, const DaemonId& to, const PeerMessage& message) { deliver(from, to, message); },
         [this](const std::string& address) { return std::find_if(minions_.begin(), minions_.end(), [&](const auto& minion) { return minion->address() == address; })->get(); },
@@ -66,7 +67,7 @@
 void HandoverModel::startEntry(const std::string& name)
 {
     EntryHost& host = entries_[name];
-    host.process = std::make_unique<ModelEntry>(DaemonRun { DaemonId(name), Incarnation(1000 * ++incarnations_) }, world_, name == entryNames.front() ? cell.dataCentre : DataCentreId("remote"));
+    host.process = std::make_unique<ModelEntry>(DaemonRun { DaemonId(name), Incarnation(1000 * ++incarnations_) }, world_, name == entryNames.front() ? cell.dataCentre : secondDataCentre_);
     host.isFrozen = false;
     host.held.clear();
     pumpEntry(name);
@@ -370,7 +371,8 @@
     if (minion.isUp())
         return;
     (minion.*start)();
-    if (const std::string keeper = keeperOf(minion); !keeper.empty())
+    // Its first report may be late.
+    if (const std::string keeper = keeperOf(minion); !keeper.empty() && network_.below(2) == 0)
         reportTo(keeper, minion.report());
 }
 
@@ -384,11 +386,11 @@
         leaderlessUntil_ = network_.now() + leaderless;
         restartMinion(minion, &ModelMinion::replace);
     });
-    // The minion reports every 1.5 s.
-    const absl::Duration killedAt = leaderless + milliseconds(500 + network_.below(3000));
-    network_.after(killedAt, [this, keeper] { restartKeeper(keeper, milliseconds(100 + network_.below(200))); });
-    network_.after(killedAt + milliseconds(200 + network_.below(600)), [this] { grantTo(entryNames.back()); });
-    absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", minion.address(), " is replaced without a leader for ", absl::FormatDuration(leaderless), ", restart of ", keeper, " after ", absl::FormatDuration(killedAt));
+    // The keeper is killed before or after the minion has reported again.
+    const absl::Duration killedAfter = leaderless + milliseconds(500 + network_.below(3000));
+    network_.after(killedAfter, [this, keeper] { restartKeeper(keeper, milliseconds(100 + network_.below(200))); });
+    network_.after(killedAfter + milliseconds(200 + network_.below(600)), [this] { grantTo(entryNames.back()); });
+    absl::StrAppend(&story_, "; ", absl::FormatDuration(network_.now() - absl::FromUnixSeconds(1000)), " ", minion.address(), " is replaced without a leader for ", absl::FormatDuration(leaderless), ", restart of ", keeper, " after ", absl::FormatDuration(killedAfter));
 }
 
 void HandoverModel::leaveDuringHandover()
--- a/Tests/Handover/HandoverModel.h
+++ b/Tests/Handover/HandoverModel.h
@@ -37,9 +37,9 @@
     LeaveMinion,
 };
 
-/// A model of one cell: two keepers with a replicated log, two entries that own it in turn, one of them of another data
-/// centre, three minions, and callers that submit a job again if
-/// it was given up or their entry has restarted. It checks that no task runs twice at the same time.
+/// A model of one cell: two keepers with a replicated log, two entries that own it in turn, the second of them in
+/// another data centre or not, three minions, and callers that submit a job again if it was given up or their entry has restarted. It checks that no
+/// task runs twice at the same time.
 class HandoverModel {
 public:
     explicit HandoverModel(uint64_t seed, CutMessages = CutMessages::Lost);
@@ -123,6 +123,8 @@
     std::string disturbAs(Disturbance, absl::Duration);
 
     ModelNetwork network_;
+    /// Where the second entry is. Keepers tell it all minions only if that is the data centre of the cell.
+    const DataCentreId secondDataCentre_;
     ModelEntry::World world_;
     std::map<std::string, EntryHost> entries_;
     std::map<std::string, KeeperHost> keepers_;
--- a/Tests/Handover/HandoverTest.cpp
+++ b/Tests/Handover/HandoverTest.cpp
@@ -81,7 +81,7 @@
 // The way of review/7.
 TEST(Handover, NoTaskRunsTwiceAfterAnEntryHasMissedUpdates)
 {
-    const std::vector<uint64_t> seeds = seedsToRun(100);
+    const std::vector<uint64_t> seeds = seedsToRun(100, { 725 });
     for (const uint64_t seed : seeds) {
         HandoverModel model(seed);
         for (int cut = 0; cut < 4; ++cut) {
