--- a/Source/Control/FleetRegistry.h
+++ b/Source/Control/FleetRegistry.h
@@ -162,6 +162,7 @@
     bool isUnlogged(const MinionReport&) const;
     /// @return whether the log holds a minion that started later at the same address.
     bool isReplacedInLog(const MinionReport&) const;
+    /// Removes the minions that the log won't take, as later ones use their addresses.
     void removeReplacedMinions();
     /// Records that a minion has left.
     /// @return the report that says so.
--- a/Source/Placement/LeasedMinion.h
+++ b/Source/Placement/LeasedMinion.h
@@ -112,7 +112,8 @@
     MinionHealth health;
     /// Whether a renewal with this owner's epoch was answered, so that the minion rejects orders of earlier owners.
     bool isFenced = false;
-    /// Set once the minion has left: when a run of an earlier owner, if it isn't fenced, is taken for ended.
+    /// Set once the minion has left: when it is removed although it never answered this owner. Runs of an earlier owner have ended
+    /// by then.
     std::optional<absl::Time> drainedBy;
     /// Whether a start was rejected for lack of resources, so that less is free than assumed; cleared by the next
     /// answered renewal.
